Add the workspace, schemas, peer connections and design

Cause: the repository was empty. Found on the way: an unknown enumerant made decoding raise RuntimeError; wire.decode now reports it as DecodeError (test_damaged_message).

--- /dev/null
+++ b/packages/common/src/bamboosill_common/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, settings and parts shared by the bamboosill programs."""
--- /dev/null
+++ b/packages/common/src/bamboosill_common/events.py
@@ -0,0 +1,95 @@
+"""Time line of events over all processes, ordered by hybrid logical clocks.
+
+Source: Kulkarni et al., "Logical Physical Clocks and Consistent Snapshots in
+Globally Distributed Databases", 2014.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+from typing import TypedDict
+
+from bamboosill_common import clock as clock_lib
+
+LOGICAL_BITS = 16
+MAX_EVENTS = 20_000
+
+
+class EventDocument(TypedDict):
+    """An event as JSON."""
+
+    stamp: int
+    time_ms: int
+    instance: str
+    part: str
+    name: str
+    fields: dict[str, str | int | float | bool]
+
+
+class Event(NamedTuple):
+    """One event of one process."""
+
+    stamp: int
+    instance: str
+    part: str
+    name: str
+    fields: dict[str, str | int | float | bool]
+
+    def to_document(self) -> EventDocument:
+        """Returns the event as a JSON document."""
+        return {
+            "stamp": self.stamp,
+            "time_ms": self.stamp >> LOGICAL_BITS,
+            "instance": self.instance,
+            "part": self.part,
+            "name": self.name,
+            "fields": self.fields,
+        }
+
+
+class Timeline:
+    """Bounded record of this process's events, and its hybrid logical clock."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        instance: str,
+        max_events: int = MAX_EVENTS,
+    ) -> None:
+        self._clock = clock
+        self._instance = instance
+        self._stamp = 0
+        self._events: collections.deque[Event] = collections.deque(
+            maxlen=max_events
+        )
+
+    def tick(self) -> int:
+        """Returns a stamp larger than all stamps seen so far."""
+        self._stamp = max(
+            self._stamp + 1, self._clock.wall_ms() << LOGICAL_BITS
+        )
+        return self._stamp
+
+    def observe(self, stamp: int) -> None:
+        """Moves the clock past a stamp received from another process."""
+        self._stamp = max(self._stamp, stamp)
+
+    def record(
+        self, part: str, name: str, **fields: str | int | float | bool
+    ) -> None:
+        """Records an event now."""
+        self._events.append(
+            Event(self.tick(), self._instance, part, name, fields)
+        )
+
+    def list_events(self, after: int = 0) -> list[Event]:
+        """Returns the events with stamps above `after`, oldest first."""
+        return [event for event in self._events if event.stamp > after]
+
+
+def merge_events(
+    lists: Iterable[Iterable[EventDocument]],
+) -> list[EventDocument]:
+    """Returns the events of all processes in one order."""
+    merged = [event for events in lists for event in events]
+    return sorted(merged, key=lambda event: (event["stamp"], event["instance"]))
--- /dev/null
+++ b/packages/common/src/bamboosill_common/schema/consensus.capnp
@@ -0,0 +1,82 @@
+@0xd1c3a5f0b7e24602;
+# Messages and records of a consensus group.
+
+struct Member {
+  # One member of a group; a restarted instance without a disk is a new member.
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  voter @3 :Bool;
+}
+
+struct Membership {
+  # All members of a group.
+  members @0 :List(Member);
+}
+
+enum EntryKind {
+  command @0;
+  membership @1;
+  barrier @2;
+}
+
+struct LogEntry {
+  # One entry of the replicated log.
+  index @0 :UInt64;
+  term @1 :UInt64;
+  kind @2 :EntryKind;
+  data @3 :Data;
+}
+
+struct HardState {
+  # What a member must not forget.
+  term @0 :UInt64;
+  votedFor @1 :Text;
+}
+
+struct RequestVote {
+  # Request for a vote or, before that, for a pre-vote.
+  group @0 :Text;
+  term @1 :UInt64;
+  candidate @2 :Member;
+  lastIndex @3 :UInt64;
+  lastTerm @4 :UInt64;
+  preVote @5 :Bool;
+}
+
+struct VoteReply {
+  # Answer to RequestVote.
+  term @0 :UInt64;
+  granted @1 :Bool;
+}
+
+struct AppendEntries {
+  # Replication and heartbeat of a leader.
+  group @0 :Text;
+  term @1 :UInt64;
+  leader @2 :Member;
+  prevIndex @3 :UInt64;
+  prevTerm @4 :UInt64;
+  commit @5 :UInt64;
+  entries @6 :List(LogEntry);
+}
+
+struct AppendReply {
+  # Answer to AppendEntries and InstallSnapshot.
+  term @0 :UInt64;
+  success @1 :Bool;
+  matchIndex @2 :UInt64;
+}
+
+struct InstallSnapshot {
+  # One chunk of a snapshot for a member that is too far behind.
+  group @0 :Text;
+  term @1 :UInt64;
+  leader @2 :Member;
+  lastIndex @3 :UInt64;
+  lastTerm @4 :UInt64;
+  membership @5 :Membership;
+  offset @6 :UInt64;
+  data @7 :Data;
+  done @8 :Bool;
+}
--- /dev/null
+++ b/packages/common/src/bamboosill_common/schema/zone.capnp
@@ -0,0 +1,262 @@
+@0xd1c3a5f0b7e24604;
+# Commands of a zone group, and the messages inside an availability zone.
+
+struct Upstream {
+  # One upstream server as it announced itself.
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  service @2 :Text;
+  zone @3 :Text;
+  address @4 :Text;
+  slots @5 :UInt32;
+  connections @6 :UInt32;
+  checksFences @7 :Bool;
+  acceptsCancellation @8 :Bool;
+  acceptsDeadlines @9 :Bool;
+  state @10 :Text;
+}
+
+# Commands of the zone group's log.
+
+struct ApplyFeed {
+  # Applies items of the control state.
+  revision @0 :UInt64;
+  full @1 :Bool;
+  items @2 :List(Data);
+}
+
+struct PutUpstream {
+  # Registers an upstream, a new incarnation or a new state of it.
+  upstream @0 :Upstream;
+}
+
+struct DropUpstream {
+  # Removes an upstream whose grants have ended.
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  reason @2 :Text;
+}
+
+struct BeginMove {
+  # Takes shards from their owners and reserves new ones; the log index gives the fence.
+  keyspace @0 :Text;
+  shards @1 :List(UInt32);
+  target @2 :Text;
+  targetIncarnation @3 :UInt64;
+  reason @4 :Text;
+  key @5 :Text;
+}
+
+struct FinishMove {
+  # Makes the reserved owner of the shards their owner.
+  keyspace @0 :Text;
+  shards @1 :List(UInt32);
+  fence @2 :UInt64;
+  key @3 :Text;
+}
+
+struct ReleaseShards {
+  # Gives shards back to the control group.
+  keyspace @0 :Text;
+  shards @1 :List(UInt32);
+  epoch @2 :UInt32;
+}
+
+struct BeginRequest {
+  # Records a non-repeatable request before it is dispatched.
+  id @0 :Text;
+  customer @1 :Text;
+  fingerprint @2 :Data;
+  keyspace @3 :Text;
+  shard @4 :UInt32;
+  instance @5 :Text;
+  incarnation @6 :UInt64;
+  nowMs @7 :UInt64;
+}
+
+struct FinishRequest {
+  # Records the answer of a non-repeatable request.
+  id @0 :Text;
+  customer @1 :Text;
+  status @2 :UInt16;
+  body @3 :Data;
+  contentType @4 :Text;
+  stored @5 :Bool;
+  outcome @6 :Text;
+}
+
+struct AbandonRequest {
+  # Removes the record of a request that certainly did not run.
+  id @0 :Text;
+  customer @1 :Text;
+  fingerprint @2 :Data;
+}
+
+struct ReportCrash {
+  # Names the requests in flight at an upstream when it crashed.
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  fingerprints @2 :List(Data);
+  nowMs @3 :UInt64;
+}
+
+struct RecordStatus {
+  # Result of BeginRequest.
+  status @0 :Text;
+  httpStatus @1 :UInt16;
+  body @2 :Data;
+  contentType @3 :Text;
+  stored @4 :Bool;
+  detail @5 :Text;
+}
+
+# Messages.
+
+struct Join {
+  # Asks the zone leader to add this instance to the group.
+  group @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  address @3 :Text;
+}
+
+struct JoinReply {
+  # Answer to Join; the leader address is set when the receiver does not lead.
+  accepted @0 :Bool;
+  leaderAddress @1 :Text;
+}
+
+struct DrainedShard {
+  # States that no request of this shard is in flight to its former owner.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  fence @2 :UInt64;
+  key @3 :Text;
+}
+
+struct InFlight {
+  # The longest time that requests for a shard may still be in flight.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  upstream @2 :Text;
+  remainingMs @3 :UInt32;
+  key @4 :Text;
+}
+
+struct Demand {
+  # Requests of one customer and service at one entry instance since the last report.
+  customer @0 :Text;
+  service @1 :Text;
+  ratePerS @2 :Float64;
+  concurrency @3 :Float64;
+  refusedPerS @4 :Float64;
+}
+
+struct Share {
+  # Part of a customer's limits given to one entry instance.
+  customer @0 :Text;
+  service @1 :Text;
+  ratePerS @2 :Float64;
+  burst @3 :Float64;
+  concurrency @4 :Float64;
+}
+
+struct UpstreamView {
+  # What one entry instance observed of an upstream.
+  id @0 :Text;
+  inFlight @1 :UInt32;
+  latencyMs @2 :Float64;
+  refusals @3 :UInt32;
+  completions @4 :UInt32;
+  failures @5 :UInt32;
+}
+
+struct ShardLoad {
+  # Requests per second for one shard, or for one hot key of it.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  ratePerS @2 :Float64;
+  key @3 :Text;
+}
+
+struct RenewLease {
+  # Sent by each entry instance to the zone leader every 250 ms.
+  group @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+  appliedIndex @3 :UInt64;
+  drained @4 :List(DrainedShard);
+  inFlight @5 :List(InFlight);
+  demand @6 :List(Demand);
+  upstreams @7 :List(UpstreamView);
+  shardLoad @8 :List(ShardLoad);
+}
+
+struct LeaseReply {
+  # Answer to RenewLease.
+  granted @0 :Bool;
+  leaseMs @1 :UInt32;
+  lapseLeaseMs @2 :UInt32;
+  leaderAddress @3 :Text;
+  shares @4 :List(Share);
+  wallMs @5 :UInt64;
+  commitIndex @6 :UInt64;
+}
+
+struct Grant {
+  # A fenced grant of one shard, or of one hot key, to an upstream.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  fence @2 :UInt64;
+  key @3 :Text;
+}
+
+struct UpstreamBeat {
+  # A heartbeat of an upstream, passed on by an entry instance.
+  group @0 :Text;
+  id @1 :Text;
+  incarnation @2 :UInt64;
+  state @3 :Text;
+  inFlight @4 :UInt32;
+  queue @5 :UInt32;
+  latencyMs @6 :Float64;
+  grantsVersion @7 :UInt64;
+}
+
+struct UpstreamBeatReply {
+  # Answer to UpstreamBeat.
+  code @0 :Text;
+  leaseMs @1 :UInt32;
+  grantsVersion @2 :UInt64;
+  unchanged @3 :Bool;
+  grants @4 :List(Grant);
+  leaderAddress @5 :Text;
+  lapseLeaseMs @6 :UInt32;
+}
+
+struct ProposeCommand {
+  # A tagged command that a member sends to its group's leader.
+  group @0 :Text;
+  command @1 :Data;
+}
+
+struct ProposeReply {
+  # Answer to ProposeCommand; result is a tagged message or empty.
+  ok @0 :Bool;
+  code @1 :Text;
+  index @2 :UInt64;
+  result @3 :Data;
+  leaderAddress @4 :Text;
+}
+
+struct Explain {
+  # Asks the zone leader about one key.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  key @2 :Text;
+}
+
+struct ExplainReply {
+  # Answer to Explain, as a JSON document.
+  document @0 :Text;
+}
--- /dev/null
+++ b/packages/common/src/bamboosill_common/settings.py
@@ -0,0 +1,219 @@
+"""Reads settings from flags and environment variables."""
+
+import argparse
+from collections.abc import Mapping
+from collections.abc import Sequence
+import ipaddress
+import pathlib
+from typing import Any
+from typing import NamedTuple
+
+from bamboosill_common import findings
+from bamboosill_common.generated import settings as generated
+
+_MAX_PORT = 65535
+
+
+class Source(NamedTuple):
+    """A setting's text and where it came from."""
+
+    text: str
+    place: findings.Place
+
+
+class Loaded(NamedTuple):
+    """Settings read so far, with everything that is wrong with them."""
+
+    values: dict[str, Any]
+    sources: dict[str, Source]
+    findings: list[findings.Finding]
+
+
+def get_flag(name: str) -> str:
+    """Returns the flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def get_variable(name: str) -> str:
+    """Returns the environment variable of a setting."""
+    return "BAMBOOSILL_" + name.upper()
+
+
+def add_flags(
+    parser: argparse.ArgumentParser, specs: Sequence[generated.Setting]
+) -> None:
+    """Adds the flag of each setting to a parser."""
+    for spec in specs:
+        default = f" Default: {spec.default}." if spec.default else ""
+        help_text = f"{spec.help}{default} [{get_variable(spec.name)}]"
+        parser.add_argument(
+            get_flag(spec.name),
+            dest=spec.name,
+            metavar=spec.type.upper(),
+            help=help_text.replace("%", "%%"),
+        )
+
+
+def load_settings(
+    specs: Sequence[generated.Setting],
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> Loaded:
+    """Returns the settings in force and all findings about them."""
+    loaded = Loaded({}, {}, [])
+    for spec in specs:
+        source = _find_source(spec, flags, environment)
+        loaded.sources[spec.name] = source
+        if spec.required and not source.text:
+            loaded.findings.append(
+                findings.Finding(
+                    source.place,
+                    f"is required; set it or {get_variable(spec.name)}",
+                )
+            )
+            continue
+        _convert(spec, source, loaded)
+    return loaded
+
+
+def _find_source(
+    spec: generated.Setting,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> Source:
+    flag = flags.get(spec.name)
+    if flag is not None:
+        return Source(flag, findings.Place(get_flag(spec.name)))
+    variable = get_variable(spec.name)
+    if variable in environment:
+        return Source(environment[variable], findings.Place(variable))
+    place = get_flag(spec.name) if spec.required else "default"
+    return Source(spec.default, findings.Place(place, spec.name))
+
+
+def _convert(spec: generated.Setting, source: Source, loaded: Loaded) -> None:
+    problem = ""
+    value: Any = source.text
+    try:
+        if spec.type == "int":
+            value = int(source.text)
+        elif spec.type == "float":
+            value = float(source.text)
+        elif spec.type == "list":
+            value = tuple(
+                part.strip() for part in source.text.split(",") if part.strip()
+            )
+        elif spec.type == "address" and source.text:
+            split_address(source.text)
+    except ValueError as error:
+        problem = f"{source.text!r} is no {spec.type}: {error}"
+    if not problem and spec.type in ("int", "float"):
+        problem = _check_range(spec, value)
+    if not problem and spec.choices:
+        for part in value if spec.type == "list" else (value,):
+            if part not in spec.choices:
+                problem = f"{part!r} is not one of {', '.join(spec.choices)}"
+    if problem:
+        loaded.findings.append(findings.Finding(source.place, problem))
+    else:
+        loaded.values[spec.name] = value
+
+
+def _check_range(spec: generated.Setting, value: float) -> str:
+    if spec.minimum is not None and value < spec.minimum:
+        return f"{value} is below {spec.minimum}"
+    if spec.maximum is not None and value > spec.maximum:
+        return f"{value} is above {spec.maximum}"
+    return ""
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Returns the IP number and port of `IP:port`.
+
+    Raises:
+        ValueError: The text is no such address.
+    """
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host)
+    number = int(port)
+    if not 0 <= number <= _MAX_PORT:
+        raise ValueError(f"port {number} is out of range")
+    return host, number
+
+
+def check_daemon(loaded: Loaded) -> None:
+    """Adds findings about daemon settings that depend on each other."""
+    values = loaded.values
+    roles = values.get("roles", ())
+
+    def require(name: str, reason: str) -> None:
+        if not values.get(name):
+            place = findings.Place(get_flag(name))
+            loaded.findings.append(findings.Finding(place, reason))
+
+    if "entry" in roles:
+        require("caller_listen", "is required for the entry role")
+        require("upstream_listen", "is required for the entry role")
+    if "control" in roles:
+        require("data_dir", "is required for the control role")
+    if bool(values.get("tls_cert")) != bool(values.get("tls_key")):
+        require("tls_cert", "is required together with --tls-key")
+        require("tls_key", "is required together with --tls-cert")
+    for name in ("key_file", "tls_cert", "tls_key", "tls_ca"):
+        path = values.get(name)
+        if path and not pathlib.Path(path).is_file():
+            loaded.findings.append(
+                findings.Finding(
+                    loaded.sources[name].place, f"{path}: no such file"
+                )
+            )
+    _check_control_peers(loaded)
+    if not values.get("key_file"):
+        _check_loopback(loaded)
+
+
+def _check_control_peers(loaded: Loaded) -> None:
+    names = set()
+    for part in loaded.values.get("control_peers", ()):
+        name, _, address = part.partition("=")
+        try:
+            split_address(address)
+        except ValueError:
+            place = loaded.sources["control_peers"].place
+            loaded.findings.append(
+                findings.Finding(place, f"{part!r} is not name=IP:port")
+            )
+        names.add(name)
+    if (
+        "control" in loaded.values.get("roles", ())
+        and loaded.values.get("instance_id") not in names
+    ):
+        place = loaded.sources["control_peers"].place
+        loaded.findings.append(
+            findings.Finding(place, "does not name this instance")
+        )
+
+
+def _check_loopback(loaded: Loaded) -> None:
+    names = ("peer_listen", "admin_listen", "caller_listen", "upstream_listen")
+    for name in names:
+        address = loaded.values.get(name)
+        if not address:
+            continue
+        host, _ = split_address(address)
+        if not ipaddress.ip_address(host).is_loopback:
+            loaded.findings.append(
+                findings.Finding(
+                    loaded.sources[name].place,
+                    f"{address} is not a loopback address; without --key-file "
+                    "only those are allowed",
+                )
+            )
+
+
+def format_settings(loaded: Loaded) -> str:
+    """Returns the settings in force and where each value came from."""
+    return "\n".join(
+        f"{name} = {source.text!r}  ({source.place.format()})"
+        for name, source in loaded.sources.items()
+    )
--- /dev/null
+++ b/packages/common/tests/test_peer.py
@@ -0,0 +1,94 @@
+"""Tests of connections between instances."""
+
+import asyncio
+
+from bamboosill_common import auth
+from bamboosill_common import clock
+from bamboosill_common import events
+from bamboosill_common import peer
+from bamboosill_common.generated import control
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+
+def make_context(name):
+    system = clock.SystemClock()
+    return peer.PeerContext(
+        peer.Identity(name, 1, "z"),
+        auth.Authenticator("", system),
+        system,
+        events.Timeline(system, name),
+    )
+
+
+async def start_server(handlers):
+    server = peer.Server(make_context("server"), handlers)
+    return server, await server.start("127.0.0.1", 0)
+
+
+def make_handlers():
+    handlers = peer.Handlers()
+
+    @handlers.register(control.ZoneBeat)
+    async def answer(message, hello):
+        await asyncio.sleep(message.applied_revision / 1000)
+        return control.ZoneBeatReply(revision=message.applied_revision)
+
+    return handlers
+
+
+async def test_replies_reach_their_own_request():
+    """Guards against replies in another order that reach the wrong call."""
+    server, port = await start_server(make_handlers())
+    client = peer.Client(make_context("client"), f"127.0.0.1:{port}")
+    delays = [30, 5, 20, 1]
+    replies = await asyncio.gather(
+        *(
+            client.call(
+                control.ZoneBeat(applied_revision=delay),
+                control.ZoneBeatReply,
+                5,
+            )
+            for delay in delays
+        )
+    )
+    assert [reply.unwrap().revision for reply in replies] == delays
+    await client.close()
+    await server.stop()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"\xff\xff\xff\xff", b"\x00\x00\x00\x04abcd", b"GET / HTTP/1.1\r\n\r\n"],
+)
+async def test_bad_bytes_close_only_their_connection(data):
+    """Guards against bad bytes on one connection that disturb another."""
+    server, port = await start_server(make_handlers())
+    client = peer.Client(make_context("client"), f"127.0.0.1:{port}")
+    before = peer.bad_frames._value.get()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    while await reader.read(4096):
+        pass
+    reply = await client.call(control.ZoneBeat(), control.ZoneBeatReply, 5)
+    assert isinstance(reply, Success)
+    assert peer.bad_frames._value.get() == before + 1
+    writer.close()
+    await client.close()
+    await server.stop()
+
+
+async def test_call_to_dead_instance_ends_by_deadline():
+    """Guards against a call that hangs when nothing answers."""
+    silent = await asyncio.start_server(
+        lambda reader, writer: None, "127.0.0.1", 0
+    )
+    port = silent.sockets[0].getsockname()[1]
+    client = peer.Client(make_context("client"), f"127.0.0.1:{port}")
+    reply = await client.call(control.ZoneBeat(), control.ZoneBeatReply, 0.1)
+    assert isinstance(reply, Failure)
+    assert reply.failure().code == "timeout"
+    assert not reply.failure().sent
+    await client.close()
+    silent.close()
--- /dev/null
+++ b/packages/common/tests/test_wire.py
@@ -0,0 +1,54 @@
+"""Tests of message encoding."""
+
+from bamboosill_common import wire
+from bamboosill_common.generated import catalog
+from bamboosill_common.generated import consensus
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+ENTRY = consensus.LogEntry(index=7, term=2, kind="barrier", data=b"\x00x")
+MESSAGES = [
+    consensus.HardState(term=3, voted_for="a"),
+    consensus.AppendEntries(group="g", term=1, entries=(ENTRY, ENTRY)),
+    consensus.Membership(
+        members=(consensus.Member("a", 1, "127.0.0.1:1", True),)
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    "message", MESSAGES, ids=lambda each: type(each).__name__
+)
+def test_round_trip(message):
+    """Guards against a field that is lost or mixed up on the way."""
+    assert wire.unpack(wire.pack(message)) == message
+
+
+@pytest.mark.parametrize(
+    "codec", catalog.CODECS_BY_NAME.values(), ids=lambda each: each.name
+)
+def test_default_message_round_trip(codec):
+    """Guards against a message type that cannot be written or read."""
+    message = codec.message()
+    assert wire.decode(codec.message, wire.encode(message)) == message
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_bad_bytes_give_decode_error(data):
+    """Guards against bad bytes that raise anything but DecodeError."""
+    try:
+        wire.unpack(data)
+    except wire.DecodeError:
+        pass
+
+
+@hypothesis.given(strategies.integers(0, 10**6), strategies.integers(0, 255))
+def test_damaged_message_gives_decode_error(place, value):
+    """Guards against a flipped byte that raises anything but DecodeError."""
+    data = bytearray(wire.pack(MESSAGES[1]))
+    data[place % len(data)] = value
+    try:
+        wire.unpack(bytes(data))
+    except wire.DecodeError:
+        pass
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/__init__.py
@@ -0,0 +1,1 @@
+"""The bamboosill daemon."""
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and experiments for developing bamboosill."""
