Add contracts, control state and leader duties (usable)

Cause: the control role needs contracts, a replicated registry and the delegation of shards to zones. Change: contract parsing with findings, ControlState, ControlService with registration, zone beats, delegation and founding of zone groups.

Tested: planner property test, service answers with a single-member node.

--- a/packages/common/src/bamboosill_common/schema/control.capnp
+++ b/packages/common/src/bamboosill_common/schema/control.capnp
@@ -57,6 +57,17 @@
   founder @3 :Text;
   founderIncarnation @4 :UInt64;
   lost @5 :Bool;
+  voters @6 :List(Text);
+  voterIncarnations @7 :List(UInt64);
+}
+
+struct ServiceHome {
+  # The keyspace that holds the keys of one service of one customer.
+  # endedRevision is 0 while the service is in force.
+  customer @0 :Text;
+  service @1 :Text;
+  keyspace @2 :Text;
+  endedRevision @3 :UInt64;
 }
 
 # Commands of the control group's log.
@@ -68,6 +79,7 @@
   customer @2 :Text;
   document @3 :Text;
   operator @4 :Text;
+  shards @5 :UInt32;
 }
 
 struct RetireContract {
@@ -103,6 +115,28 @@
   operator @2 :Text;
 }
 
+struct PutZoneVoters {
+  # Records the voters of a zone's group as its leader reported them.
+  zone @0 :Text;
+  groupEpoch @1 :UInt32;
+  voters @2 :List(Text);
+  voterIncarnations @3 :List(UInt64);
+}
+
+struct CommandRecord {
+  # The result of a command, kept so that a resend gets the same answer.
+  commandId @0 :Text;
+  digest @1 :Data;
+  result @2 :CommandResult;
+}
+
+struct ControlSnapshot {
+  # Head of a snapshot; that many tagged records follow it.
+  revision @0 :UInt64;
+  floorRevision @1 :UInt64;
+  records @2 :UInt64;
+}
+
 struct CommandResult {
   # Result of a control command, kept for resends of the same command id.
   ok @0 :Bool;
@@ -115,7 +149,9 @@
 
 struct RegisterInstance {
   # Sent by each instance to the control leader after its start.
+  # leaderless is set by an instance that has no zone leader at this time.
   item @0 :InstanceItem;
+  leaderless @1 :Bool;
 }
 
 struct RegisterReply {
@@ -154,6 +190,8 @@
   released @6 :List(ShardRelease);
   groupTerm @7 :UInt64;
   liveInstances @8 :List(Text);
+  voters @9 :List(Text);
+  voterIncarnations @10 :List(UInt64);
 }
 
 struct ZoneBeatReply {
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: contracts, instance registry and delegation."""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/control/commands.py
@@ -0,0 +1,216 @@
+"""Appliers of the control group's commands, registered by their class.
+
+Each applier changes the tables only if the whole command is valid and
+returns its result. It must depend on nothing but the command, its index and
+the tables: every member computes the same.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from bamboosill_common import contract as contract_lib
+from bamboosill_common.generated import control as messages
+
+from bamboosilld.control import delegationrules
+from bamboosilld.control import tables as tables_lib
+
+Applier = Callable[[tables_lib.Tables, int, Any], messages.CommandResult]
+
+APPLIERS: dict[type[Any], Applier] = {}
+
+
+def register(command_type: type[Any]) -> Callable[[Applier], Applier]:
+    """Returns a decorator that registers the applier of a command."""
+
+    def add(applier: Applier) -> Applier:
+        APPLIERS[command_type] = applier
+        return applier
+
+    return add
+
+
+def accept(revision: int) -> messages.CommandResult:
+    """Returns the result of a command that was carried out."""
+    return messages.CommandResult(ok=True, revision=revision)
+
+
+def refuse(code: str, detail: str, revision: int = 0) -> messages.CommandResult:
+    """Returns the result of a command that changed nothing."""
+    return messages.CommandResult(
+        ok=False, revision=revision, code=code, detail=detail
+    )
+
+
+def _check_base(
+    tables: tables_lib.Tables, customer: str, base: int
+) -> messages.CommandResult | None:
+    item = tables.contracts.get(customer)
+    current = item.revision if item else 0
+    if base == current:
+        return None
+    detail = (
+        f"the contract of {customer} is at revision {current}, not {base}"
+        if current
+        else f"{customer} has no contract"
+    )
+    return refuse("conflict", detail, current)
+
+
+@register(messages.AcceptContract)
+def _accept_contract(
+    tables: tables_lib.Tables, index: int, command: messages.AcceptContract
+) -> messages.CommandResult:
+    try:
+        contract = contract_lib.read_stored(command.document)
+    except ValueError as error:
+        return refuse("bad_contract", str(error)[:200])
+    if contract.customer != command.customer:
+        return refuse("bad_contract", "the document names another customer")
+    conflict = _check_base(tables, command.customer, command.base_revision)
+    if conflict:
+        return conflict
+    for service in contract.services:
+        home = tables.homes.get((contract.customer, service.name))
+        keyspace = service.format_keyspace()
+        if home and not home.ended_revision and home.keyspace != keyspace:
+            # Entry instances take the change at different times; the key
+            # would have an owner in each keyspace meanwhile.
+            return refuse(
+                "keyspace_change",
+                f"zone_loss and zones of {service.name} cannot change while "
+                "it is in force; remove the service first",
+                command.base_revision,
+            )
+    item = messages.ContractItem(
+        customer=command.customer, revision=index, document=command.document
+    )
+    tables.put_contract(item, contract, index, command.shards)
+    return accept(index)
+
+
+@register(messages.RetireContract)
+def _retire_contract(
+    tables: tables_lib.Tables, index: int, command: messages.RetireContract
+) -> messages.CommandResult:
+    conflict = _check_base(tables, command.customer, command.base_revision)
+    if conflict:
+        return conflict
+    item = tables.contracts.get(command.customer)
+    if item is None:
+        return refuse("unknown_customer", f"{command.customer} has no contract")
+    if item.retired:
+        return refuse(
+            "retired", "the contract is already retired", item.revision
+        )
+    changed = item._replace(revision=index, retired=True)
+    tables.put_contract(changed, None, index, 0)
+    return accept(index)
+
+
+@register(messages.PutInstance)
+def _put_instance(
+    tables: tables_lib.Tables, index: int, command: messages.PutInstance
+) -> messages.CommandResult:
+    item = command.item
+    known = tables.instances.get(item.instance)
+    if not item.instance or not item.zone:
+        return refuse("bad_instance", "instance id and zone are required")
+    if known:
+        if item.incarnation < known.incarnation:
+            return refuse(
+                "old_incarnation",
+                f"{item.instance} is known with a newer incarnation",
+                known.revision,
+            )
+        same = item._replace(revision=known.revision)
+        if same == known:
+            return accept(known.revision)
+        # One incarnation cannot change, and cannot return once removed.
+        if item.incarnation == known.incarnation and same != known._replace(
+            removed=True
+        ):
+            return refuse(
+                "duplicate_identity",
+                f"{item.instance} is known with other addresses or removed",
+                known.revision,
+            )
+    tables.put_instance(item._replace(revision=index))
+    return accept(index)
+
+
+@register(messages.FoundZone)
+def _found_zone(
+    tables: tables_lib.Tables, index: int, command: messages.FoundZone
+) -> messages.CommandResult:
+    item = command.item
+    known = tables.zones.get(item.zone)
+    epoch = known.group_epoch if known else 0
+    if item.group_epoch != epoch + 1:
+        return refuse("epoch", f"group epoch of {item.zone} is {epoch}")
+    founder = tables.instances.get(item.founder)
+    if (
+        founder is None
+        or founder.removed
+        or founder.zone != item.zone
+        or founder.incarnation != item.founder_incarnation
+    ):
+        return refuse("founder", f"{item.founder} cannot found {item.zone}")
+    founded = item._replace(
+        revision=index,
+        lost=False,
+        voters=(item.founder,),
+        voter_incarnations=(item.founder_incarnation,),
+    )
+    tables.put_zone(founded)
+    return accept(index)
+
+
+@register(messages.PutZoneVoters)
+def _put_zone_voters(
+    tables: tables_lib.Tables, index: int, command: messages.PutZoneVoters
+) -> messages.CommandResult:
+    known = tables.zones.get(command.zone)
+    if known is None or known.lost:
+        return refuse("unknown_zone", f"{command.zone} has no group")
+    if known.group_epoch != command.group_epoch:
+        return refuse("epoch", f"group epoch is {known.group_epoch}")
+    if not command.voters or len(command.voters) != len(
+        command.voter_incarnations
+    ):
+        return refuse("bad_voters", "each voter needs an incarnation")
+    changed = known._replace(
+        revision=index,
+        voters=command.voters,
+        voter_incarnations=command.voter_incarnations,
+    )
+    if changed._replace(revision=known.revision) != known:
+        tables.put_zone(changed)
+    return accept(tables.zones[command.zone].revision)
+
+
+@register(messages.DeclareZoneLost)
+def _declare_zone_lost(
+    tables: tables_lib.Tables, index: int, command: messages.DeclareZoneLost
+) -> messages.CommandResult:
+    known = tables.zones.get(command.zone)
+    if known is None:
+        return refuse("unknown_zone", f"there is no zone {command.zone}")
+    if not known.lost:
+        tables.put_zone(known._replace(revision=index, lost=True))
+    return accept(tables.zones[command.zone].revision)
+
+
+@register(messages.SetDelegations)
+def _set_delegations(
+    tables: tables_lib.Tables, index: int, command: messages.SetDelegations
+) -> messages.CommandResult:
+    keys = [(each.keyspace, each.first_shard) for each in command.items]
+    if len(set(keys)) != len(keys):
+        return refuse("bad_delegation", "a block is given twice")
+    for item in command.items:
+        problem = delegationrules.find_problem(tables, item)
+        if problem:
+            return refuse(problem.code, problem.detail)
+    for item in command.items:
+        tables.put_delegation(item._replace(revision=index))
+    return accept(index)
--- /dev/null
+++ b/packages/daemon/tests/control/conftest.py
@@ -0,0 +1,233 @@
+"""A single-member control group and zones for tests."""
+
+from typing import Any
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import contract as contract_lib
+from bamboosill_common import errors
+from bamboosill_common import events
+from bamboosill_common import peer
+from bamboosill_common import wire
+from bamboosill_common.generated import consensus
+from bamboosill_common.generated import control as messages
+from bamboosill_common.generated import peer as peer_messages
+from bamboosilld.control import delegation
+from bamboosilld.control import service as service_lib
+from bamboosilld.control import state as state_lib
+from bamboosilld.control import timing
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+
+class Applied(NamedTuple):
+    """What proposing gives."""
+
+    index: int
+    term: int
+    value: Any
+
+
+class FakeNode:
+    """Applies each command at once."""
+
+    def __init__(self, state: state_lib.ControlState) -> None:
+        self.state = state
+        self.is_leader = True
+        self.lease = True
+        self.elected_at_s = 0.0
+        self.index = 0
+        self.failure: errors.ProposeError | None = None
+        self.before_propose: Any = None
+        self.leader = consensus.Member("c1", 1, "127.0.0.1:1", True)
+        self.membership = consensus.Membership((self.leader,))
+
+    def has_leader_lease(self) -> bool:
+        """Returns whether this member leads and has its lease."""
+        return self.is_leader and self.lease
+
+    async def propose(self, command: bytes, deadline_s: float) -> Any:
+        """Applies the command, or fails as the test wants."""
+        if self.before_propose is not None:
+            await self.before_propose(command)
+        if self.failure:
+            return Failure(self.failure)
+        self.index += 1
+        return Success(
+            Applied(self.index, 1, self.state.apply(self.index, command))
+        )
+
+    async def read_barrier(self, deadline_s: float) -> Any:
+        """Succeeds."""
+        return Success(None)
+
+
+class Group:
+    """A control service together with what tests do to it."""
+
+    def __init__(self, shards: int) -> None:
+        self.clock = clock_lib.LoopClock()
+        self.state = state_lib.ControlState()
+        self.node = FakeNode(self.state)
+        self.timeline = events.Timeline(self.clock, "c1")
+        self.service = service_lib.ControlService(
+            node=self.node,
+            state=self.state,
+            clock=self.clock,
+            timeline=self.timeline,
+            shards_per_keyspace=shards,
+        )
+        self.handlers = peer.Handlers()
+        self.service.register_handlers(self.handlers)
+
+    async def send(self, message: Any, instance: str = "") -> Any:
+        """Returns the answer to a peer message."""
+        return await self.handlers.dispatch(
+            message, peer_messages.Hello(instance=instance)
+        )
+
+    async def register(
+        self,
+        instance: str,
+        zone: str = "za",
+        incarnation: int = 1,
+        address: str = "",
+        leaderless: bool = False,
+    ) -> Any:
+        """Registers an instance."""
+        item = messages.InstanceItem(
+            instance=instance,
+            incarnation=incarnation,
+            zone=zone,
+            roles=("entry",),
+            peer_address=address or f"127.0.0.1:{instance}",
+        )
+        request = messages.RegisterInstance(item=item, leaderless=leaderless)
+        return await self.send(request, instance)
+
+    async def accept(
+        self,
+        customer: str = "a",
+        zone_loss: str = "lapse",
+        base: int = 0,
+        zones: str = "",
+    ) -> messages.CommandResult:
+        """Submits a contract."""
+        text = f"""
+customer: {customer}
+services:
+  - name: shop
+    zone_loss: {zone_loss}
+    {f"zones: {zones}" if zones else ""}
+    limits: {{rate_per_s: 10, concurrency: 4}}
+    deadline_ms: {{default: 1000, longest: 4000}}
+"""
+        contract = contract_lib.parse(text).unwrap()
+        command = messages.AcceptContract(
+            base_revision=base,
+            customer=customer,
+            document=contract_lib.normalise(contract),
+        )
+        return (await self.service.submit(command)).unwrap()
+
+    def list_shards(self, keyspace: str = "") -> list[delegation.Shard]:
+        """Returns the shards of a keyspace, by default the first."""
+        name = keyspace or next(iter(self.state.tables.keyspaces))
+        return delegation.read_shards(self.state.tables, name)
+
+    def count(self, keyspace: str = "") -> dict[str, int]:
+        """Returns shards by zone."""
+        held: dict[str, int] = {}
+        for shard in self.list_shards(keyspace):
+            held[shard.zone] = held.get(shard.zone, 0) + 1
+        return held
+
+
+class Zone:
+    """The authority of one zone, as control sees it."""
+
+    def __init__(self, group: Group, name: str, slots: int) -> None:
+        self.group = group
+        self.name = name
+        self.slots = slots
+        self.unfenced_ms = 0
+        self.group_epoch = 1
+        self.term = 1
+        self.revision = 0
+        self.releases = True
+        self.applies = True
+        self.live: tuple[str, ...] = (f"{name}1",)
+        self.voters: dict[str, int] = {}
+        self.reply = messages.ZoneBeatReply()
+
+    def list_released(self) -> tuple[messages.ShardRelease, ...]:
+        """Returns the shards that control wants back, as given up."""
+        return tuple(
+            messages.ShardRelease(name, index, shard.epoch)
+            for name in self.group.state.tables.keyspaces
+            for index, shard in enumerate(self.group.list_shards(name))
+            if self.releases and shard.releasing and shard.zone == self.name
+        )
+
+    async def beat(self) -> messages.ZoneBeatReply:
+        """Sends a beat and applies its reply."""
+        load = messages.ServiceLoad(
+            service="shop",
+            slots=self.slots,
+            upstreams=1,
+            unfenced_deadline_ms=self.unfenced_ms,
+        )
+        self.reply = await self.group.send(
+            messages.ZoneBeat(
+                zone=self.name,
+                group_epoch=self.group_epoch,
+                group_term=self.term,
+                applied_revision=self.revision,
+                services=(load,),
+                released=self.list_released(),
+                live_instances=self.live,
+                voters=tuple(self.voters),
+                voter_incarnations=tuple(self.voters.values()),
+            )
+        )
+        if self.applies:
+            self.revision = self.reply.revision
+        return self.reply
+
+
+class Harness:
+    """Runs a control group and its zones in virtual time."""
+
+    def __init__(self, shards: int = 64) -> None:
+        self.group = Group(shards)
+        self.zones: dict[str, Zone] = {}
+
+    async def add_zone(self, name: str, slots: int = 6) -> Zone:
+        """Registers the first instance of a zone."""
+        await self.group.register(f"{name}1", name)
+        self.zones[name] = Zone(self.group, name, slots)
+        return self.zones[name]
+
+    async def run(self, seconds: float, *silent: str) -> None:
+        """Passes time; the zones beat every interval but the silent ones."""
+        clock = self.group.clock
+        end_s = clock.monotonic() + seconds
+        while clock.monotonic() < end_s - 1e-6:
+            await clock.sleep(timing.TICK_INTERVAL_S)
+            for name, zone in self.zones.items():
+                if name not in silent:
+                    await zone.beat()
+            await self.group.service.tick()
+
+
+@pytest.fixture
+async def harness():
+    built = Harness()
+    assert await built.group.service._take_over()
+    return built
+
+
+@pytest.fixture
+def pack():
+    return wire.pack
