--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -102,6 +102,9 @@
     timeline: events_lib.Timeline
     client_tls: ssl.SSLContext | None = None
     server_tls: ssl.SSLContext | None = None
+    # IP number that outgoing connections come from; empty lets the system
+    # choose.
+    local_host: str = ""
 
 
 class _ProtocolError(Exception):
@@ -347,8 +350,12 @@
             # Marks the attempt as failed until the hello has succeeded.
             self._failed_s = now_s
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                local_host = self._context.local_host
                 reader, writer = await asyncio.open_connection(
-                    self._host, self._port, ssl=self._context.client_tls
+                    self._host,
+                    self._port,
+                    ssl=self._context.client_tls,
+                    local_addr=(local_host, 0) if local_host else None,
                 )
             connection = _Connection(self._context, reader, writer)
             try:
--- /dev/null
+++ b/packages/common/tests/test_settings.py
@@ -0,0 +1,70 @@
+"""Tests of settings."""
+
+from bamboosill_common import settings as settings_lib
+from bamboosill_common.generated import settings as generated
+import pytest
+
+GOOD = {
+    "instance_id": "a",
+    "zone": "z1",
+    "peer_listen": "127.0.0.1:1",
+    "admin_listen": "127.0.0.1:2",
+    "caller_listen": "127.0.0.1:3",
+    "upstream_listen": "127.0.0.1:4",
+    "control_peers": "c=127.0.0.1:5",
+}
+
+
+def load(environment=None, **flags):
+    loaded = settings_lib.load_settings(
+        generated.DAEMON_SETTINGS, {**GOOD, **flags}, environment or {}
+    )
+    settings_lib.check_daemon(loaded)
+    return loaded
+
+
+def test_good_settings_have_no_findings():
+    """Guards against good settings that are refused."""
+    loaded = load()
+    assert not loaded.findings
+    assert generated.DaemonSettings(**loaded.values).roles == ("entry",)
+
+
+@pytest.mark.parametrize(
+    ("flags", "place", "text"),
+    [
+        ({"zone": ""}, "--zone", "is required"),
+        ({"peer_listen": "host:1"}, "--peer-listen", "is no address"),
+        ({"peer_listen": "127.0.0.1:99999"}, "--peer-listen", "out of range"),
+        ({"peer_listen": "10.0.0.1:1"}, "--peer-listen", "loopback"),
+        ({"shards_per_keyspace": "0"}, "--shards-per-keyspace", "below 1"),
+        ({"shards_per_keyspace": "x"}, "--shards-per-keyspace", "is no int"),
+        ({"roles": "entry,chef"}, "--roles", "is not one of"),
+        ({"roles": "control"}, "--data-dir", "is required"),
+        ({"caller_listen": ""}, "--caller-listen", "is required"),
+        ({"control_peers": "c"}, "--control-peers", "name=IP:port"),
+        ({"key_file": "missing.json"}, "--key-file", "no such file"),
+        ({"tls_cert": "missing.pem"}, "--tls-key", "together"),
+    ],
+)
+def test_bad_setting_is_found_with_its_place(flags, place, text):
+    """Guards against a bad setting that is accepted or reported elsewhere."""
+    findings = load(**flags).findings
+    assert any(
+        finding.place.source == place and text in finding.message
+        for finding in findings
+    ), findings
+
+
+def test_all_findings_are_reported_together():
+    """Guards against reports that stop at the first finding."""
+    assert len(load(zone="", peer_listen="x", seed="-1").findings) == 3
+
+
+def test_flag_goes_before_environment():
+    """Guards against an environment variable that overrides a flag."""
+    environment = {"BAMBOOSILL_ZONE": "z2", "BAMBOOSILL_SEED": "7"}
+    loaded = load(environment)
+    assert loaded.values["zone"] == "z1"
+    assert loaded.values["seed"] == 7
+    assert "BAMBOOSILL_SEED" in settings_lib.format_settings(loaded)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/version.py
@@ -0,0 +1,5 @@
+"""Version of the daemon."""
+
+from importlib import metadata
+
+VERSION = metadata.version("bamboosilld")
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/cluster.py
@@ -0,0 +1,313 @@
+"""Starts and ends the processes of a whole system on loopback.
+
+Each instance gets an IP number of its own in 127.0.0.0/8, so that ports never
+clash and a relay can tell instances apart by their source address.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
+import json
+import os
+import pathlib
+import secrets
+import signal
+import sys
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+
+PEER_PORT = 7100
+ADMIN_PORT = 7200
+CALLER_PORT = 7300
+UPSTREAM_PORT = 7400
+SERVICE_PORT = 7500
+_READY_POLL_S = 0.1
+_STOP_TIMEOUT_S = 15.0
+_KEY_ROLES = ("instance", "operator", "upstream", "caller")
+
+
+class InstanceSpec(NamedTuple):
+    """One instance of the system."""
+
+    name: str
+    zone: str
+    roles: tuple[str, ...]
+    host: str
+
+
+class UpstreamSpec(NamedTuple):
+    """One stand-in upstream."""
+
+    name: str
+    service: str
+    zone: str
+    host: str
+    slots: int
+    connections: int
+    checks_fences: bool = True
+
+
+class Process:
+    """A process started here, and its output file."""
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self._process = process
+
+    @property
+    def returncode(self) -> int | None:
+        """Exit code, or None while the process runs."""
+        return self._process.returncode
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal if the process still runs."""
+        if self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def wait(self, timeout_s: float = _STOP_TIMEOUT_S) -> int | None:
+        """Returns the exit code, or None after the timeout."""
+        try:
+            return await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            return None
+
+    async def end(self) -> None:
+        """Ends the process, at first gracefully."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        if await self.wait() is None:
+            self.send(signal.SIGKILL)
+            await self.wait()
+
+
+class Cluster:
+    """The processes of one system.
+
+    Attributes:
+        instances: Specification of each instance by name.
+        upstreams: Specification of each upstream by name.
+        processes: Running and ended processes by name.
+        folder: Folder with data folders, logs and records.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        zones: Sequence[str],
+        entries_per_zone: int = 2,
+        control_zones: Sequence[str] | None = None,
+        seed: int = 1,
+        advertised: Mapping[str, Mapping[str, str]] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.zones = tuple(zones)
+        self.seed = seed
+        self.instances: dict[str, InstanceSpec] = {}
+        self.upstreams: dict[str, UpstreamSpec] = {}
+        self.processes: dict[str, Process] = {}
+        # Addresses that others are told, where a relay stands in front.
+        self.advertised = dict(advertised or {})
+        self._network = (
+            f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
+        )
+        self._next_host = 0
+        for index, zone in enumerate(control_zones or zones):
+            self._add(f"control-{index + 1}", zone, ("control",))
+        for zone in zones:
+            for number in range(1, entries_per_zone + 1):
+                self._add(f"entry-{zone}-{number}", zone, ("entry",))
+        folder.mkdir(parents=True, exist_ok=True)
+        self.key_file = folder / "keys.json"
+        self._write_keys()
+
+    def take_host(self) -> str:
+        """Returns an IP number that nothing else in this cluster has."""
+        self._next_host += 1
+        return f"{self._network}.{self._next_host}"
+
+    def _add(self, name: str, zone: str, roles: tuple[str, ...]) -> None:
+        self.instances[name] = InstanceSpec(name, zone, roles, self.take_host())
+
+    def _write_keys(self) -> None:
+        keys = [
+            {"id": role, "secret": secrets.token_hex(32), "roles": [role]}
+            for role in _KEY_ROLES
+        ]
+        self.key_file.write_text(json.dumps({"keys": keys}))
+
+    def get_peer_address(self, name: str) -> str:
+        """Returns the peer address that others use for an instance."""
+        own = f"{self.instances[name].host}:{PEER_PORT}"
+        return self.advertised.get(name, {}).get("peer", own)
+
+    def get_admin_address(self, name: str) -> str:
+        """Returns the admin address of an instance."""
+        return f"{self.instances[name].host}:{ADMIN_PORT}"
+
+    def get_caller_address(self, name: str) -> str:
+        """Returns the caller address of an instance."""
+        return f"{self.instances[name].host}:{CALLER_PORT}"
+
+    def list_instances(self, role: str, zone: str = "") -> list[InstanceSpec]:
+        """Returns the instances with a role, of all zones or of one."""
+        return [
+            spec
+            for spec in self.instances.values()
+            if role in spec.roles and (not zone or spec.zone == zone)
+        ]
+
+    async def start_instance(self, name: str) -> Process:
+        """Starts one instance."""
+        spec = self.instances[name]
+        peers = ",".join(
+            f"{each.name}={self.get_peer_address(each.name)}"
+            for each in self.list_instances("control")
+        )
+        flags = {
+            "instance-id": name,
+            "zone": spec.zone,
+            "roles": ",".join(spec.roles),
+            "peer-listen": f"{spec.host}:{PEER_PORT}",
+            "admin-listen": f"{spec.host}:{ADMIN_PORT}",
+            "control-peers": peers,
+            "key-file": str(self.key_file),
+            "shards-per-keyspace": "64",
+        }
+        advertised = self.advertised.get(name, {})
+        for kind in ("peer", "caller"):
+            if kind in advertised:
+                flags[f"{kind}-advertise"] = advertised[kind]
+        if "entry" in spec.roles:
+            flags["caller-listen"] = f"{spec.host}:{CALLER_PORT}"
+            flags["upstream-listen"] = f"{spec.host}:{UPSTREAM_PORT}"
+        if "control" in spec.roles:
+            flags["data-dir"] = str(self.folder / f"data-{name}")
+        command = [sys.executable, "-m", "bamboosilld.main"]
+        command += [f"--{flag}={value}" for flag, value in flags.items()]
+        return await self._start(name, command)
+
+    async def start_upstream(
+        self,
+        name: str,
+        service: str,
+        zone: str,
+        slots: int = 6,
+        connections: int = 110,
+        checks_fences: bool = True,
+        extra: Sequence[str] = (),
+    ) -> Process:
+        """Starts a stand-in upstream, or starts it again."""
+        spec = self.upstreams.get(name) or UpstreamSpec(
+            name,
+            service,
+            zone,
+            self.take_host(),
+            slots,
+            connections,
+            checks_fences,
+        )
+        self.upstreams[name] = spec
+        entries = ",".join(
+            f"{each.host}:{UPSTREAM_PORT}"
+            for each in self.list_instances("entry", spec.zone)
+        )
+        command = [
+            *(sys.executable, "-m", "bamboosill_dev.upstream"),
+            f"--id={name}",
+            f"--service={spec.service}",
+            f"--zone={spec.zone}",
+            f"--listen={spec.host}:{SERVICE_PORT}",
+            f"--entries={entries}",
+            f"--slots={spec.slots}",
+            f"--connections={spec.connections}",
+            f"--record={self.get_record_path(name)}",
+            f"--key-file={self.key_file}",
+        ]
+        if not spec.checks_fences:
+            command.append("--no-fences")
+        return await self._start(name, [*command, *extra])
+
+    def get_record_path(self, upstream: str) -> pathlib.Path:
+        """Returns the file in which an upstream records what it executed."""
+        return self.folder / f"record-{upstream}.jsonl"
+
+    async def _start(self, name: str, command: Sequence[str]) -> Process:
+        with (self.folder / f"log-{name}.jsonl").open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                *command,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.processes[name] = Process(name, process)
+        return self.processes[name]
+
+    async def start_all_instances(self) -> None:
+        """Starts all instances."""
+        for name in self.instances:
+            await self.start_instance(name)
+
+    async def wait_ready(self, names: Sequence[str], timeout_s: float) -> None:
+        """Waits until each instance's /readyz says ready.
+
+        Raises:
+            RuntimeError: An instance ended or was not ready in time.
+        """
+        async with aiohttp.ClientSession() as session:
+            for name in names:
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        await self._wait_one(session, name)
+                except TimeoutError as error:
+                    raise RuntimeError(f"{name} is not ready") from error
+
+    async def _wait_one(
+        self, session: aiohttp.ClientSession, name: str
+    ) -> None:
+        url = f"http://{self.get_admin_address(name)}/readyz"
+        while True:
+            if self.processes[name].returncode is not None:
+                raise RuntimeError(f"{name} has ended")
+            try:
+                async with session.get(url) as answer:
+                    if answer.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(_READY_POLL_S)
+
+    async def run_operator(
+        self, *arguments: str, timeout_s: float = 10.0
+    ) -> tuple[int, str]:
+        """Runs the operators' command line and returns exit code and output."""
+        admin = ",".join(
+            self.get_admin_address(each.name)
+            for each in self.list_instances("control")
+        )
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "bamboosill.main"),
+            *arguments,
+            f"--instances={admin}",
+            f"--key-file={self.key_file}",
+            f"--timeout-s={timeout_s}",
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        return process.returncode or 0, output.decode()
+
+    async def run_operator_json(self, *arguments: str) -> Any:
+        """Runs an operators' command with --json and returns the document."""
+        code, output = await self.run_operator(*arguments, "--json")
+        if code != 0:
+            raise RuntimeError(f"{' '.join(arguments)}: {output}")
+        return json.loads(output)
+
+    async def stop(self) -> None:
+        """Ends all processes that were started here."""
+        await asyncio.gather(
+            *(process.end() for process in self.processes.values())
+        )
