--- /dev/null
+++ b/packages/daemon/src/bamboosilld/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides who is admitted, who waits, who is refused and who is retried."""
