--- a/packages/common/src/bamboosill_common/schema/zone.capnp
+++ b/packages/common/src/bamboosill_common/schema/zone.capnp
@@ -90,6 +90,7 @@
   id @0 :Text;
   customer @1 :Text;
   fingerprint @2 :Data;
+  token @3 :UInt64;
 }
 
 struct ReportCrash {
@@ -108,6 +109,75 @@
   contentType @3 :Text;
   stored @4 :Bool;
   detail @5 :Text;
+  token @6 :UInt64;
+}
+
+struct CommandStatus {
+  # Result of the other commands; shards are those that the command changed.
+  ok @0 :Bool;
+  code @1 :Text;
+  fence @2 :UInt64;
+  shards @3 :List(UInt32);
+}
+
+# Snapshots.
+
+struct AssignmentItem {
+  # The assignment of one shard, or of one hot key of it.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  key @2 :Text;
+  epoch @3 :UInt32;
+  owner @4 :Text;
+  ownerIncarnation @5 :UInt64;
+  fence @6 :UInt64;
+  moving @7 :Bool;
+  target @8 :Text;
+  targetIncarnation @9 :UInt64;
+  targetFence @10 :UInt64;
+}
+
+struct ReleasedItem {
+  # A shard that was given back to the control group under an epoch.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  epoch @2 :UInt32;
+}
+
+struct RecordItem {
+  # The record of one non-repeatable request.
+  id @0 :Text;
+  customer @1 :Text;
+  fingerprint @2 :Data;
+  instance @3 :Text;
+  incarnation @4 :UInt64;
+  token @5 :UInt64;
+  state @6 :Text;
+  httpStatus @7 :UInt16;
+  body @8 :Data;
+  contentType @9 :Text;
+  stored @10 :Bool;
+}
+
+struct CrashItem {
+  # One crash of an upstream and the requests in flight there.
+  upstream @0 :Text;
+  incarnation @1 :UInt64;
+  atMs @2 :UInt64;
+  fingerprints @3 :List(Data);
+}
+
+struct SnapshotPart {
+  # One part of a snapshot of a zone group; all but the lists stand in the first.
+  revision @0 :UInt64;
+  nowMs @1 :UInt64;
+  feed @2 :List(Data);
+  upstreams @3 :List(Upstream);
+  formerUpstreams @4 :List(Upstream);
+  assignments @5 :List(AssignmentItem);
+  released @6 :List(ReleasedItem);
+  records @7 :List(RecordItem);
+  crashes @8 :List(CrashItem);
 }
 
 # Messages.
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/__init__.py
@@ -0,0 +1,1 @@
+"""The consensus group of an availability zone and its authority."""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/state.py
@@ -0,0 +1,286 @@
+"""The replicated state machine of a zone group.
+
+It is deterministic: it reads no clock; times come in commands.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from bamboosill_common import logs
+from bamboosill_common import wire
+from bamboosill_common.generated import zone as messages
+
+from bamboosilld.zone import assignments
+from bamboosilld.zone import feed as feed_lib
+from bamboosilld.zone import quarantine as quarantine_lib
+from bamboosilld.zone import records as records_lib
+from bamboosilld.zone import snapshots
+from bamboosilld.zone import upstreams as upstreams_lib
+
+# Shards in one command; bounds the time in which a command is applied.
+MAX_SHARDS_PER_COMMAND = 1024
+
+Applier = Callable[["ZoneState", int, Any], Any]
+Listener = Callable[[Any, Any], None]
+
+_APPLIERS: dict[type[Any], Applier] = {}
+
+_log = logs.get_logger("zone")
+
+
+def _applies(command_type: type[Any]) -> Callable[[Applier], Applier]:
+    """Returns a decorator that registers how a command is applied."""
+
+    def add(applier: Applier) -> Applier:
+        _APPLIERS[command_type] = applier
+        return applier
+
+    return add
+
+
+class ZoneState:
+    """Assignments, upstreams, records, quarantine and feed of one group.
+
+    Attributes:
+        zone: Availability zone of the group.
+        group_epoch: Epoch of the group.
+        applied_index: Log index of the last command.
+        released: Shards given back, and the epoch under which.
+    """
+
+    def __init__(self, zone: str, group_epoch: int) -> None:
+        self.zone = zone
+        self.group_epoch = group_epoch
+        self._listeners: list[Listener] = []
+        self._reset()
+
+    def _reset(self) -> None:
+        self.applied_index = 0
+        self.feed = feed_lib.FeedState()
+        self.assignments = assignments.AssignmentTable()
+        self.upstreams = upstreams_lib.UpstreamTable()
+        self.records = records_lib.RecordTable()
+        self.quarantine = quarantine_lib.QuarantineTable()
+        self.released: dict[tuple[str, int], int] = {}
+
+    def add_listener(self, listener: Listener) -> None:
+        """Calls `listener(command, result)` after each applied command.
+
+        After a restored snapshot the command is None and the result is the
+        set of customers whose contracts may have changed.
+        """
+        self._listeners.append(listener)
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Applies a command and returns its result message."""
+        self.applied_index = index
+        try:
+            message = wire.unpack(command)
+        except wire.DecodeError as error:
+            _log.error("Command %d is malformed. Reason: %s.", index, error)
+            return messages.CommandStatus(code="malformed")
+        applier = _APPLIERS.get(type(message))
+        if applier is None:
+            _log.error("Command %d has an unknown type.", index)
+            return messages.CommandStatus(code="unknown_command")
+        result = applier(self, index, message)
+        for listener in self._listeners:
+            listener(message, result)
+        if isinstance(result, feed_lib.FeedChange):
+            return messages.CommandStatus(ok=True)
+        return result
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state as bytes."""
+        return snapshots.write(self)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by that of a snapshot."""
+        before = set(self.feed.contracts)
+        self._reset()
+        snapshots.read(self, data)
+        changed = frozenset(before | set(self.feed.contracts))
+        for listener in self._listeners:
+            listener(None, changed)
+
+    def find_epoch(self, keyspace: str, shard: int) -> int | None:
+        """Returns the delegation epoch of a shard delegated to this group."""
+        delegation = self.feed.find_delegation(keyspace, shard)
+        if delegation is None or not self.is_here(delegation):
+            return None
+        return delegation.epoch
+
+    def is_here(self, delegation: feed_lib.Delegation) -> bool:
+        """Returns whether a delegation names this group."""
+        return (
+            delegation.zone == self.zone
+            and delegation.group_epoch == self.group_epoch
+        )
+
+    def is_grantable(self, keyspace: str, shard: int) -> bool:
+        """Returns whether the shard may be given to an upstream."""
+        delegation = self.feed.find_delegation(keyspace, shard)
+        return (
+            delegation is not None
+            and self.is_here(delegation)
+            and not delegation.releasing
+            and self.released.get((keyspace, shard)) != delegation.epoch
+        )
+
+
+@_applies(messages.ApplyFeed)
+def _apply_feed(
+    state: ZoneState, index: int, command: messages.ApplyFeed
+) -> feed_lib.FeedChange:
+    try:
+        change = state.feed.apply(
+            command.revision, command.full, command.items
+        )
+    except wire.DecodeError as error:
+        _log.error("Feed of command %d is malformed: %s.", index, error)
+        return feed_lib.FeedChange()
+    for keyspace, shard in change.delegated:
+        epoch = state.find_epoch(keyspace, shard)
+        # The control group changes an epoch only after all leases under the
+        # former one have ended or the shard was released.
+        state.assignments.drop_shard(keyspace, shard, except_epoch=epoch)
+        if state.released.get((keyspace, shard), epoch) != epoch:
+            del state.released[(keyspace, shard)]
+    return change
+
+
+@_applies(messages.PutUpstream)
+def _put_upstream(
+    state: ZoneState, index: int, command: messages.PutUpstream
+) -> messages.CommandStatus:
+    del index
+    if command.upstream.zone != state.zone:
+        return messages.CommandStatus(code="wrong_zone")
+    code = state.upstreams.put(command.upstream)
+    return messages.CommandStatus(code == "ok", code)
+
+
+@_applies(messages.DropUpstream)
+def _drop_upstream(
+    state: ZoneState, index: int, command: messages.DropUpstream
+) -> messages.CommandStatus:
+    del index
+    owner = assignments.Owner(command.id, command.incarnation)
+    if state.assignments.list_of(owner):
+        return messages.CommandStatus(code="owns_shards")
+    found = state.upstreams.drop(owner)
+    return messages.CommandStatus(found, "ok" if found else "unknown")
+
+
+@_applies(messages.BeginMove)
+def _begin_move(
+    state: ZoneState, index: int, command: messages.BeginMove
+) -> messages.CommandStatus:
+    target = None
+    if command.target:
+        target = assignments.Owner(command.target, command.target_incarnation)
+        upstream = state.upstreams.find_owner(target)
+        keyspace = state.feed.keyspaces.get(command.keyspace)
+        if upstream is None or not state.upstreams.is_current(target):
+            return messages.CommandStatus(code="unknown_upstream")
+        if keyspace is None or keyspace.service != upstream.service:
+            return messages.CommandStatus(code="wrong_service")
+    began = []
+    for shard in command.shards[:MAX_SHARDS_PER_COMMAND]:
+        epoch = state.find_epoch(command.keyspace, shard)
+        if epoch is None:
+            continue
+        if target and not state.is_grantable(command.keyspace, shard):
+            continue
+        key = assignments.AssignmentKey(command.keyspace, shard, command.key)
+        if state.assignments.begin(key, epoch, index, target):
+            began.append(shard)
+    return messages.CommandStatus(
+        bool(began), "ok" if began else "nothing", 0, tuple(began)
+    )
+
+
+@_applies(messages.FinishMove)
+def _finish_move(
+    state: ZoneState, index: int, command: messages.FinishMove
+) -> messages.CommandStatus:
+    del index
+    finished = []
+    for shard in command.shards[:MAX_SHARDS_PER_COMMAND]:
+        key = assignments.AssignmentKey(command.keyspace, shard, command.key)
+        present = state.assignments.find(key)
+        if present is None or not present.moving:
+            continue
+        target = present.target
+        if target is not None and not state.upstreams.is_current(target):
+            continue
+        if target and not state.is_grantable(command.keyspace, shard):
+            continue
+        if state.assignments.finish(key, command.fence):
+            finished.append(shard)
+    return messages.CommandStatus(
+        bool(finished),
+        "ok" if finished else "refused",
+        command.fence,
+        tuple(finished),
+    )
+
+
+@_applies(messages.ReleaseShards)
+def _release_shards(
+    state: ZoneState, index: int, command: messages.ReleaseShards
+) -> messages.CommandStatus:
+    del index
+    released = []
+    for shard in command.shards[:MAX_SHARDS_PER_COMMAND]:
+        if state.find_epoch(command.keyspace, shard) != command.epoch:
+            continue
+        if state.assignments.has_owner(command.keyspace, shard):
+            continue
+        state.assignments.drop_shard(command.keyspace, shard)
+        state.released[(command.keyspace, shard)] = command.epoch
+        released.append(shard)
+    return messages.CommandStatus(
+        bool(released),
+        "ok" if released else "refused",
+        shards=tuple(released),
+    )
+
+
+@_applies(messages.BeginRequest)
+def _begin_request(
+    state: ZoneState, index: int, command: messages.BeginRequest
+) -> messages.RecordStatus:
+    delegation = state.feed.find_delegation(command.keyspace, command.shard)
+    floor_ms = None
+    if delegation is not None and state.is_here(delegation):
+        floor_ms = delegation.id_floor_ms
+    return state.records.begin(
+        index, command, floor_ms, state.feed.is_instance_gone
+    )
+
+
+@_applies(messages.FinishRequest)
+def _finish_request(
+    state: ZoneState, index: int, command: messages.FinishRequest
+) -> messages.RecordStatus:
+    del index
+    return state.records.finish(command)
+
+
+@_applies(messages.AbandonRequest)
+def _abandon_request(
+    state: ZoneState, index: int, command: messages.AbandonRequest
+) -> messages.CommandStatus:
+    del index
+    done = state.records.abandon(command)
+    return messages.CommandStatus(done, "ok" if done else "refused")
+
+
+@_applies(messages.ReportCrash)
+def _report_crash(
+    state: ZoneState, index: int, command: messages.ReportCrash
+) -> messages.CommandStatus:
+    del index
+    state.quarantine.report(command)
+    return messages.CommandStatus(ok=True, code="ok")
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/upstreams.py
@@ -0,0 +1,77 @@
+"""Registry of the upstreams of one availability zone."""
+
+from collections.abc import Iterator
+
+from bamboosilld.zone import assignments
+from bamboosill_common.generated import zone as messages
+
+# Bounds the registry; far above the upstreams of one zone.
+MAX_UPSTREAMS = 4096
+
+
+class UpstreamTable:
+    """Upstreams by id, and former incarnations that still own shards."""
+
+    def __init__(self) -> None:
+        self._current: dict[str, messages.Upstream] = {}
+        self._former: dict[assignments.Owner, messages.Upstream] = {}
+
+    def put(self, upstream: messages.Upstream) -> str:
+        """Registers an upstream and returns `ok`, `stale` or `full`."""
+        present = self._current.get(upstream.id)
+        if present is None:
+            if len(self._current) >= MAX_UPSTREAMS:
+                return "full"
+        elif present.incarnation > upstream.incarnation:
+            return "stale"
+        elif present.incarnation < upstream.incarnation:
+            self._former[get_owner(present)] = present
+        self._current[upstream.id] = upstream
+        return "ok"
+
+    def drop(self, owner: assignments.Owner) -> bool:
+        """Removes one incarnation of an upstream."""
+        if self._former.pop(owner, None) is not None:
+            return True
+        present = self._current.get(owner.id)
+        if present is None or present.incarnation != owner.incarnation:
+            return False
+        del self._current[owner.id]
+        return True
+
+    def find(self, upstream_id: str) -> messages.Upstream | None:
+        """Returns the current incarnation of an upstream."""
+        return self._current.get(upstream_id)
+
+    def find_owner(
+        self, owner: assignments.Owner
+    ) -> messages.Upstream | None:
+        """Returns an upstream by incarnation, former ones included."""
+        present = self._current.get(owner.id)
+        if present is not None and present.incarnation == owner.incarnation:
+            return present
+        return self._former.get(owner)
+
+    def is_current(self, owner: assignments.Owner) -> bool:
+        """Returns whether this is the newest known incarnation."""
+        present = self._current.get(owner.id)
+        return present is not None and present.incarnation == owner.incarnation
+
+    def list_current(self) -> Iterator[messages.Upstream]:
+        """Yields the upstreams in the order of their ids."""
+        for upstream_id in sorted(self._current):
+            yield self._current[upstream_id]
+
+    def list_former(self) -> Iterator[messages.Upstream]:
+        """Yields the former incarnations that were not dropped yet."""
+        for owner in sorted(self._former):
+            yield self._former[owner]
+
+    def put_former(self, upstream: messages.Upstream) -> None:
+        """Restores a former incarnation."""
+        self._former[get_owner(upstream)] = upstream
+
+
+def get_owner(upstream: messages.Upstream) -> assignments.Owner:
+    """Returns the incarnation of an upstream."""
+    return assignments.Owner(upstream.id, upstream.incarnation)
