--- a/packages/daemon/src/bamboosilld/zone/assignments.py
+++ b/packages/daemon/src/bamboosilld/zone/assignments.py
@@ -168,16 +168,17 @@
             shard: The shard.
             except_epoch: Assignments made under this epoch are kept.
         """
-        for key in self._list_keys(keyspace, shard):
+        for key in self.list_keys(keyspace, shard):
             if except_epoch is None or self._by_key[key].epoch != except_epoch:
                 self.drop(key)
 
     def has_owner(self, keyspace: str, shard: int) -> bool:
         """Returns whether the shard or a hot key of it may have an owner."""
-        found = [self._by_key[k] for k in self._list_keys(keyspace, shard)]
+        found = [self._by_key[k] for k in self.list_keys(keyspace, shard)]
         return any(each.owner or each.moving for each in found)
 
-    def _list_keys(self, keyspace: str, shard: int) -> list[AssignmentKey]:
+    def list_keys(self, keyspace: str, shard: int) -> list[AssignmentKey]:
+        """Returns the assignments of a shard and its hot keys."""
         keys = [k for k in self._hot if k[:2] == (keyspace, shard)]
         plain = AssignmentKey(keyspace, shard)
         return [*keys, plain] if plain in self._by_key else keys
--- a/packages/daemon/src/bamboosilld/zone/feed.py
+++ b/packages/daemon/src/bamboosilld/zone/feed.py
@@ -120,15 +120,16 @@
         kept: dict[type[Any], set[Any]] = {}
         for message in messages:
             kept.setdefault(type(message), set()).add(_get_key(message))
-        for table, kind in (
+        tables: tuple[tuple[dict[Any, Any], type[Any]], ...] = (
             (self.contracts, control.ContractItem),
             (self.keyspaces, control.KeyspaceItem),
             (self._blocks, control.DelegationItem),
             (self.instances, control.InstanceItem),
             (self.zones, control.ZoneItem),
-        ):
+        )
+        for table, kind in tables:
             for key in [key for key in table if key not in kept.get(kind, ())]:
-                del table[key]  # type: ignore[attr-defined]
+                del table[key]
                 if kind is control.ContractItem:
                     changed.add(key)
                 if kind is control.DelegationItem:
@@ -170,13 +171,14 @@
             self._spread_block(message, delegated)
 
     def _find_table(self, message: Any) -> dict[Any, Any] | None:
-        return {
+        tables: dict[type[Any], dict[Any, Any]] = {
             control.ContractItem: self.contracts,
             control.KeyspaceItem: self.keyspaces,
             control.DelegationItem: self._blocks,
             control.InstanceItem: self.instances,
             control.ZoneItem: self.zones,
-        }.get(type(message))
+        }
+        return tables.get(type(message))
 
     def _spread_block(
         self,
--- a/packages/daemon/src/bamboosilld/zone/grants.py
+++ b/packages/daemon/src/bamboosilld/zone/grants.py
@@ -85,7 +85,10 @@
         return lease is not None and lease.is_lost
 
     def record_beat(
-        self, owner: assignments.Owner, beat: messages.UpstreamBeat, now_s: float
+        self,
+        owner: assignments.Owner,
+        beat: messages.UpstreamBeat,
+        now_s: float,
     ) -> UpstreamLease:
         """Notes a heartbeat."""
         lease = self.find(owner, now_s)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/registration.py
@@ -0,0 +1,55 @@
+"""Registers this instance with the control group."""
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
+from bamboosill_common import peer
+from bamboosill_common.generated import control
+from returns.result import Failure
+from returns.result import Success
+
+_CALL_S = 1.0
+_RETRY_S = 0.25
+
+_log = logs.get_logger("zone")
+
+
+class Registrar:
+    """Finds a control instance that accepts the registration."""
+
+    def __init__(
+        self,
+        item: control.InstanceItem,
+        addresses: tuple[str, ...],
+        directory: peer.Directory,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._item = item
+        self._addresses = addresses
+        self._directory = directory
+        self._clock = clock
+
+    async def register(self) -> control.RegisterReply:
+        """Returns the reply of the control leader, retrying until it comes."""
+        while True:
+            reply = await self.register_once()
+            if reply is not None:
+                return reply
+            await self._clock.sleep(_RETRY_S)
+
+    async def register_once(self) -> control.RegisterReply | None:
+        """Asks each control instance once; returns an accepted reply."""
+        for address in self._addresses:
+            result = await self._directory.call(
+                address,
+                control.RegisterInstance(self._item),
+                control.RegisterReply,
+                _CALL_S,
+            )
+            match result:
+                case Success(reply) if reply.accepted:
+                    return reply
+                case Success(reply):
+                    _log.debug("Not registered. Reason: %s.", reply.detail)
+                case Failure(error):
+                    _log.debug("Not registered. Reason: %s.", error.detail)
+        return None
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/renewal.py
@@ -0,0 +1,169 @@
+"""Renews the serve lease of this instance."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import peer
+from bamboosill_common.generated import zone as messages
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bamboosilld.zone import holder as holder_lib
+from bamboosilld.zone import inflight
+from bamboosilld.zone import membership as membership_lib
+from bamboosilld.zone import times
+
+RETRY_S = 0.1
+_CALL_S = 0.25
+# Renewals caused by moves and ended requests come at most this often.
+_SHORTEST_S = 0.01
+# Without a lease for this long, control is asked for a newer group.
+_ASK_CONTROL_S = 2.0
+
+CallLeader = Callable[
+    [Any, type[Any], float],
+    Coroutine[Any, Any, Result[Any, errors.PeerError]],
+]
+
+
+class Report(NamedTuple):
+    """Figures that an entry instance sends with each renewal."""
+
+    demand: tuple[messages.Demand, ...] = ()
+    upstreams: tuple[messages.UpstreamView, ...] = ()
+    shard_load: tuple[messages.ShardLoad, ...] = ()
+
+
+class Renewal:
+    """Keeps the lease for as long as this instance is a member.
+
+    Attributes:
+        reporter: Provides figures for the leader.
+        on_lease: Called with the shares of each reply and whether the lease
+            became valid.
+        clock_skew_ms: Own wall clock minus control's.
+    """
+
+    def __init__(
+        self,
+        identity: peer.Identity,
+        membership: membership_lib.Membership,
+        in_flight: inflight.InFlightTable,
+        clock: clock_lib.Clock,
+        call_leader: CallLeader,
+    ) -> None:
+        self._identity = identity
+        self._membership = membership
+        self._in_flight = in_flight
+        self._clock = clock
+        self._call_leader = call_leader
+        self._holder = holder_lib.LeaseHolder()
+        self._kick = asyncio.Event()
+        self.reporter: Callable[[], Report] = Report
+        self.on_lease: Callable[[Any, bool], None] = lambda shares, new: None
+        self.clock_skew_ms = 0
+
+    def reset(self) -> None:
+        """Forgets the lease of a group that was left."""
+        self._holder = holder_lib.LeaseHolder()
+
+    def renew_now(self) -> None:
+        """Sends the next renewal without waiting."""
+        self._kick.set()
+
+    def has_lease(self, is_lapse: bool) -> bool:
+        """Returns whether this instance may dispatch now."""
+        node = self._membership.node
+        if node is None:
+            return False
+        return self._holder.is_valid(
+            is_lapse, node.applied_index, self._clock.monotonic()
+        )
+
+    async def run(self) -> None:
+        """Renews until the group is left or replaced."""
+        heard_s = self._clock.monotonic()
+        had_lease = False
+        while not self._is_replaced():
+            self._kick.clear()
+            code = await self._renew()
+            if code == "not_member":
+                return
+            now_s = self._clock.monotonic()
+            if code == "ok":
+                heard_s = now_s
+            elif now_s - heard_s > _ASK_CONTROL_S:
+                if await self._membership.find_newer_epoch():
+                    return
+                heard_s = self._clock.monotonic()
+            has_lease = self.has_lease(False)
+            if has_lease and not had_lease:
+                self.on_lease((), True)
+            had_lease = has_lease
+            await self._wait(has_lease)
+
+    async def _wait(self, has_lease: bool) -> None:
+        await self._clock.sleep(_SHORTEST_S)
+        interval_s = times.SERVE_RENEWAL_S if has_lease else RETRY_S
+        try:
+            async with asyncio.timeout(interval_s):
+                await self._kick.wait()
+        except TimeoutError:
+            pass
+
+    async def _renew(self) -> str:
+        """Sends one renewal and returns `ok` or why there is no lease."""
+        sent_s = self._clock.monotonic()
+        message = self._make_message(sent_s)
+        result = await self._call_leader(message, messages.LeaseReply, _CALL_S)
+        match result:
+            case Success(reply) if reply.granted:
+                self._accept(reply, sent_s)
+                return "ok"
+            case Success(_):
+                return "not_leader"
+            case Failure(error):
+                return error.code
+        raise AssertionError
+
+    def _make_message(self, now_s: float) -> messages.RenewLease:
+        state, node = self._membership.state, self._membership.node
+        if state is None or node is None:
+            raise AssertionError("renewal outside a group")
+        drained, in_flight = self._in_flight.make_reports(
+            state.assignments, now_s
+        )
+        report = self.reporter()
+        return messages.RenewLease(
+            group=self._membership.group,
+            instance=self._membership.member.instance,
+            incarnation=self._membership.member.incarnation,
+            applied_index=node.applied_index,
+            drained=drained,
+            in_flight=in_flight,
+            demand=tuple(report.demand),
+            upstreams=tuple(report.upstreams),
+            shard_load=tuple(report.shard_load),
+        )
+
+    def _accept(self, reply: messages.LeaseReply, sent_s: float) -> None:
+        self._holder.accept(reply, sent_s)
+        if reply.wall_ms:
+            middle_ms = (self._clock.monotonic() - sent_s) * 500
+            self.clock_skew_ms = int(
+                self._clock.wall_ms() - middle_ms - reply.wall_ms
+            )
+        self.on_lease(reply.shares, False)
+
+    def _is_replaced(self) -> bool:
+        state = self._membership.state
+        if state is None:
+            return True
+        item = state.feed.zones.get(self._identity.zone)
+        return item is not None and item.group_epoch > state.group_epoch
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/routes.py
@@ -0,0 +1,117 @@
+"""Where the requests for a key go."""
+
+from typing import Any
+from typing import NamedTuple
+
+from bamboosill_common import sharding
+from bamboosill_common.generated import zone as messages
+
+from bamboosilld.zone import assignments
+from bamboosilld.zone import state as state_lib
+
+LOCAL = "local"
+REMOTE = "remote"
+MOVING = "moving"
+UNASSIGNED = "unassigned"
+UNREACHABLE = "unreachable"
+UNKNOWN_SERVICE = "unknown_service"
+UNKNOWN_CUSTOMER = "unknown_customer"
+
+
+class Route(NamedTuple):
+    """Where a request goes now.
+
+    Attributes:
+        status: `local`, `remote`, `moving`, `unassigned`, `unreachable`,
+            `unknown_service` or `unknown_customer`.
+        keyspace: Keyspace of the key.
+        shard: Shard of the key.
+        key: Name of the key as `sharding.format_hot_key` gives it.
+        fence: Fence of the owner's grant; 0 unless local.
+        upstream: The owner; None unless local.
+        zone: Availability zone of the shard.
+        addresses: Caller addresses of entry instances of that zone, if it is
+            another one.
+    """
+
+    status: str
+    keyspace: str = ""
+    shard: int = 0
+    key: str = ""
+    fence: int = 0
+    upstream: messages.Upstream | None = None
+    zone: str = ""
+    addresses: tuple[str, ...] = ()
+
+
+def find_route(
+    state: state_lib.ZoneState, contract: Any, service: str, key: str
+) -> Route:
+    """Returns the route of a key of a contract's customer."""
+    part = next((s for s in contract.services if s.name == service), None)
+    if part is None:
+        return Route(UNKNOWN_SERVICE)
+    keyspace = sharding.format_keyspace(part.name, part.zone_loss, part.zones)
+    item = state.feed.keyspaces.get(keyspace)
+    if item is None or item.shards == 0:
+        return Route(UNASSIGNED, keyspace)
+    shard = sharding.compute_shard(contract.customer, key, item.shards)
+    route = Route(
+        UNASSIGNED,
+        keyspace,
+        shard,
+        sharding.format_hot_key(contract.customer, key),
+    )
+    delegation = state.feed.find_delegation(keyspace, shard)
+    if delegation is None or not delegation.zone:
+        return route
+    route = route._replace(zone=delegation.zone)
+    if delegation.zone != state.zone:
+        return _find_remote(state, route)
+    if delegation.group_epoch != state.group_epoch:
+        return route._replace(status=MOVING)
+    return find_local(state, route)
+
+
+def find_local(state: state_lib.ZoneState, route: Route) -> Route:
+    """Returns the route of a shard that is delegated to this zone."""
+    _, value = state.assignments.resolve(route.keyspace, route.shard, route.key)
+    if value is None:
+        return route
+    if value.moving:
+        return route._replace(status=MOVING)
+    if value.owner is None:
+        return route
+    if not state.upstreams.is_current(value.owner):
+        return route._replace(status=MOVING)
+    upstream = state.upstreams.find_owner(value.owner)
+    return route._replace(status=LOCAL, fence=value.fence, upstream=upstream)
+
+
+def find_current(
+    state: state_lib.ZoneState, route: Route
+) -> assignments.AssignmentKey | None:
+    """Returns the assignment of a local route if it still is the same."""
+    key, value = state.assignments.resolve(
+        route.keyspace, route.shard, route.key
+    )
+    if value is None or value.moving or value.owner is None:
+        return None
+    if value.fence != route.fence or route.upstream is None:
+        return None
+    owner = assignments.Owner(route.upstream.id, route.upstream.incarnation)
+    if value.owner != owner or not state.upstreams.is_current(owner):
+        return None
+    if state.find_epoch(route.keyspace, route.shard) is None:
+        return None
+    return key
+
+
+def _find_remote(state: state_lib.ZoneState, route: Route) -> Route:
+    addresses = tuple(
+        item.caller_address
+        for item in state.feed.list_entry_instances(route.zone)
+        if item.caller_address
+    )
+    status = REMOTE if addresses else UNREACHABLE
+    return route._replace(status=status, addresses=addresses)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/signals.py
@@ -0,0 +1,24 @@
+"""Wakes tasks that wait for a change."""
+
+import asyncio
+
+
+class Signal:
+    """A change that any number of tasks wait for."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wakes all tasks that wait now."""
+        event, self._event = self._event, asyncio.Event()
+        event.set()
+
+    async def wait(self, deadline_s: float) -> bool:
+        """Waits for the next `notify`; returns False at the deadline."""
+        try:
+            async with asyncio.timeout(deadline_s):
+                await self._event.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/packages/daemon/src/bamboosilld/zone/snapshots.py
+++ b/packages/daemon/src/bamboosilld/zone/snapshots.py
@@ -44,7 +44,8 @@
     parts = [head]
     for name, items in lists.items():
         parts += [
-            messages.SnapshotPart(**{name: chunk}) for chunk in _split(items)
+            messages.SnapshotPart()._replace(**{name: chunk})
+            for chunk in _split(items)
         ]
     encoded = [wire.encode(part) for part in parts]
     return b"".join(_HEADER.pack(len(data)) + data for data in encoded)
--- a/packages/daemon/src/bamboosilld/zone/state.py
+++ b/packages/daemon/src/bamboosilld/zone/state.py
@@ -133,9 +133,7 @@
     state: ZoneState, index: int, command: messages.ApplyFeed
 ) -> feed_lib.FeedChange:
     try:
-        change = state.feed.apply(
-            command.revision, command.full, command.items
-        )
+        change = state.feed.apply(command.revision, command.full, command.items)
     except wire.DecodeError as error:
         _log.error("Feed of command %d is malformed: %s.", index, error)
         return feed_lib.FeedChange()
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/summary.py
@@ -0,0 +1,73 @@
+"""What a zone leader tells the control group."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from bamboosill_common import peer
+from bamboosill_common.generated import control
+
+from bamboosilld.zone import group as group_lib
+from bamboosilld.zone import planner as planner_lib
+from bamboosilld.zone import state as state_lib
+from bamboosilld.zone import times
+
+
+def make_beat(
+    identity: peer.Identity,
+    state: state_lib.ZoneState,
+    node: group_lib.Node,
+    live_instances: Iterable[str],
+    planner: planner_lib.Planner,
+    get_longest_deadline_s: Callable[[str], float],
+) -> control.ZoneBeat:
+    """Returns the beat that describes the zone now."""
+    return control.ZoneBeat(
+        zone=state.zone,
+        group_epoch=state.group_epoch,
+        leader=identity.instance,
+        leader_incarnation=identity.incarnation,
+        applied_revision=state.feed.revision,
+        services=_list_services(state, planner, get_longest_deadline_s),
+        released=tuple(
+            control.ShardRelease(keyspace, shard, epoch)
+            for (keyspace, shard), epoch in sorted(state.released.items())
+        ),
+        group_term=node.term,
+        live_instances=tuple(sorted(live_instances)),
+    )
+
+
+def _list_services(
+    state: state_lib.ZoneState,
+    planner: planner_lib.Planner,
+    get_longest_deadline_s: Callable[[str], float],
+) -> tuple[control.ServiceLoad, ...]:
+    deadlines: dict[str, float] = {}
+    for keyspace, item in state.feed.keyspaces.items():
+        known = deadlines.get(item.service, 0.0)
+        deadlines[item.service] = max(known, get_longest_deadline_s(keyspace))
+    unfenced = {
+        each.service
+        for each in (
+            *state.upstreams.list_current(),
+            *state.upstreams.list_former(),
+        )
+        if not each.checks_fences
+    }
+    loads: dict[str, control.ServiceLoad] = {}
+    for upstream in state.upstreams.list_current():
+        service = upstream.service
+        load = loads.get(service, control.ServiceLoad(service))
+        effective = planner.effective.get(upstream.id)
+        loads[service] = load._replace(
+            slots=load.slots + upstream.slots,
+            upstreams=load.upstreams + 1,
+            load=load.load + (effective.load if effective else 0.0),
+        )
+    for service in unfenced:
+        load = loads.get(service, control.ServiceLoad(service))
+        longest_s = deadlines.get(service, times.DEFAULT_LONGEST_DEADLINE_S)
+        loads[service] = load._replace(
+            unfenced_deadline_ms=times.to_ms(longest_s)
+        )
+    return tuple(loads[service] for service in sorted(loads))
--- a/packages/daemon/src/bamboosilld/zone/upstream_client.py
+++ b/packages/daemon/src/bamboosilld/zone/upstream_client.py
@@ -1,6 +1,5 @@
 """Tells upstreams of prepared grants and revocations."""
 
-import asyncio
 from typing import NamedTuple
 from typing import Protocol
 
@@ -63,5 +62,5 @@
                 allow_redirects=False,
             ) as response:
                 return response.status == 200
-        except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
+        except (TimeoutError, aiohttp.ClientError, OSError):
             return False
--- a/packages/daemon/src/bamboosilld/zone/upstreams.py
+++ b/packages/daemon/src/bamboosilld/zone/upstreams.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 
-from bamboosilld.zone import assignments
 from bamboosill_common.generated import zone as messages
 
+from bamboosilld.zone import assignments
+
 # Bounds the registry; far above the upstreams of one zone.
 MAX_UPSTREAMS = 4096
 
@@ -43,9 +44,7 @@
         """Returns the current incarnation of an upstream."""
         return self._current.get(upstream_id)
 
-    def find_owner(
-        self, owner: assignments.Owner
-    ) -> messages.Upstream | None:
+    def find_owner(self, owner: assignments.Owner) -> messages.Upstream | None:
         """Returns an upstream by incarnation, former ones included."""
         present = self._current.get(owner.id)
         if present is not None and present.incarnation == owner.incarnation:
