Make the zone group usable: found, announce, place and route

The router needs a member that founds its zone's group, registers upstreams, gives them their shards and routes to them. Several instances wait for the consensus node.

--- a/packages/daemon/src/bamboosilld/zone/membership.py
+++ b/packages/daemon/src/bamboosilld/zone/membership.py
@@ -1,6 +1,7 @@
 """Enters and leaves the zone group that the control group names."""
 
 from collections.abc import Callable
+import importlib
 import random
 from typing import Any
 from typing import NamedTuple
@@ -192,4 +193,18 @@
 
 def make_node(spec: NodeSpec) -> group_lib.Node:
     """Returns a consensus node without a disk."""
-    raise NotImplementedError
+    # Imported when the first node is made: tests use other nodes.
+    core = importlib.import_module("bamboosilld.consensus.core")
+    groups = importlib.import_module("bamboosilld.consensus.groups")
+    node = importlib.import_module("bamboosilld.consensus.node")
+    memory = importlib.import_module("bamboosilld.storage.memory")
+    made: group_lib.Node = node.Node(
+        core.GroupConfig(spec.group, spec.member, spec.bootstrap),
+        memory.MemoryStorage(),
+        groups.PeerTransport(spec.directory),
+        spec.state,
+        spec.clock,
+        spec.rng,
+        spec.timeline,
+    )
+    return made
--- a/packages/daemon/src/bamboosilld/zone/moves.py
+++ b/packages/daemon/src/bamboosilld/zone/moves.py
@@ -229,11 +229,11 @@
             return
         if not self._checks_fence(key, owner):
             return
-        if not self._upstream_leases.is_lost(owner):
-            if self._serve_leases.find_waits(
-                key, value.target_fence, 0.0, now_s
-            ):
-                return
+        undrained = self._serve_leases.find_waits(
+            key, value.target_fence, 0.0, now_s
+        )
+        if undrained and not self._upstream_leases.is_lost(owner):
+            return
         self._upstream_leases.revoke(key, value.target_fence)
         lease = self._upstream_leases.find(owner, now_s)
         track.revoke_until_s = lease.until_s
--- a/packages/daemon/src/bamboosilld/zone/snapshots.py
+++ b/packages/daemon/src/bamboosilld/zone/snapshots.py
@@ -44,8 +44,8 @@
     parts = [head]
     for name, items in lists.items():
         parts += [
-            messages.SnapshotPart()._replace(**{name: chunk})
-            for chunk in _split(items)
+            messages.SnapshotPart()._replace(**fields)
+            for fields in _split(name, items)
         ]
     encoded = [wire.encode(part) for part in parts]
     return b"".join(_HEADER.pack(len(data)) + data for data in encoded)
@@ -79,10 +79,10 @@
         state.records.advance(head.now_ms)
 
 
-def _split(items: Iterable[Any]) -> Iterator[tuple[Any, ...]]:
+def _split(name: str, items: Iterable[Any]) -> Iterator[dict[str, Any]]:
     iterator = iter(items)
     while chunk := tuple(itertools.islice(iterator, _ITEMS_PER_PART)):
-        yield chunk
+        yield {name: chunk}
 
 
 def _read_parts(data: bytes) -> Iterator[messages.SnapshotPart]:
--- /dev/null
+++ b/packages/daemon/tests/zone/conftest.py
@@ -0,0 +1,610 @@
+"""Instances, upstreams and a control group in memory, on virtual time."""
+
+import asyncio
+import itertools
+import json
+import random
+import types
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import events
+from bamboosill_common import peer
+from bamboosill_common import sharding
+from bamboosill_common import wire
+from bamboosill_common.generated import consensus
+from bamboosill_common.generated import control
+from bamboosill_common.generated import peer as peer_messages
+from bamboosill_common.generated import zone as messages
+from bamboosilld.placement import policy as policy_lib
+from bamboosilld.zone import member as member_lib
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+ZONE = "north"
+LATENCY_S = 0.001
+
+
+class PausableClock(clock_lib.LoopClock):
+    """Stops the sleeps of a process that is paused."""
+
+    def __init__(self):
+        super().__init__()
+        self._running = asyncio.Event()
+        self._running.set()
+
+    async def sleep(self, seconds):
+        await asyncio.sleep(seconds)
+        await self.wait_running()
+
+    async def wait_running(self):
+        await self._running.wait()
+
+    def pause(self):
+        self._running.clear()
+
+    def resume(self):
+        self._running.set()
+
+
+class Process:
+    """What the network knows of one process."""
+
+    def __init__(self, name, incarnation, zone=ZONE):
+        self.identity = peer.Identity(name, incarnation, zone)
+        self.address = f"{name}:{incarnation}"
+        self.clock = PausableClock()
+        self.handlers = peer.Handlers()
+        self.alive = True
+
+
+class Network:
+    """Delivers messages between processes, and holds or drops them."""
+
+    def __init__(self):
+        self.processes = {}
+        self.cut = set()
+
+    def is_cut(self, one, other):
+        return frozenset((one, other)) in self.cut
+
+    def isolate(self, name):
+        for other in {p.identity.instance for p in self.processes.values()}:
+            if other != name:
+                self.cut.add(frozenset((name, other)))
+
+    def heal(self):
+        self.cut.clear()
+
+
+class Directory:
+    """Calls other processes in the name of one."""
+
+    def __init__(self, network, process):
+        self._network = network
+        self._process = process
+
+    async def call(self, address, message, reply_type, deadline_s):
+        try:
+            async with asyncio.timeout(deadline_s):
+                return await self._call(address, message)
+        except TimeoutError:
+            return Failure(errors.PeerError("timeout", address, True))
+
+    async def _call(self, address, message):
+        me = self._process.identity
+        other = self._network.processes.get(address)
+        await asyncio.sleep(LATENCY_S)
+        if other is None or not other.alive or not self._process.alive:
+            return Failure(errors.PeerError("unreachable", address, False))
+        await self._reach(me.instance, other)
+        data = wire.encode(message)
+        try:
+            reply = await asyncio.shield(
+                asyncio.create_task(
+                    other.handlers.dispatch(
+                        wire.decode(type(message), data),
+                        peer_messages.Hello(
+                            instance=me.instance, incarnation=me.incarnation
+                        ),
+                    )
+                )
+            )
+        except errors.HandlerError as error:
+            return Failure(errors.PeerError(error.code, str(error), True))
+        await asyncio.sleep(LATENCY_S)
+        await self._reach(me.instance, other)
+        await self._process.clock.wait_running()
+        return Success(wire.decode(type(reply), wire.encode(reply)))
+
+    async def _reach(self, name, other):
+        """A cut or dead path swallows the message silently."""
+        if self._network.is_cut(name, other.identity.instance):
+            await asyncio.sleep(3600)
+        if not other.alive:
+            await asyncio.sleep(3600)
+        await other.clock.wait_running()
+
+
+class LoneNode:
+    """A consensus group of one member that leads at once."""
+
+    def __init__(self, spec):
+        self._spec = spec
+        self._listeners = []
+        self.is_leader = False
+        self.leader = None
+        self.elected_at_s = 0.0
+        self.term = 1
+        self.commit_index = self.applied_index = 1
+        self.membership = spec.bootstrap or consensus.Membership()
+        self.leads_alone = True
+
+    def has_leader_lease(self):
+        return self.is_leader and self.leads_alone
+
+    def get_silence_s(self, member):
+        return 0.0
+
+    def add_leadership_listener(self, listener):
+        self._listeners.append(listener)
+
+    async def start(self):
+        self.elected_at_s = self._spec.clock.monotonic()
+        self.is_leader, self.leader = True, self._spec.member
+        for listener in self._listeners:
+            listener(True)
+
+    async def stop(self):
+        self.is_leader = False
+
+    async def propose(self, command, deadline_s):
+        await asyncio.sleep(0)
+        self.commit_index += 1
+        value = self._spec.state.apply(self.commit_index, command)
+        self.applied_index = self.commit_index
+        return Success(
+            types.SimpleNamespace(index=self.commit_index, value=value)
+        )
+
+
+class Control:
+    """A control group that delegates all shards of its keyspaces."""
+
+    def __init__(self, network):
+        self.process = Process("control", 1, "elsewhere")
+        self.process.address = "control:1"
+        network.processes[self.process.address] = self.process
+        self.revision = 0
+        self.items = {}
+        self.log = []
+        self.lease_ms = 1500
+        self.beats = []
+        self.zone = control.ZoneItem(zone=ZONE)
+        register = self.process.handlers.register
+        register(control.RegisterInstance)(self._register)
+        register(control.ZoneBeat)(self._beat)
+
+    def put(self, key, item):
+        self.revision += 1
+        item = item._replace(revision=self.revision)
+        self.items[key] = item
+        self.log.append((self.revision, wire.pack(item)))
+
+    def found(self, epoch, founder):
+        self.zone = control.ZoneItem(
+            zone=ZONE,
+            group_epoch=epoch,
+            founder=founder.instance,
+            founder_incarnation=founder.incarnation,
+        )
+        self.put(("zone", ZONE), self.zone)
+
+    def add_contract(self, customer, service, shards, zone_loss="hold"):
+        keyspace = sharding.format_keyspace(service, zone_loss, ())
+        document = {
+            "customer": customer,
+            "services": [{"name": service, "zone_loss": zone_loss}],
+        }
+        contract = control.ContractItem(
+            customer=customer, document=json.dumps(document)
+        )
+        self.put(("contract", customer), contract)
+        self.put(
+            ("keyspace", keyspace),
+            control.KeyspaceItem(
+                keyspace=keyspace,
+                service=service,
+                zone_loss=zone_loss,
+                shards=shards,
+                unavailability_weight=1.0,
+                churn_weight=1.0,
+                imbalance_weight=1.0,
+            ),
+        )
+        self.delegate(keyspace, shards)
+        return keyspace
+
+    def delegate(
+        self, keyspace, shards, epoch=1, zone=ZONE, releasing=False, floor=0
+    ):
+        self.put(
+            ("delegation", keyspace),
+            control.DelegationItem(
+                keyspace=keyspace,
+                zones=(zone,) * shards,
+                epochs=(epoch,) * shards,
+                group_epochs=(max(1, self.zone.group_epoch),) * shards,
+                id_floors_ms=(floor,) * shards,
+                releasing=(releasing,) * shards,
+            ),
+        )
+
+    async def _register(self, message, hello):
+        item = message.item
+        if not self.zone.group_epoch:
+            self.found(1, peer.Identity(item.instance, item.incarnation, ZONE))
+        self.put(("instance", item.instance), item)
+        instances = tuple(
+            each for key, each in self.items.items() if key[0] == "instance"
+        )
+        return control.RegisterReply(
+            accepted=True,
+            zone=self.zone,
+            instances=instances,
+            wall_ms=self.process.clock.wall_ms(),
+        )
+
+    async def _beat(self, message, hello):
+        self.beats.append(message)
+        lease_ms = self.lease_ms
+        if message.group_epoch != self.zone.group_epoch:
+            lease_ms = 0
+        return control.ZoneBeatReply(
+            lease_ms=lease_ms,
+            wall_ms=self.process.clock.wall_ms(),
+            revision=self.revision,
+            items=tuple(
+                data
+                for revision, data in self.log
+                if revision > message.applied_revision
+            ),
+        )
+
+
+def parse_contract(text):
+    value = json.loads(text)
+    services = [
+        types.SimpleNamespace(
+            name=each["name"],
+            zone_loss=each["zone_loss"],
+            zones=(),
+            deadlines=types.SimpleNamespace(default=1000, longest=2000),
+            limits=types.SimpleNamespace(
+                rate_per_s=100.0, burst=10.0, concurrency=8
+            ),
+        )
+        for each in value["services"]
+    ]
+    return types.SimpleNamespace(
+        customer=value["customer"], services=tuple(services)
+    )
+
+
+class Run:
+    """One request as an upstream saw it."""
+
+    def __init__(self, upstream, keyspace, shard, fence, begin_s):
+        self.owner = (upstream.id, upstream.incarnation)
+        self.shard = (keyspace, shard)
+        self.fence = fence
+        self.begin_s = begin_s
+        self.end_s = None
+
+
+class FakeUpstream:
+    """An upstream with heartbeats, grants and requests."""
+
+    def __init__(self, world, name, incarnation, checks_fences, service):
+        self.world = world
+        self.id = name
+        self.incarnation = incarnation
+        self.checks_fences = checks_fences
+        self.clock = PausableClock()
+        self.alive = True
+        self.state = "warm"
+        self.members = None
+        self.version = 0
+        self.until_s = float("-inf")
+        self.lapse_until_s = float("-inf")
+        self.grants = {}
+        self.floors = {}
+        self.confirms = True
+        self.announced = 0
+        self.message = messages.Upstream(
+            id=name,
+            incarnation=incarnation,
+            service=service,
+            zone=ZONE,
+            address=f"{name}/{incarnation}",
+            slots=8,
+            connections=8,
+            checks_fences=checks_fences,
+            state="warm",
+        )
+        self.task = asyncio.create_task(self._beat())
+
+    def die(self):
+        self.alive = False
+        self.task.cancel()
+
+    async def _beat(self):
+        while True:
+            names = self.members or sorted(self.world.members)
+            member = self.world.members.get(self.world.rng.choice(names))
+            delay_s = 0.5
+            if member is not None and await self._beat_once(member):
+                # Announced just now; the next beat brings the lease.
+                delay_s = 0.05
+            await self.clock.sleep(delay_s)
+
+    async def _beat_once(self, member):
+        sent_s = self.clock.monotonic()
+        result = await member.beat_upstream(
+            messages.UpstreamBeat(
+                id=self.id,
+                incarnation=self.incarnation,
+                state=self.state,
+                grants_version=self.version,
+            )
+        )
+        await self.clock.wait_running()
+        if isinstance(result, Failure):
+            return False
+        reply = result.unwrap()
+        if reply.code == "announce":
+            self.grants, self.version = {}, 0
+            self.announced += 1
+            await member.announce_upstream(self.message)
+            return True
+        self.until_s = sent_s + reply.lease_ms / 1000
+        self.lapse_until_s = sent_s + reply.lapse_lease_ms / 1000
+        if not reply.unchanged:
+            self.version = reply.grants_version
+            self.grants = {}
+            for each in reply.grants:
+                self._add(each.keyspace, each.shard, each.key, each.fence)
+        return False
+
+    def _add(self, keyspace, shard, key, fence):
+        place = (keyspace, shard, key)
+        if fence >= self.floors.get(place, 0):
+            self.grants[place] = max(fence, self.grants.get(place, 0))
+
+    def accept_grant(self, notice):
+        for shard in notice.shards:
+            self._add(notice.keyspace, shard, notice.key, notice.fence)
+
+    def accept_revoke(self, notice):
+        for shard in notice.shards:
+            place = (notice.keyspace, shard, notice.key)
+            self.floors[place] = max(self.floors.get(place, 0), notice.fence)
+            if self.grants.get(place, 0) < notice.fence:
+                self.grants.pop(place, None)
+
+    def _may_run(self, keyspace, shard, fence):
+        if not self.checks_fences:
+            return True
+        until_s = self.until_s
+        if "/lapse/" in keyspace:
+            until_s = min(until_s, self.lapse_until_s)
+        if self.clock.monotonic() >= until_s:
+            return False
+        return fence in (
+            held
+            for (space, number, _), held in self.grants.items()
+            if (space, number) == (keyspace, shard)
+        )
+
+    async def run(self, keyspace, shard, fence, duration_s):
+        """Returns whether the request took effect."""
+        await self.clock.wait_running()
+        if not self.alive or not self._may_run(keyspace, shard, fence):
+            return False
+        run = Run(self, keyspace, shard, fence, self.world.now())
+        if not self.checks_fences:
+            self.world.runs.append(run)
+        await self.clock.sleep(duration_s)
+        run.end_s = self.world.now()
+        if not self.alive or not self._may_run(keyspace, shard, fence):
+            return False
+        if self.checks_fences:
+            # Only the moment of the effect counts.
+            run.begin_s = run.end_s
+            self.world.runs.append(run)
+        return True
+
+
+class Notices:
+    """Upstream client of one instance."""
+
+    def __init__(self, world, process):
+        self._world = world
+        self._process = process
+
+    async def grant(self, address, notice):
+        return await self._send(address, notice, "accept_grant")
+
+    async def revoke(self, address, notice):
+        return await self._send(address, notice, "accept_revoke")
+
+    async def _send(self, address, notice, method):
+        await asyncio.sleep(LATENCY_S)
+        upstream = self._world.upstreams.get(address)
+        if upstream is None or not upstream.alive or not upstream.confirms:
+            return False
+        await upstream.clock.wait_running()
+        getattr(upstream, method)(notice)
+        await self._process.clock.wait_running()
+        return self._process.alive
+
+
+class Groups:
+    """Passes consensus messages to the node of each group."""
+
+    def __init__(self, handlers):
+        self.nodes = {}
+        for kind in (
+            consensus.RequestVote,
+            consensus.AppendEntries,
+            consensus.InstallSnapshot,
+        ):
+            handlers.register(kind)(self._handle)
+
+    def add(self, group, node):
+        self.nodes[group] = node
+
+    def remove(self, group):
+        self.nodes.pop(group, None)
+
+    async def _handle(self, message, hello):
+        if message.group not in self.nodes:
+            raise errors.HandlerError("unknown_group", message.group)
+        return await self.nodes[message.group].handle(message)
+
+
+class World:
+    """One availability zone and its surroundings."""
+
+    def __init__(self, make_node, policy="bounded", seed=1):
+        self.rng = random.Random(seed)
+        self.network = Network()
+        self.control = Control(self.network)
+        self.make_node = make_node
+        self.policy = policy
+        self.processes = {}
+        self.members = {}
+        self.upstreams = {}
+        self.runs = []
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def add_member(self, name, incarnation=1):
+        process = Process(name, incarnation)
+        self.network.processes[process.address] = process
+        seed = self.rng.random()
+        member = member_lib.ZoneMember(
+            process.identity,
+            control.InstanceItem(
+                instance=name,
+                incarnation=incarnation,
+                zone=ZONE,
+                roles=("entry",),
+                peer_address=process.address,
+                caller_address=f"caller-{name}",
+            ),
+            (self.control.process.address,),
+            Directory(self.network, process),
+            process.handlers,
+            Groups(process.handlers),
+            process.clock,
+            random.Random(seed),
+            events.Timeline(process.clock, name),
+            lambda: policy_lib.make_policy(self.policy, random.Random(seed)),
+            Notices(self, process),
+            parse_contract,
+            self.make_node,
+        )
+        self.processes[name], self.members[name] = process, member
+        await member.start()
+        return member
+
+    async def kill_member(self, name):
+        """Ends a process without a word to the others."""
+        self.processes[name].alive = False
+        await self.members.pop(name).stop()
+
+    def add_upstream(
+        self, name, incarnation=1, checks_fences=True, service="shop"
+    ):
+        upstream = FakeUpstream(self, name, incarnation, checks_fences, service)
+        self.upstreams[upstream.message.address] = upstream
+        return upstream
+
+    async def wait(self, predicate, limit_s=30.0):
+        """Waits in virtual time until something holds."""
+        end_s = self.now() + limit_s
+        while not predicate():
+            assert self.now() < end_s, "never happened"
+            await asyncio.sleep(0.01)
+        return self.now()
+
+    def find_owners(self, member, customer, count=200):
+        routes = (
+            member.route(customer, "shop", f"key{number}")
+            for number in range(count)
+        )
+        return {
+            route.shard: route.upstream.id
+            for route in routes
+            if route.status == "local"
+        }
+
+    def all_local(self, member, customer="a", count=200):
+        return all(
+            member.route(customer, "shop", f"key{number}").status == "local"
+            for number in range(count)
+        )
+
+    async def request(self, member, key, duration_s=0.01, deadline_s=2.0):
+        """Dispatches one request as an entry instance does."""
+        process = next(
+            self.processes[n] for n, m in self.members.items() if m is member
+        )
+        route = member.route("a", "shop", key)
+        if route.status != "local":
+            return route.status
+        dispatch = member.begin_dispatch(route, deadline_s)
+        if dispatch is None:
+            return "refused"
+        try:
+            # A pause may come at any wait before the write.
+            await process.clock.sleep(self.rng.random() * 0.05)
+            if not member.check_dispatch(dispatch):
+                return "refused"
+            upstream = self.upstreams[route.upstream.address]
+            work = upstream.run(
+                route.keyspace, route.shard, route.fence, duration_s
+            )
+            async with asyncio.timeout(deadline_s):
+                done = await asyncio.shield(asyncio.create_task(work))
+            return "done" if done else "refused"
+        except TimeoutError:
+            return "timeout"
+        finally:
+            member.end_dispatch(dispatch)
+
+    def check_single_owner(self):
+        """Asserts that no two owners ran requests of a shard at a time."""
+        by_shard = {}
+        for run in self.runs:
+            by_shard.setdefault(run.shard, []).append(run)
+        assert by_shard, "nothing ran"
+        for runs in by_shard.values():
+            runs.sort(key=lambda each: (each.begin_s, each.fence))
+            for earlier, later in itertools.pairwise(runs):
+                assert earlier.fence <= later.fence, "an older grant ran"
+            for index, run in enumerate(runs):
+                for other in runs[index + 1 :]:
+                    end_s = run.end_s if run.end_s is not None else float("inf")
+                    if other.begin_s >= end_s:
+                        break
+                    assert other.owner == run.owner, "two owners at a time"
+
+
+@pytest.fixture
+def make_world():
+    """Returns a factory of worlds whose groups have one member."""
+    return lambda **options: World(LoneNode, **options)
--- /dev/null
+++ b/packages/daemon/tests/zone/test_member.py
@@ -0,0 +1,21 @@
+"""Tests of an instance's part in the zone group."""
+
+import pytest
+
+
+@pytest.mark.looptime
+async def test_founds_group_and_routes_to_upstream(make_world):
+    """Guards against a zone that never begins to serve."""
+    world = make_world()
+    world.control.add_contract("a", "shop", 64)
+    member = await world.add_member("one")
+    upstream = world.add_upstream("u")
+    await world.wait(lambda: world.all_local(member))
+    assert member.is_ready() == (True, "")
+    await world.wait(lambda: upstream.until_s > world.now())
+    assert await world.request(member, "key1") == "done"
+    route = member.route("a", "shop", "key1")
+    assert route.upstream.address == upstream.message.address
+    assert member.route("b", "shop", "k").status == "unknown_customer"
+    assert member.route("a", "other", "k").status == "unknown_service"
+    await member.stop()
