Add a usable entry server and upstream stand-in

Cause: the entry role and the stand-in for upstreams were missing. Change: callers' HTTP, routing, dispatch with own connections, forwarding, records, retries, crash reports, upstream announcements; the stand-in with grants, heartbeats, a record file and faulty answers. Tested: one request through an entry instance with a fake zone member.

--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: serves callers and takes announcements of upstreams."""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -0,0 +1,308 @@
+"""Sends one request to the upstream that owns its key."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+from typing import Any
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common.generated import zone as zone_messages
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bamboosilld.entry import answers
+from bamboosilld.entry import connection as connection_lib
+from bamboosilld.entry import crashes as crashes_lib
+from bamboosilld.entry import exchange
+from bamboosilld.entry import faults
+from bamboosilld.entry import headers
+from bamboosilld.entry import inbound as inbound_lib
+from bamboosilld.entry import interfaces
+from bamboosilld.entry import pools as pools_lib
+
+# Part of the remaining time after which a repeatable request that saw no
+# byte is sent again; the rest must suffice for the second attempt.
+_SILENCE_FRACTION = 0.5
+_CANCEL_DEADLINE_S = 1.0
+_CONTROL_CONNECTIONS = 2
+_CANCEL_PATH = "/bamboosill/cancel"
+_REFUSING_STATUSES = {409: "stale-fence", 503: "shed"}
+
+Deliver = Callable[[exchange.Answer], Awaitable[bool]]
+
+
+class Attempt(NamedTuple):
+    """How one attempt is made.
+
+    Attributes:
+        fresh: Whether it needs a new connection.
+        may_give_up: Asked when the upstream stays silent for half of the
+            remaining time; None if the attempt must not be given up.
+        deliver: Passes an answer on to the caller; returns whether the whole
+            answer was read.
+    """
+
+    fresh: bool
+    may_give_up: Callable[[], bool] | None
+    deliver: Deliver
+
+
+class Stopped(NamedTuple):
+    """The attempt was refused before a byte was written."""
+
+    refused: answers.Refused
+
+
+Ended = faults.Fault | Stopped
+
+
+class Dispatcher:
+    """Exchanges requests with the upstreams of this zone."""
+
+    def __init__(
+        self,
+        member: interfaces.Member,
+        queues: interfaces.Queues,
+        crashes: crashes_lib.Crashes,
+        clock: clock_lib.Clock,
+        spawn: interfaces.Spawn,
+    ) -> None:
+        self._member = member
+        self._queues = queues
+        self._crashes = crashes
+        self._clock = clock
+        self._spawn = spawn
+        self.pools = pools_lib.Pools()
+        # Cancellations must not wait for the connections whose requests they
+        # cancel.
+        self.control_pools = pools_lib.Pools()
+
+    async def run(
+        self,
+        inbound: inbound_lib.Inbound,
+        route: interfaces.Route,
+        attempt: Attempt,
+    ) -> Result[None, Ended]:
+        """Makes one attempt; success means that the answer was delivered."""
+        upstream = route.upstream
+        assert upstream is not None
+        slot = await self._queues.get(upstream).acquire(
+            inbound.customer,
+            inbound.weight,
+            inbound.operation.class_,
+            inbound.until,
+        )
+        if isinstance(slot, Failure):
+            return Failure(Stopped(answers.describe_refusal(slot.failure())))
+        started_s = self._clock.monotonic()
+        outcome = "not_run"
+        try:
+            result = await self._run_with_slot(inbound, route, attempt)
+            outcome = _judge(result)
+            return result
+        finally:
+            slot.unwrap().release(outcome, self._clock.monotonic() - started_s)
+
+    async def _run_with_slot(
+        self,
+        inbound: inbound_lib.Inbound,
+        route: interfaces.Route,
+        attempt: Attempt,
+    ) -> Result[None, Ended]:
+        upstream = route.upstream
+        assert upstream is not None
+        limit = upstream.connections // self._member.count_entry_instances()
+        pool = self.pools.get(upstream.address, max(1, limit))
+        acquired = await pool.acquire(
+            inbound.until - self._clock.monotonic(), attempt.fresh
+        )
+        if isinstance(acquired, Failure):
+            return Failure(acquired.failure())
+        connection = acquired.unwrap()
+        # Nothing waits between here and the write, so that the lease is
+        # checked immediately before it.
+        remaining_s = inbound.until - self._clock.monotonic()
+        if remaining_s <= 0:
+            pool.put_back(connection)
+            return Failure(_not_run("deadline", "the deadline has passed"))
+        dispatch = self._member.begin_dispatch(route, remaining_s)
+        if dispatch is None:
+            pool.put_back(connection)
+            return Failure(_not_run("moved", "the key is being moved"))
+        try:
+            if not self._member.check_dispatch(dispatch):
+                pool.put_back(connection)
+                return Failure(_not_run("moved", "the lease has ended"))
+            return await self._write(
+                inbound, route, upstream, attempt, (pool, connection)
+            )
+        finally:
+            self._member.end_dispatch(dispatch)
+
+    async def _write(
+        self,
+        inbound: inbound_lib.Inbound,
+        route: interfaces.Route,
+        upstream: zone_messages.Upstream,
+        attempt: Attempt,
+        link: tuple[pools_lib.Pool, connection_lib.Connection],
+    ) -> Result[None, Ended]:
+        pool, connection = link
+        remaining_s = inbound.until - self._clock.monotonic()
+        give_up = attempt.may_give_up
+        timing = exchange.Timing(
+            remaining_s,
+            remaining_s * _SILENCE_FRACTION if give_up else 0.0,
+            give_up or _never,
+        )
+        request = _format(inbound, route, upstream.address, remaining_s)
+        self._crashes.begin(upstream, inbound.fingerprint)
+        complete = False
+        try:
+            result = await exchange.run_exchange(
+                pool,
+                connection,
+                request,
+                inbound.request_id,
+                inbound.method == "HEAD",
+                timing,
+            )
+            ended = await self._settle(result, upstream, pool, attempt)
+            complete = True
+            return ended
+        finally:
+            self._crashes.end(upstream, inbound.fingerprint)
+            if not complete or _is_late(ended):
+                self._cancel(inbound, upstream)
+
+    async def _settle(
+        self,
+        result: Result[exchange.Answer, faults.Fault],
+        upstream: zone_messages.Upstream,
+        pool: pools_lib.Pool,
+        attempt: Attempt,
+    ) -> Result[None, Ended]:
+        if isinstance(result, Failure):
+            fault = result.failure()
+            if fault.code == "silent":
+                pool.discard_idle()
+            if fault.code in ("broken", "truncated"):
+                await self._crashes.inquire(upstream)
+            return Failure(fault)
+        answer = result.unwrap()
+        refusal = _find_refusal(answer)
+        if refusal is not None:
+            return Failure(refusal)
+        try:
+            whole = await attempt.deliver(answer)
+        finally:
+            if answer.rest is not None:
+                answer.rest.close()
+        if not whole:
+            detail = f"{upstream.address}: the answer was truncated"
+            await self._crashes.inquire(upstream)
+            return Failure(faults.Fault("cut", detail, True))
+        return Success(None)
+
+    def _cancel(
+        self, inbound: inbound_lib.Inbound, upstream: zone_messages.Upstream
+    ) -> None:
+        if upstream.accepts_cancellation and inbound.operation.repeatable:
+            self._spawn(self._send_cancel(inbound, upstream.address))
+
+    async def _send_cancel(
+        self, inbound: inbound_lib.Inbound, address: str
+    ) -> None:
+        pool = self.control_pools.get(address, _CONTROL_CONNECTIONS)
+        body = json.dumps(
+            {
+                "request_id": inbound.request_id,
+                "customer": inbound.customer,
+            }
+        ).encode()
+        request = exchange.format_request(
+            "POST",
+            _CANCEL_PATH,
+            address,
+            (
+                (headers.REQUEST_ID, inbound.request_id),
+                ("Content-Type", "application/json"),
+            ),
+            body,
+        )
+        acquired = await pool.acquire(_CANCEL_DEADLINE_S)
+        if isinstance(acquired, Success):
+            timing = exchange.Timing(_CANCEL_DEADLINE_S, 0.0, _never)
+            await exchange.run_exchange(
+                pool,
+                acquired.unwrap(),
+                request,
+                inbound.request_id,
+                False,
+                timing,
+            )
+
+
+def _never() -> bool:
+    return False
+
+
+def _not_run(code: str, detail: str) -> faults.Fault:
+    return faults.Fault(code, detail, False)
+
+
+def _is_late(ended: Result[Any, Ended]) -> bool:
+    if not isinstance(ended, Failure):
+        return False
+    fault = ended.failure()
+    return isinstance(fault, faults.Fault) and fault.code in (
+        "deadline",
+        "silent",
+    )
+
+
+def _judge(result: Result[Any, Ended]) -> str:
+    """Returns how an attempt counts for the upstream's concurrency limit."""
+    if not isinstance(result, Failure):
+        return "ok"
+    ended = result.failure()
+    if isinstance(ended, Stopped):
+        return "not_run"
+    if ended.code == "shed":
+        return "shed"
+    if ended.may_have_run or ended.code in ("refused", "connect"):
+        return "failed"
+    return "not_run"
+
+
+def _find_refusal(answer: exchange.Answer) -> faults.Fault | None:
+    """Returns the fault if an upstream states that it ran nothing."""
+    code = _REFUSING_STATUSES.get(answer.status)
+    if code is None or answer.rest is not None:
+        return None
+    if answer.fields.get(headers.NOT_RUN.lower()) != "1":
+        return None
+    return _not_run(code, f"the upstream refused: {code}")
+
+
+def _format(
+    inbound: inbound_lib.Inbound,
+    route: interfaces.Route,
+    address: str,
+    remaining_s: float,
+) -> bytes:
+    lines = (
+        *inbound.lines,
+        (headers.KEYSPACE, route.keyspace),
+        (headers.SHARD, str(route.shard)),
+        (headers.FENCE, str(route.fence)),
+        (headers.DEADLINE, str(max(1, int(remaining_s * 1000)))),
+        (headers.REQUEST_ID, inbound.request_id),
+        (headers.CUSTOMER, inbound.customer),
+        (headers.KEY, inbound.key),
+    )
+    return exchange.format_request(
+        inbound.method, inbound.target, address, lines, inbound.body
+    )
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -0,0 +1,349 @@
+"""Reads a caller's request and checks it against the contract."""
+
+import asyncio
+import random
+from typing import NamedTuple
+import urllib.parse
+
+from aiohttp import web
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import requestid
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+import xxhash
+
+from bamboosilld.entry import answers
+from bamboosilld.entry import headers
+from bamboosilld.entry import interfaces
+
+MAX_HOPS = 2
+_MAX_KEY_BYTES = 512
+_MAX_DEADLINE_DIGITS = 9
+_BEARER = "bearer "
+# Verified tokens are kept this long, so that a caller's requests do not each
+# cost a signature check. Expired or withdrawn tokens work that much longer.
+_TOKEN_CACHE_S = 1.0
+_MAX_CACHED_TOKENS = 10_000
+
+
+class Inbound(NamedTuple):
+    """A request that was read and checked.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query, as received.
+        service: First part of the path.
+        customer: Customer on whose behalf the request is made.
+        key: Key that the request is about.
+        request_id: The caller's id, or one made here.
+        id_time_ms: Time stamp of the caller's id, or 0 if it gave none.
+        until: Deadline on the monotonic clock, in seconds.
+        lines: Headers that are passed on.
+        body: The whole body.
+        operation: How the contract treats the operation.
+        weight: The customer's weight at an upstream short of slots.
+        hops: How many entry instances have forwarded the request.
+        fingerprint: Hash of the request without its id.
+    """
+
+    method: str
+    target: str
+    service: str
+    customer: str
+    key: str
+    request_id: str
+    id_time_ms: int
+    until: float
+    lines: tuple[tuple[str, str], ...]
+    body: bytes
+    operation: interfaces.Operation
+    weight: float
+    hops: int
+    fingerprint: bytes
+
+
+class _Target(NamedTuple):
+    service: str
+    path: str
+
+
+class _Caller(NamedTuple):
+    customer: str
+    hops: int
+
+
+def compute_fingerprint(
+    method: str, target: str, customer: str, key: str, body: bytes
+) -> bytes:
+    """Returns the hash of everything in a request but its id."""
+    digest = xxhash.xxh3_128()
+    for part in (method, target, customer, key):
+        data = part.encode("utf-8", "surrogateescape")
+        digest.update(len(data).to_bytes(4, "big") + data)
+    digest.update(body)
+    return digest.digest()
+
+
+def _refuse(status: int, reason: str, detail: str) -> Failure[answers.Refused]:
+    return Failure(answers.refuse(status, reason, detail))
+
+
+def parse_target(raw: str) -> Result[_Target, answers.Refused]:
+    """Returns the service and path of a request target.
+
+    A path that can be written in several ways is refused, because the
+    contract's rules on operations apply to one of them only.
+    """
+    path = raw.partition("?")[0]
+    if not path.startswith("/") or "%2f" in path.lower() or "//" in path:
+        return _refuse(400, "bad-path", "the path is not in canonical form")
+    try:
+        parts = urllib.parse.unquote(path, errors="strict").split("/")[1:]
+    except UnicodeDecodeError:
+        return _refuse(400, "bad-path", "the path is not UTF-8")
+    if any(
+        part in (".", "..") or "\\" in part or not part.isprintable()
+        for part in parts
+    ):
+        return _refuse(400, "bad-path", "the path is not in canonical form")
+    if not parts[0]:
+        return _refuse(404, "unknown-service", "the path names no service")
+    return Success(_Target(parts[0], "/" + "/".join(parts[1:])))
+
+
+class Parser:
+    """Reads requests of callers and of other entry instances."""
+
+    def __init__(
+        self,
+        member: interfaces.Member,
+        authenticator: auth.Authenticator,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._member = member
+        self._authenticator = authenticator
+        self._clock = clock
+        self._rng = rng
+        self._tokens: dict[tuple[str, str], tuple[auth.Identity, float]] = {}
+
+    async def parse(
+        self, request: web.BaseRequest
+    ) -> Result[Inbound, answers.Refused]:
+        """Returns the request, or why it is refused."""
+        started = self._clock.monotonic()
+        caller = self._identify(request)
+        if isinstance(caller, Failure):
+            return caller
+        customer, hops = caller.unwrap()
+        raw = request.raw_path
+        target = parse_target(raw)
+        if isinstance(target, Failure):
+            return target
+        name, path = target.unwrap()
+        contract = self._member.find_contract(customer)
+        if contract is None:
+            return _refuse(
+                404, "unknown-customer", f"no contract for {customer!r}"
+            )
+        service = contract.services.get(name)
+        if service is None:
+            detail = f"the contract of {customer!r} has no service {name!r}"
+            return _refuse(404, "unknown-service", detail)
+        refused = _check_head_size(request, service.limits.max_header_bytes)
+        if refused is not None:
+            return Failure(refused)
+        key = self._read_key(request)
+        if isinstance(key, Failure):
+            return key
+        deadline = _read_deadline_ms(request, service.deadline_ms)
+        if isinstance(deadline, Failure):
+            return deadline
+        until = started + deadline.unwrap() / 1000
+        operation = service.find_operation(request.method, path)
+        identified = self._read_request_id(request, operation.repeatable)
+        if isinstance(identified, Failure):
+            return identified
+        body = await self._read_body(
+            request, service.limits.max_body_bytes, until
+        )
+        if isinstance(body, Failure):
+            return body
+        text = body.unwrap()
+        return Success(
+            Inbound(
+                method=request.method,
+                target=raw,
+                service=name,
+                customer=customer,
+                key=key.unwrap(),
+                request_id=identified.unwrap().text,
+                id_time_ms=identified.unwrap().time_ms,
+                until=until,
+                lines=_select_lines(request),
+                body=text,
+                operation=operation,
+                weight=service.weight,
+                hops=hops,
+                fingerprint=compute_fingerprint(
+                    request.method, raw, customer, key.unwrap(), text
+                ),
+            )
+        )
+
+    def _identify(
+        self, request: web.BaseRequest
+    ) -> Result[_Caller, answers.Refused]:
+        stated = request.headers.get(headers.CUSTOMER, "")
+        forwarded = request.headers.get(headers.FORWARDED)
+        hops = 0
+        if forwarded is not None:
+            if forwarded not in {"1", "2", "3"}:
+                return _refuse(400, "bad-forward", "the hop count is invalid")
+            hops = int(forwarded)
+        if self._authenticator.enabled:
+            role = "caller" if forwarded is None else "instance"
+            identity = self._verify(request, role)
+            if isinstance(identity, Failure):
+                return identity
+            subject = identity.unwrap().subject
+            if forwarded is None:
+                if stated and stated != subject:
+                    detail = f"the token is not for customer {stated!r}"
+                    return _refuse(403, "other-customer", detail)
+                stated = subject
+        if not stated:
+            detail = f"{headers.CUSTOMER} is missing"
+            return _refuse(400, "missing-customer", detail)
+        if hops > MAX_HOPS:
+            return _refuse(503, "hop-limit", "forwarded too often")
+        return Success(_Caller(stated, hops))
+
+    def _verify(
+        self, request: web.BaseRequest, role: str
+    ) -> Result[auth.Identity, answers.Refused]:
+        value = request.headers.get("Authorization", "")
+        if value[: len(_BEARER)].lower() != _BEARER:
+            return _refuse(401, "no-token", "a bearer token is required")
+        token = value[len(_BEARER) :].strip()
+        now_s = self._clock.monotonic()
+        cached = self._tokens.get((role, token))
+        if cached is not None and cached[1] > now_s:
+            return Success(cached[0])
+        match self._authenticator.verify(token, role):
+            case Success(identity):
+                if len(self._tokens) >= _MAX_CACHED_TOKENS:
+                    self._tokens.clear()
+                self._tokens[(role, token)] = (
+                    identity,
+                    now_s + _TOKEN_CACHE_S,
+                )
+                return Success(identity)
+            case Failure(detail):
+                return _refuse(401, "bad-token", detail)
+        raise AssertionError("unreachable")
+
+    def _read_key(
+        self, request: web.BaseRequest
+    ) -> Result[str, answers.Refused]:
+        key = request.headers.get(headers.KEY, "")
+        if not key:
+            return _refuse(400, "missing-key", f"{headers.KEY} is missing")
+        try:
+            size = len(key.encode())
+        except UnicodeEncodeError:
+            return _refuse(400, "bad-key", "the key is not UTF-8")
+        if size > _MAX_KEY_BYTES or not key.isprintable():
+            detail = f"the key is not printable or above {_MAX_KEY_BYTES} bytes"
+            return _refuse(400, "bad-key", detail)
+        return Success(key)
+
+    def _read_request_id(
+        self, request: web.BaseRequest, repeatable: bool
+    ) -> Result[requestid.RequestId, answers.Refused]:
+        text = request.headers.get(headers.REQUEST_ID)
+        if text is not None:
+            return requestid.parse_request_id(text).alt(
+                lambda detail: answers.refuse(400, "bad-request-id", detail)
+            )
+        if not repeatable:
+            detail = f"{headers.REQUEST_ID} is required for this operation"
+            return _refuse(400, "missing-request-id", detail)
+        made = requestid.make_request_id(self._clock.wall_ms(), self._rng)
+        return Success(requestid.RequestId(made, 0))
+
+    async def _read_body(
+        self, request: web.BaseRequest, limit: int, until: float
+    ) -> Result[bytes, answers.Refused]:
+        content = request.content
+        length = request.content_length
+        too_large = answers.refuse(
+            413, "body-too-large", f"the body is above {limit} bytes"
+        )
+        if length is not None and length > limit:
+            return Failure(too_large)
+        if content.at_eof():
+            return Success(b"")
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0
+        chunks, size = [], 0
+        try:
+            async with asyncio.timeout(until - self._clock.monotonic()):
+                while chunk := await content.readany():
+                    size += len(chunk)
+                    if size > limit:
+                        return Failure(too_large)
+                    chunks.append(chunk)
+        except TimeoutError:
+            detail = "the body did not arrive before the deadline"
+            return _refuse(504, "deadline", detail)
+        except web.RequestPayloadError as error:
+            return _refuse(400, "bad-body", str(error)[:200])
+        return Success(b"".join(chunks))
+
+
+def _check_head_size(
+    request: web.BaseRequest, limit: int
+) -> answers.Refused | None:
+    size = len(request.raw_path)
+    for name, value in request.raw_headers:
+        size += len(name) + len(value)
+    if size <= limit:
+        return None
+    detail = f"the head of {size} bytes is above {limit} bytes"
+    return answers.refuse(431, "head-too-large", detail)
+
+
+def _read_deadline_ms(
+    request: web.BaseRequest, deadlines: interfaces.Deadlines
+) -> Result[int, answers.Refused]:
+    text = request.headers.get(headers.DEADLINE)
+    if text is None:
+        return Success(deadlines.default)
+    if (
+        not (text.isascii() and text.isdigit())
+        or len(text) > _MAX_DEADLINE_DIGITS
+        or int(text) == 0
+    ):
+        detail = f"{headers.DEADLINE} is not a positive number"
+        return _refuse(400, "bad-deadline", detail)
+    return Success(min(int(text), deadlines.longest))
+
+
+def _select_lines(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
+    # Headers that `Connection` names concern this connection only.
+    named = {
+        part.strip().lower()
+        for value in request.headers.getall("Connection", ())
+        for part in value.split(",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in request.headers.items()
+        if headers.is_passed_on(name)
+        and name != "Authorization"
+        and name.lower() not in named
+    )
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/listener.py
@@ -0,0 +1,104 @@
+"""HTTP listener whose own refusals follow the caller protocol."""
+
+import asyncio
+import ssl
+from typing import Any
+
+from aiohttp import web
+from aiohttp import web_protocol
+from bamboosill_common import settings
+
+from bamboosilld.entry import answers
+from bamboosilld.entry import headers
+
+# The contract bounds the whole head; these only bound what is parsed.
+_MAX_LINE_BYTES = 64 * 1024
+# Below this time a caller's idle connections are kept.
+_KEEPALIVE_S = 75.0
+# Time to read and drop the rest of a refused body, so that the caller sees
+# the refusal instead of a reset.
+_LINGER_S = 2.0
+_BACKLOG = 1024
+
+
+class _Handler(web_protocol.RequestHandler):
+    """Answers malformed requests as JSON."""
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the refusal of a request that could not be handled."""
+        if status == 400:
+            # Raised by the parser, before any handler ran.
+            too_long = "LineTooLong" in type(exc).__name__
+            refused = (
+                answers.refuse(431, "head-too-large", "the head is too large")
+                if too_long
+                else answers.refuse(400, "bad-request", "no valid HTTP request")
+            )
+        else:
+            self.log_exception("Error handling a request", exc_info=exc)
+            refused = answers.Refused(
+                500, headers.OUTCOME_UNKNOWN, "internal", "internal error"
+            )
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun")
+        response = answers.make_response(refused, "")
+        response.force_close()
+        return response
+
+
+class _Server(web.Server):
+    """Makes handlers of the class above."""
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        """Returns the handler of a new connection."""
+        return _Handler(self, loop=self._loop, **self._kwargs)
+
+
+class Listener:
+    """Accepts connections on one address."""
+
+    def __init__(self, handler: Any, tls: ssl.SSLContext | None) -> None:
+        self._handler = handler
+        self._tls = tls
+        self._web: _Server | None = None
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> str:
+        """Listens, and returns the address with the port in use."""
+        host, port = settings.split_address(address)
+        self._web = _Server(
+            self._handler,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_KEEPALIVE_S,
+            max_line_size=_MAX_LINE_BYTES,
+            max_field_size=_MAX_LINE_BYTES,
+            lingering_time=_LINGER_S,
+            auto_decompress=False,
+        )
+        self._server = await asyncio.get_running_loop().create_server(
+            self._web, host, port, ssl=self._tls, backlog=_BACKLOG
+        )
+        bound_host, bound_port = self._server.sockets[0].getsockname()[:2]
+        if ":" in bound_host:
+            bound_host = f"[{bound_host}]"
+        return f"{bound_host}:{bound_port}"
+
+    def stop_accepting(self) -> None:
+        """Refuses new connections and closes idle ones."""
+        if self._server is not None:
+            self._server.close()
+        if self._web is not None:
+            self._web.pre_shutdown()
+
+    async def close(self) -> None:
+        """Closes all connections at once."""
+        self.stop_accepting()
+        if self._web is not None:
+            await self._web.shutdown(0.1)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/records.py
@@ -0,0 +1,197 @@
+"""Records of requests that may run at most once."""
+
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import logs
+from bamboosill_common.generated import zone as zone_messages
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from bamboosilld.entry import answers
+from bamboosilld.entry import exchange
+from bamboosilld.entry import headers
+from bamboosilld.entry import inbound as inbound_lib
+from bamboosilld.entry import interfaces
+
+MAX_STORED_BYTES = 4096
+_MAX_SKEW_MS = 1000
+# Time kept for the exchange itself when a record is begun.
+_BEGIN_FRACTION = 0.5
+# The caller is told "not run" after the record is gone, so that it can resend
+# the same id at once.
+_ABANDON_DEADLINE_S = 1.0
+_SETTLE_DEADLINE_S = 2.0
+_SETTLE_ATTEMPTS = 5
+_SETTLE_DELAY_S = 0.2
+
+_log = logs.get_logger("entry")
+
+
+class Replay(NamedTuple):
+    """The stored answer of a request that had run before."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class Records:
+    """Begins and ends the records of the zone group."""
+
+    def __init__(
+        self,
+        member: interfaces.Member,
+        clock: clock_lib.Clock,
+        identity: tuple[str, int],
+        spawn: interfaces.Spawn,
+    ) -> None:
+        self._member = member
+        self._clock = clock
+        self._instance, self._incarnation = identity
+        self._spawn = spawn
+        self._active: set[tuple[str, str]] = set()
+
+    def enter(self, inbound: inbound_lib.Inbound) -> answers.Refused | None:
+        """Marks an id as in use here, or returns why it cannot be."""
+        skew_ms = self._member.clock_skew_ms
+        if abs(skew_ms) > _MAX_SKEW_MS:
+            detail = f"the clock of this instance is off by {skew_ms} ms"
+            return answers.refuse(503, "clock-skew", detail)
+        name = (inbound.customer, inbound.request_id)
+        if name in self._active:
+            return answers.Refused(
+                409,
+                headers.OUTCOME_UNKNOWN,
+                "in-progress",
+                "a request with this id is in progress",
+            )
+        self._active.add(name)
+        return None
+
+    def leave(self, inbound: inbound_lib.Inbound) -> None:
+        """Ends the use of an id here."""
+        self._active.discard((inbound.customer, inbound.request_id))
+
+    async def begin(
+        self, inbound: inbound_lib.Inbound, route: interfaces.Route
+    ) -> Result[Replay | None, answers.Refused]:
+        """Records a request before it is written to an upstream.
+
+        Returns:
+            None if the request may be dispatched, the stored answer if it
+            has run, or why it is refused.
+        """
+        remaining_s = inbound.until - self._clock.monotonic()
+        message = zone_messages.BeginRequest(
+            id=inbound.request_id,
+            customer=inbound.customer,
+            fingerprint=inbound.fingerprint,
+            keyspace=route.keyspace,
+            shard=route.shard,
+            instance=self._instance,
+            incarnation=self._incarnation,
+            now_ms=self._clock.wall_ms(),
+        )
+        result = await self._member.propose(
+            message, max(0.0, remaining_s * _BEGIN_FRACTION)
+        )
+        match result:
+            case Success(zone_messages.RecordStatus() as record):
+                return _interpret(record)
+            case Failure(error):
+                return Failure(_describe_error(error))
+        detail = "the zone group returned no record"
+        return Failure(answers.refuse(503, "record-unavailable", detail))
+
+    async def abandon(self, inbound: inbound_lib.Inbound) -> None:
+        """Removes the record of a request of which no byte was written.
+
+        Proposed once only: a repeated command could remove the record of a
+        later sending of the same id that has been dispatched meanwhile.
+        """
+        message = zone_messages.AbandonRequest(
+            id=inbound.request_id,
+            customer=inbound.customer,
+            fingerprint=inbound.fingerprint,
+        )
+        result = await self._member.propose(message, _ABANDON_DEADLINE_S)
+        if isinstance(result, Failure):
+            _log.warning("Record of request %s not removed.", message.id)
+
+    def finish(
+        self, inbound: inbound_lib.Inbound, answer: exchange.Answer
+    ) -> None:
+        """Records the answer of a request."""
+        stored = answer.rest is None and len(answer.body) <= MAX_STORED_BYTES
+        message = zone_messages.FinishRequest(
+            id=inbound.request_id,
+            customer=inbound.customer,
+            status=answer.status,
+            body=answer.body if stored else b"",
+            content_type=_find_content_type(answer),
+            stored=stored,
+            outcome=headers.OUTCOME_ANSWER,
+        )
+        self._spawn(self._settle(message))
+
+    def leave_unknown(self, inbound: inbound_lib.Inbound) -> None:
+        """Records that it is not known whether a request has run."""
+        message = zone_messages.FinishRequest(
+            id=inbound.request_id,
+            customer=inbound.customer,
+            outcome=headers.OUTCOME_UNKNOWN,
+        )
+        self._spawn(self._settle(message))
+
+    async def _settle(self, message: zone_messages.FinishRequest) -> None:
+        for _ in range(_SETTLE_ATTEMPTS):
+            result = await self._member.propose(message, _SETTLE_DEADLINE_S)
+            if isinstance(result, Success):
+                return
+            await self._clock.sleep(_SETTLE_DELAY_S)
+        # The record stays begun: resends are told "outcome unknown".
+        _log.warning("Record of request %s not finished.", message.id)
+
+
+def _interpret(
+    record: zone_messages.RecordStatus,
+) -> Result[Replay | None, answers.Refused]:
+    if record.status == "new":
+        return Success(None)
+    if record.status != "finished":
+        return Failure(answers.describe_record(record))
+    if record.stored:
+        return Success(
+            Replay(record.http_status, record.body, record.content_type)
+        )
+    return Failure(
+        answers.Refused(
+            208,
+            headers.OUTCOME_ANSWER,
+            "already-run",
+            f"the request has run with status {record.http_status}; "
+            "its answer was too large to store",
+        )
+    )
+
+
+def _describe_error(error: errors.ProposeError) -> answers.Refused:
+    if not error.applied_unknown:
+        return answers.refuse(503, "record-unavailable", error.detail)
+    # The record may have been begun for this sending, which is never
+    # dispatched, or it may exist because another sending of the same id is
+    # running. "Not run" would be wrong in the second case. The record is not
+    # abandoned either, because it may belong to that other sending.
+    return answers.Refused(
+        409, headers.OUTCOME_UNKNOWN, "record-unknown", error.detail
+    )
+
+
+def _find_content_type(answer: exchange.Answer) -> str:
+    for name, value in answer.headers:
+        if name.lower() == "content-type":
+            return value
+    return ""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/responder.py
@@ -0,0 +1,125 @@
+"""Writes an answer to a caller."""
+
+from aiohttp import web
+
+from bamboosilld.entry import answers
+from bamboosilld.entry import connection as connection_lib
+from bamboosilld.entry import exchange
+from bamboosilld.entry import headers
+from bamboosilld.entry import records
+
+REASON_OK = "ok"
+REASON_REPLAYED = "replayed"
+
+
+class Responder:
+    """The caller's side of one request.
+
+    Attributes:
+        response: The response to send, or the one that was streamed.
+    """
+
+    def __init__(self, request: web.BaseRequest, request_id: str) -> None:
+        self._request = request
+        self._request_id = request_id
+        self.response: web.StreamResponse | None = None
+
+    def refuse(self, refused: answers.Refused) -> None:
+        """Answers with a refusal."""
+        self.response = answers.make_response(refused, self._request_id)
+
+    def replay(self, replay: records.Replay) -> None:
+        """Answers with a stored answer."""
+        response = web.Response(status=replay.status, body=replay.body)
+        if replay.content_type:
+            response.headers["Content-Type"] = replay.content_type
+        self._label(response, headers.OUTCOME_ANSWER, REASON_REPLAYED)
+        response.headers[headers.REPLAYED] = "1"
+        self.response = response
+
+    async def deliver(self, answer: exchange.Answer) -> bool:
+        """Answers with an upstream's answer.
+
+        Returns:
+            Whether the whole answer was read. If it was not, the caller's
+            connection has been aborted.
+        """
+        return await self._pass_on(
+            answer, headers.OUTCOME_ANSWER, REASON_OK, False
+        )
+
+    async def relay(self, answer: exchange.Answer) -> bool:
+        """Answers with what another entry instance answered."""
+        fields = answer.fields
+        return await self._pass_on(
+            answer,
+            fields[headers.OUTCOME.lower()],
+            fields.get(headers.REASON.lower(), REASON_OK),
+            headers.REPLAYED.lower() in fields,
+        )
+
+    async def _pass_on(
+        self, answer: exchange.Answer, outcome: str, reason: str, replayed: bool
+    ) -> bool:
+        response: web.StreamResponse
+        if answer.rest is None:
+            response = web.Response(status=answer.status, body=answer.body)
+        else:
+            response = web.StreamResponse(status=answer.status)
+        for name, value in answer.headers:
+            response.headers.add(name, value)
+        self._label(response, outcome, reason)
+        if replayed:
+            response.headers[headers.REPLAYED] = "1"
+        self.response = response
+        if answer.rest is None:
+            if self._request.method == "HEAD" and answer.length >= 0:
+                response.headers["Content-Length"] = str(answer.length)
+            return True
+        return await self._stream(response, answer, answer.rest)
+
+    async def _stream(
+        self,
+        response: web.StreamResponse,
+        answer: exchange.Answer,
+        rest: exchange.Rest,
+    ) -> bool:
+        if answer.length >= 0:
+            response.content_length = answer.length
+        else:
+            response.enable_chunked_encoding()
+        gone = not await self._write(response, answer.body, True)
+        try:
+            while chunk := await rest.read():
+                # A caller that went away does not end the reading: the end of
+                # the answer still has to be recorded. Cancellation ends it
+                # where it need not be.
+                gone = gone or not await self._write(response, chunk)
+        except connection_lib.ConnectionFaultError:
+            self._abort()
+            return False
+        return True
+
+    async def _write(
+        self, response: web.StreamResponse, data: bytes, first: bool = False
+    ) -> bool:
+        try:
+            if first:
+                await response.prepare(self._request)
+            await response.write(data)
+        except ConnectionError:
+            return False
+        return True
+
+    def _abort(self) -> None:
+        # The caller sees a broken connection instead of an answer that looks
+        # complete.
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    def _label(
+        self, response: web.StreamResponse, outcome: str, reason: str
+    ) -> None:
+        response.headers[headers.OUTCOME] = outcome
+        response.headers[headers.REASON] = reason
+        response.headers[headers.REQUEST_ID] = self._request_id
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -0,0 +1,248 @@
+"""The entry role of one instance."""
+
+import asyncio
+from collections.abc import Coroutine
+import random
+import ssl
+from typing import Any
+
+from aiohttp import web
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import events
+from bamboosill_common import logs
+from bamboosill_common import peer
+from bamboosill_common import requestid
+import prometheus_client
+from returns.result import Failure
+from returns.result import Success
+
+from bamboosilld.entry import answers
+from bamboosilld.entry import crashes as crashes_lib
+from bamboosilld.entry import dispatch as dispatch_lib
+from bamboosilld.entry import forward as forward_lib
+from bamboosilld.entry import headers
+from bamboosilld.entry import inbound as inbound_lib
+from bamboosilld.entry import interfaces
+from bamboosilld.entry import listener as listener_lib
+from bamboosilld.entry import passthrough
+from bamboosilld.entry import records as records_lib
+from bamboosilld.entry import responder as responder_lib
+from bamboosilld.entry import router as router_lib
+from bamboosilld.entry import upstreams as upstreams_lib
+
+READY_PATH = "/readyz"
+# Balancers check readiness about once a second; this lets each see that the
+# instance is leaving before connections are refused.
+DRAIN_NOTICE_S = 3.0
+_SWEEP_INTERVAL_S = 5.0
+_POLL_S = 0.02
+
+_log = logs.get_logger("entry")
+
+_answers_sent = prometheus_client.Counter(
+    "bamboosill_entry_answers_total",
+    "Answers to callers by outcome and reason.",
+    ["outcome", "reason"],
+)
+
+
+class EntryServer:
+    """Serves callers and upstreams on their two addresses.
+
+    Attributes:
+        caller_address: Address in use for callers.
+        upstream_address: Address in use for upstreams.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: interfaces.Member,
+        authenticator: auth.Authenticator,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        timeline: events.Timeline,
+        instance: peer.Identity,
+        gate: interfaces.Gate | None = None,
+        queues: interfaces.Queues | None = None,
+        budget: interfaces.Budget | None = None,
+        server_tls: ssl.SSLContext | None = None,
+        client_tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._member = member
+        self._authenticator = authenticator
+        self._clock = clock
+        self._rng = rng
+        self._timeline = timeline
+        self._instance = instance
+        self._admission = (
+            gate or passthrough.Gate(),
+            budget or passthrough.Budget(),
+        )
+        self._queues = queues or passthrough.Queues()
+        self._client_tls = client_tls
+        self._parser = inbound_lib.Parser(member, authenticator, clock, rng)
+        self._api = upstreams_lib.UpstreamApi(
+            member, authenticator, instance.zone
+        )
+        self._callers = listener_lib.Listener(self._handle, server_tls)
+        self._upstreams = listener_lib.Listener(self._api.handle, server_tls)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._in_flight = 0
+        self._draining = False
+        self.caller_address = ""
+        self.upstream_address = ""
+
+    @property
+    def in_flight(self) -> int:
+        """Number of callers' requests in progress."""
+        return self._in_flight
+
+    def is_ready(self) -> tuple[bool, str]:
+        """Returns whether balancers may send callers here, and why not."""
+        if self._draining:
+            return False, "draining"
+        return self._member.is_ready()
+
+    async def start(self, caller_address: str, upstream_address: str) -> None:
+        """Begins to listen on both addresses."""
+        self._crashes = crashes_lib.Crashes(self._member, self._clock)
+        self._dispatcher = dispatch_lib.Dispatcher(
+            self._member,
+            self._queues,
+            self._crashes,
+            self._clock,
+            self._spawn,
+        )
+        self._forwarder = forward_lib.Forwarder(
+            self._authenticator, self._clock, self._rng, self._client_tls
+        )
+        records = records_lib.Records(
+            self._member,
+            self._clock,
+            (self._instance.instance, self._instance.incarnation),
+            self._spawn,
+        )
+        self._router = router_lib.Router(
+            self._member,
+            self._admission,
+            self._dispatcher,
+            self._forwarder,
+            records,
+            self._crashes,
+            self._clock,
+            self._rng,
+        )
+        self._sweeper = asyncio.create_task(self._sweep())
+        self.caller_address = await self._callers.start(caller_address)
+        self.upstream_address = await self._upstreams.start(upstream_address)
+
+    async def stop(
+        self, grace_s: float, notice_s: float = DRAIN_NOTICE_S
+    ) -> None:
+        """Stops without interrupting requests in flight.
+
+        Args:
+            grace_s: Longest time that requests in flight may take to end.
+            notice_s: Time between the end of readiness and of new
+                connections; part of the grace.
+        """
+        self._draining = True
+        self._timeline.record("entry", "draining", in_flight=self._in_flight)
+        until = self._clock.monotonic() + grace_s
+        await self._clock.sleep(min(notice_s, grace_s))
+        self._callers.stop_accepting()
+        while self._busy() and self._clock.monotonic() < until:
+            await self._clock.sleep(_POLL_S)
+        if self._busy():
+            _log.warning("Stopped with %d requests in flight.", self._in_flight)
+        await self._callers.close()
+        await self._upstreams.close()
+        await self._close_rest()
+        self._timeline.record("entry", "stopped", in_flight=self._in_flight)
+
+    def _busy(self) -> bool:
+        return bool(self._in_flight or self._tasks)
+
+    async def _close_rest(self) -> None:
+        self._sweeper.cancel()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(
+            self._sweeper, *self._tasks, return_exceptions=True
+        )
+        await self._crashes.close()
+        for pools in self._list_pools():
+            pools.close()
+
+    def _list_pools(self) -> tuple[Any, ...]:
+        return (
+            self._dispatcher.pools,
+            self._dispatcher.control_pools,
+            self._forwarder.pools,
+        )
+
+    async def _sweep(self) -> None:
+        while True:
+            await self._clock.sleep(_SWEEP_INTERVAL_S)
+            for pools in self._list_pools():
+                pools.sweep()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.raw_path == READY_PATH:
+            return self._answer_readiness()
+        self._in_flight += 1
+        try:
+            response = await self._serve(request)
+        finally:
+            self._in_flight -= 1
+        if self._draining:
+            response.force_close()
+        _answers_sent.labels(
+            response.headers[headers.OUTCOME], response.headers[headers.REASON]
+        ).inc()
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        parsed = await self._parser.parse(request)
+        if isinstance(parsed, Failure):
+            given = request.headers.get(headers.REQUEST_ID, "")
+            # A malformed id is not sent back.
+            valid = requestid.parse_request_id(given)
+            return answers.make_response(
+                parsed.failure(), given if isinstance(valid, Success) else ""
+            )
+        inbound = parsed.unwrap()
+        responder = responder_lib.Responder(request, inbound.request_id)
+        flight = router_lib.Flight(inbound, responder)
+        if inbound.operation.repeatable:
+            await self._router.serve(flight)
+        else:
+            # Goes on when the caller disconnects: the record has to tell a
+            # resend what became of the request.
+            task = self._spawn(self._router.serve(flight))
+            try:
+                await asyncio.shield(task)
+            except asyncio.CancelledError:
+                flight.abandoned = True
+                raise
+        assert responder.response is not None
+        return responder.response
+
+    def _answer_readiness(self) -> web.Response:
+        ready, reason = self.is_ready()
+        return web.Response(
+            status=200 if ready else 503,
+            text="ready" if ready else reason,
+            headers={
+                headers.OUTCOME: headers.OUTCOME_NOT_RUN,
+                headers.REASON: "ready" if ready else "not-ready",
+            },
+        )
--- /dev/null
+++ b/packages/daemon/tests/entry/conftest.py
@@ -0,0 +1,245 @@
+"""A zone member and a contract without a zone group, and a running entry."""
+
+import asyncio
+import contextlib
+import random
+import time
+from typing import NamedTuple
+
+import aiohttp
+from bamboosill_common import auth
+from bamboosill_common import clock
+from bamboosill_common import errors
+from bamboosill_common import events
+from bamboosill_common import peer
+from bamboosill_common.generated import zone as zone_messages
+from bamboosill_dev.upstream import options
+from bamboosill_dev.upstream import process
+from bamboosilld.entry import server
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+KEYSPACE = "shopfront/hold/all"
+FENCE = 5
+
+
+class _Limits(NamedTuple):
+    max_header_bytes: int = 2000
+    max_body_bytes: int = 5000
+
+
+class _Deadlines(NamedTuple):
+    default: int = 1000
+    longest: int = 3000
+
+
+class _Operation(NamedTuple):
+    repeatable: bool
+    class_: str = "counter"
+
+
+class _Service(NamedTuple):
+    limits: _Limits = _Limits()
+    deadline_ms: _Deadlines = _Deadlines()
+    weight: float = 1.0
+
+    def find_operation(self, method, path):
+        return _Operation(method in ("GET", "HEAD") or path != "/orders")
+
+
+class _Contract(NamedTuple):
+    services: dict
+
+
+class _Route(NamedTuple):
+    status: str = "unassigned"
+    keyspace: str = KEYSPACE
+    shard: int = 1
+    key: str = ""
+    fence: int = FENCE
+    upstream: zone_messages.Upstream | None = None
+    zone: str = "z1"
+    addresses: tuple = ()
+
+
+class _FakeMember:
+    """Routes every key to `upstream`, or by `routes` while it has any."""
+
+    def __init__(self):
+        self.clock_skew_ms = 0
+        self.upstream = None
+        self.routes = []
+        self.default = None
+        self.contracts = {"acme": _Contract({"shopfront": _Service()})}
+        self.records = {}
+        self.proposed = []
+        self.propose_errors = {}
+        self.lease_valid = True
+        self.in_flight = 0
+        self.quarantined = {}
+        self.ready = (True, "")
+        self.beats = []
+        self.announced = []
+        self.beat_result = Success(
+            zone_messages.UpstreamBeatReply(code="ok", lease_ms=1500)
+        )
+        self.announce_result = Success(None)
+
+    def find_contract(self, customer):
+        return self.contracts.get(customer)
+
+    def route(self, customer, service, key):
+        if self.routes:
+            return self.routes.pop(0)
+        if self.default is not None:
+            return self.default
+        if self.upstream is None:
+            return _Route()
+        return _Route("local", key=key, upstream=self.upstream)
+
+    async def wait_change(self, deadline_s):
+        await asyncio.sleep(min(deadline_s, 0.01))
+
+    def begin_dispatch(self, route, deadline_s):
+        self.in_flight += 1
+        return route
+
+    def check_dispatch(self, dispatch):
+        return self.lease_valid
+
+    def end_dispatch(self, dispatch):
+        self.in_flight -= 1
+
+    async def propose(self, message, deadline_s):
+        self.proposed.append(message)
+        name = type(message).__name__
+        if name in self.propose_errors:
+            unknown = self.propose_errors[name]
+            return Failure(errors.ProposeError("timeout", "test", unknown))
+        return Success(self._apply(name, message))
+
+    def _apply(self, name, message):
+        if name == "BeginRequest":
+            record = self.records.get(message.id)
+            if record is not None:
+                return record
+            self.records[message.id] = zone_messages.RecordStatus("in_progress")
+            return zone_messages.RecordStatus("new")
+        if name == "FinishRequest":
+            status = "finished" if message.outcome == "answer" else "unknown"
+            self.records[message.id] = zone_messages.RecordStatus(
+                status,
+                message.status,
+                message.body,
+                message.content_type,
+                message.stored,
+            )
+        if name == "AbandonRequest":
+            self.records.pop(message.id, None)
+        return None
+
+    def count(self, name):
+        return sum(type(each).__name__ == name for each in self.proposed)
+
+    def is_quarantined(self, fingerprint):
+        return self.quarantined.get(fingerprint)
+
+    def count_entry_instances(self):
+        return 1
+
+    async def beat_upstream(self, beat):
+        self.beats.append(beat)
+        return self.beat_result
+
+    async def announce_upstream(self, upstream):
+        self.announced.append(upstream)
+        return self.announce_result
+
+    def is_ready(self):
+        return self.ready
+
+
+class _Bench:
+    """One entry instance, its member, and an upstream with all grants."""
+
+    def __init__(self, stack):
+        self._stack = stack
+        self.member = _FakeMember()
+        self.clock = clock.SystemClock()
+
+    async def start(self, authenticator=None, **parts):
+        self.entry = await self.start_entry(self.member, authenticator, **parts)
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+
+    async def start_entry(self, member, authenticator=None, **parts):
+        entry = server.EntryServer(
+            member=member,
+            authenticator=authenticator or auth.Authenticator("", self.clock),
+            clock=self.clock,
+            rng=random.Random(1),
+            timeline=events.Timeline(self.clock, "e1"),
+            instance=peer.Identity("e1", 1, "z1"),
+            **parts,
+        )
+        await entry.start("127.0.0.1:0", "127.0.0.1:0")
+        self._stack.push_async_callback(entry.stop, 0.0, 0.0)
+        return entry
+
+    async def start_upstream(self, **changes):
+        upstream = process.Upstream(options.Options(**changes))
+        await upstream.start()
+        self._stack.push_async_callback(upstream.stop)
+        upstream.grants.apply_heartbeat(
+            time.monotonic(),
+            {
+                "unchanged": False,
+                "grants_version": 1,
+                "lease_ms": 60_000,
+                "lapse_lease_ms": 60_000,
+                "grants": [{"keyspace": KEYSPACE, "shard": 1, "fence": FENCE}],
+            },
+        )
+        self.upstream = upstream
+        self.member.upstream = zone_messages.Upstream(
+            id="u1",
+            incarnation=1,
+            address=upstream.address,
+            slots=6,
+            connections=20,
+            checks_fences=True,
+            accepts_cancellation=changes.get("accepts_cancellation", True),
+        )
+        return upstream
+
+    def make_route(self, status, **fields):
+        return _Route(status, **fields)
+
+    def make_member(self):
+        return _FakeMember()
+
+    async def send(self, method="GET", path="/shopfront/items", **changes):
+        """Returns status, headers and body; status 0 for a broken answer."""
+        fields = {
+            "Bamboosill-Customer": "acme",
+            "Bamboosill-Key": "k1",
+            "Bamboosill-Deadline-Ms": "800",
+        }
+        fields.update(changes.pop("headers", {}))
+        fields = {name: text for name, text in fields.items() if text}
+        address = changes.pop("address", self.entry.caller_address)
+        try:
+            async with self.session.request(
+                method, f"http://{address}{path}", headers=fields, **changes
+            ) as response:
+                return response.status, response.headers, await response.read()
+        except aiohttp.ClientError as error:
+            return 0, {}, str(error).encode()
+
+
+@pytest.fixture
+async def bench():
+    async with contextlib.AsyncExitStack() as stack:
+        yield _Bench(stack)
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for an upstream: implements docs/upstreams.md and nothing else."""
