--- a/packages/daemon/src/bamboosilld/entry/crashes.py
+++ b/packages/daemon/src/bamboosilld/entry/crashes.py
@@ -12,7 +12,7 @@
 
 # An upstream that closed one connection accepts another at once; one that
 # crashed refuses it, at the latest when the system has closed its socket.
-_PROBE_DELAYS_S = (0.0, 0.05, 0.2)
+_PROBE_DELAYS_S = (0.0, 0.03)
 _PROBE_TIMEOUT_S = 0.5
 _REPORT_DEADLINE_S = 5.0
 MAX_SUSPECTS = 1000
--- a/packages/daemon/src/bamboosilld/entry/listener.py
+++ b/packages/daemon/src/bamboosilld/entry/listener.py
@@ -91,11 +91,9 @@
         return f"{bound_host}:{bound_port}"
 
     def stop_accepting(self) -> None:
-        """Refuses new connections and closes idle ones."""
+        """Refuses new connections; existing ones go on."""
         if self._server is not None:
             self._server.close()
-        if self._web is not None:
-            self._web.pre_shutdown()
 
     async def close(self) -> None:
         """Closes all connections at once."""
--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -214,6 +214,13 @@
         )
         return upstream
 
+    async def wait_until(self, predicate):
+        for _ in range(1000):
+            if predicate():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError("condition not reached")
+
     def make_route(self, status, **fields):
         return _Route(status, **fields)
 
--- a/packages/dev/src/bamboosill_dev/upstream/faults.py
+++ b/packages/dev/src/bamboosill_dev/upstream/faults.py
@@ -1,6 +1,7 @@
 """Faulty answers, asked for by the header X-Test-Fault.
 
-A value may end in a number of milliseconds, as in `late:300`.
+A value may end in a number of milliseconds, as in `late:300`, and begin with
+`once-` to concern the first exchange of a request id only.
 """
 
 import asyncio
--- a/packages/dev/src/bamboosill_dev/upstream/service.py
+++ b/packages/dev/src/bamboosill_dev/upstream/service.py
@@ -16,6 +16,7 @@
 
 _CRASH_STATUS = 70
 _LATENCY_WEIGHT = 0.1
+_ONCE = "once-"
 LONG_CHUNK = b"0123456789abcdef" * 1024
 
 
@@ -49,6 +50,7 @@
         self._tasks: dict[tuple[str, str], asyncio.Task[Any]] = {}
         self._cancelled: set[asyncio.Task[Any]] = set()
         self._seen: set[int] = set()
+        self._faulted: set[str] = set()
         self._latency_ms = 0.0
         self.running = 0
         self.warm = False
@@ -112,7 +114,7 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         body = await request.read()
-        fault = request.headers.get("X-Test-Fault", "")
+        fault = self._choose_fault(request)
         if self.running >= self._options.slots or fault == "shed":
             raise Refusal(503, "shed")
         work = _parse_work(request)
@@ -150,6 +152,15 @@
         self._latency_ms += _LATENCY_WEIGHT * (elapsed_ms - self._latency_ms)
         return await self._answer(request, answer, fault)
 
+    def _choose_fault(self, request: web.BaseRequest) -> str:
+        """Returns the fault to show; `once-` limits it to the first try."""
+        fault = request.headers.get("X-Test-Fault", "")
+        if fault.startswith(_ONCE):
+            name = _get_id(request)
+            fault = "" if name in self._faulted else fault[len(_ONCE) :]
+            self._faulted.add(name)
+        return fault
+
     def _check(self, work: grants_lib.Work) -> None:
         if self._options.checks_fences and not self._grants.allows(work):
             raise Refusal(409, "stale-fence")
