--- a/packages/daemon/src/bamboosilld/main.py
+++ b/packages/daemon/src/bamboosilld/main.py
@@ -63,7 +63,7 @@
     with aiomisc.entrypoint(
         service, log_config=False, shutdown_timeout=settings.shutdown_grace_s
     ) as loop:
-        loop.run_until_complete(service.wait_failed())
+        loop.run_forever()
     return service.exit_code
 
 
--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -277,6 +277,18 @@
             return None
         return state.quarantine.find(fingerprint, self._clock.wall_ms())
 
+    def count_entry_instances(self) -> int:
+        """Returns how many entry instances the zone has, at least 1."""
+        return max(
+            1,
+            sum(
+                item.zone == self._identity.zone
+                and "entry" in item.roles
+                and not item.removed
+                for item in self._feed.instances.values()
+            ),
+        )
+
     # Reports and health.
 
     def set_reporter(self, reporter: Callable[[], Report]) -> None:
