Test the control state, delegation, founding and contracts

Tests: model of contracts under racing, resent and reordered commands;

returning zones in virtual time; founding of the next group; bad contracts.

--- /dev/null
+++ b/packages/common/tests/test_contract.py
@@ -0,0 +1,224 @@
+"""Tests of contract documents."""
+
+from bamboosill_common import contract
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+GOOD = """\
+customer: grand-bois
+services:
+  - name: shopfront
+    class: counter
+    zone_loss: lapse
+    zones: [mu-south, mu-north]
+    limits: {rate_per_s: 200, burst: 50, concurrency: 32}
+    deadline_ms: {default: 2000, longest: 10000}
+    operations:
+      - {method: POST, path: /orders, repeatable: false, class: wait}
+      - {method: POST, path: /search/*, repeatable: true}
+      - {method: GET, path: /charge/**, repeatable: false}
+"""
+LIMITS = "{rate_per_s: 1, concurrency: 1}"
+
+
+def write(service):
+    lines = [f"    {line}" for line in service.splitlines()]
+    lines[0] = f"  - {lines[0].strip()}"
+    return "customer: a\nservices:\n" + "\n".join(lines) + "\n"
+
+
+# Each row: document, and the place and a part of the message of each finding.
+BAD = {
+    "empty": ("", [("c:1", "is empty")]),
+    "not YAML": ("a: [", [("c:1", "is not valid YAML")]),
+    "list": ("- 1", [("c:1", "is not of type 'object'")]),
+    "deep": ("[" * 5000, [("c:1", "nested too deeply")]),
+    "alias": (
+        "customer: &x a\nservices: *x",
+        [
+            ("c:1: customer", "anchor"),
+            ("c:1: customer", "not of type"),
+            ("c:1: services", "anchor"),
+            ("c:2: services", "not of type"),
+        ],
+    ),
+    "missing": (
+        "foo: 1",
+        [
+            ("c:1", "lacks the field 'customer'"),
+            ("c:1", "lacks the field 'services'"),
+            ("c:1: foo", "is not a known field"),
+        ],
+    ),
+    "names": (
+        write(f"name: Shop_1\nlimits: {LIMITS}"),
+        [("c:3: services[0].name", "does not match")],
+    ),
+    "name with newline": (
+        write(f'name: "shop\\n"\nlimits: {LIMITS}'),
+        [("c:3: services[0].name", "does not match")],
+    ),
+    "duplicate key": (
+        write(f"name: s\nname: t\nlimits: {LIMITS}"),
+        [("c:4: services[0].name", "is given twice")],
+    ),
+    "duplicate service": (
+        write(f"name: s\nlimits: {LIMITS}")
+        + f"  - name: s\n    limits: {LIMITS}\n",
+        [("c:5: services[1].name", "service 's' is given twice")],
+    ),
+    "unknown class": (
+        write(f"name: s\nclass: fast\nlimits: {LIMITS}"),
+        [("c:4: services[0].class", "is not one of")],
+    ),
+    "unknown zone_loss": (
+        write(f"name: s\nzone_loss: keep\nlimits: {LIMITS}"),
+        [("c:4: services[0].zone_loss", "is not one of")],
+    ),
+    "no zones": (
+        write(f"name: s\nzones: []\nlimits: {LIMITS}"),
+        [("c:4: services[0].zones", "should be non-empty")],
+    ),
+    "zone twice": (
+        write(f"name: s\nzones:\n  - a\n  - a\nlimits: {LIMITS}"),
+        [("c:6: services[0].zones[1]", "zone 'a' is given twice")],
+    ),
+    "burst below one": (
+        write("name: s\nlimits:\n  rate_per_s: 1\n  burst: 0.5")
+        + "      concurrency: 1\n",
+        [("c:6: services[0].limits.burst", "less than the minimum")],
+    ),
+    "limits out of bounds": (
+        write("name: s\nlimits:\n  rate_per_s: 0\n  concurrency: 0")
+        + "      queue: -1\n      max_header_bytes: 1\n"
+        + "      max_body_bytes: 99999999999\n",
+        [
+            ("c:5: services[0].limits.rate_per_s", "minimum"),
+            ("c:6: services[0].limits.concurrency", "minimum"),
+            ("c:7: services[0].limits.queue", "minimum"),
+            ("c:8: services[0].limits.max_header_bytes", "minimum"),
+            ("c:9: services[0].limits.max_body_bytes", "maximum"),
+        ],
+    ),
+    "not a number": (
+        write("name: s\nlimits: {rate_per_s: .nan, concurrency: x}"),
+        [
+            ("c:4: services[0].limits.concurrency", "is not of type"),
+            ("c:4: services[0].limits.rate_per_s", "decimal number"),
+            ("c:4: services[0].limits.rate_per_s", "is not of type"),
+        ],
+    ),
+    "deadlines": (
+        write(f"name: s\nlimits: {LIMITS}\n")
+        + "    deadline_ms: {default: 9, longest: 8}\n",
+        [("c:5: services[0].deadline_ms.default", "above the longest")],
+    ),
+    "weights": (
+        write(f"name: s\nlimits: {LIMITS}\n")
+        + "    weights: {unavailability: 0, churn: 0, imbalance: 0}\n",
+        [("c:5: services[0].weights", "at least one")],
+    ),
+    "operations": (
+        write(f"name: s\nlimits: {LIMITS}\noperations:")
+        + "      - {method: get, path: /a}\n"
+        + "      - {method: GET, path: a}\n"
+        + "      - {method: GET, path: /a?b}\n"
+        + "      - {method: GET, path: /a/../b}\n"
+        + "      - {method: GET, path: /**/b}\n"
+        + "      - {method: GET, path: /a*}\n"
+        + "      - {method: PUT, path: /a}\n"
+        + "      - {method: PUT, path: /a, rerun: true}\n",
+        [
+            ("c:6: services[0].operations[0].method", "is not one of"),
+            ("c:7: services[0].operations[1].path", "start with '/'"),
+            ("c:8: services[0].operations[2].path", "query"),
+            ("c:9: services[0].operations[3].path", "relative"),
+            ("c:10: services[0].operations[4].path", "before its end"),
+            ("c:11: services[0].operations[5].path", "inside a segment"),
+            ("c:13: services[0].operations[7]", "is given twice"),
+            ("c:13: services[0].operations[7].rerun", "not a known field"),
+        ],
+    ),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_contract(name):
+    """Guards against findings that are missed or at the wrong place."""
+    text, expected = BAD[name]
+    found = contract.parse(text, "c").failure()
+    assert [each.place.format() for each in found] == [
+        place for place, _ in expected
+    ]
+    for finding, (_, part) in zip(found, expected, strict=True):
+        assert part in finding.message
+
+
+def test_too_large_document():
+    """Guards against documents that do not fit in the log."""
+    text = "#" * (contract.MAX_DOCUMENT_BYTES + 1)
+    assert "larger" in contract.parse(text).failure()[0].message
+
+
+def test_normalised_text_is_the_same_contract():
+    """Guards against fields that are lost when a contract is stored."""
+    parsed = contract.parse(GOOD).unwrap()
+    stored = contract.normalise(parsed)
+    assert contract.read_stored(stored) == parsed
+    assert contract.parse(stored).unwrap() == parsed
+    assert parsed.services[0].zones == ("mu-north", "mu-south")
+
+
+@pytest.mark.parametrize(
+    ("given", "deadlines"),
+    [
+        ("", (2000, 30000)),
+        ("deadline_ms: {longest: 500}", (500, 500)),
+        ("deadline_ms: {default: 60000}", (60000, 60000)),
+        ("deadline_ms: {default: 10, longest: 20}", (10, 20)),
+    ],
+)
+def test_default_deadlines(given, deadlines):
+    """Guards against defaults that contradict what is stated."""
+    text = write(f"name: s\nlimits: {LIMITS}\n{given}")
+    service = contract.parse(text).unwrap().services[0]
+    assert service.deadlines == deadlines
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "repeatable", "traffic_class"),
+    [
+        ("POST", "/orders", False, "wait"),
+        ("POST", "/orders/", False, "wait"),
+        ("POST", "//orders", False, "wait"),
+        ("POST", "/x/../ord%65rs", False, "wait"),
+        ("POST", "/orders/7", False, "counter"),
+        ("POST", "/search/a", True, "counter"),
+        ("POST", "/search", False, "counter"),
+        ("POST", "/search/a/b", False, "counter"),
+        ("GET", "/charge", False, "counter"),
+        ("GET", "/charge/a/b", False, "counter"),
+        ("GET", "/x%2f..%2fcharge", False, "counter"),
+        ("get", "/orders", True, "counter"),
+        ("HEAD", "/charge", True, "counter"),
+        ("PUT", "/a", True, "counter"),
+        ("DELETE", "/a", True, "counter"),
+        ("PATCH", "/a", False, "counter"),
+        ("BREW", "/a", False, "counter"),
+    ],
+)
+def test_find_operation(method, path, repeatable, traffic_class):
+    """Guards against a request repeated because its path is spelt otherwise."""
+    service = contract.parse(GOOD).unwrap().find_service("shopfront")
+    found = service.find_operation(method, path)
+    assert (found.repeatable, found.traffic_class) == (
+        repeatable,
+        traffic_class,
+    )
+
+
+@hypothesis.given(strategies.text(alphabet="ab:-[]{}&*!|>'\"%#\n 0.\x00\udc80"))
+def test_any_text_gives_findings(text):
+    """Guards against text that raises instead of giving findings."""
+    assert contract.parse(text).failure()
--- /dev/null
+++ b/packages/daemon/tests/control/test_delegator.py
@@ -0,0 +1,238 @@
+"""Tests of when shards are delegated and taken."""
+
+import random
+
+from bamboosill_common import wire
+from bamboosill_common.generated import control as messages
+from bamboosilld.control import delegation
+from bamboosilld.control import timing
+import pytest
+
+pytestmark = pytest.mark.looptime
+
+
+async def start(harness, zone_loss="lapse", **slots):
+    for name, count in slots.items():
+        await harness.add_zone(name, count)
+    await harness.group.accept(zone_loss=zone_loss)
+    await harness.run(3)
+
+
+async def test_first_delegation_in_proportion(harness):
+    """Guards against a zone with few slots that gets most keys."""
+    await start(harness, za=6, zb=18)
+    assert harness.group.count() == {"za": 16, "zb": 48}
+    assert all(shard.id_floor_ms for shard in harness.group.list_shards())
+
+
+async def test_nothing_is_delegated_without_upstreams(harness):
+    """Guards against shards for a zone that cannot serve them."""
+    await start(harness, za=0)
+    assert harness.group.count() == {"": 64}
+
+
+async def test_joining_zone_gets_only_what_it_needs(harness):
+    """Guards against churn beyond the joining zone's part, and storms."""
+    await start(harness, za=6, zb=6)
+    before = harness.group.list_shards()
+    await harness.add_zone("zc", 6)
+    moved = []
+    for _ in range(30):
+        earlier = harness.group.list_shards()
+        await harness.run(1)
+        now = harness.group.list_shards()
+        moved.append(
+            sum(a.zone != b.zone for a, b in zip(earlier, now, strict=True))
+        )
+    counts = harness.group.count()
+    least = 64 // 3
+    assert sum(moved) <= 1.2 * least
+    assert max(counts.values()) <= 1.15 * 64 / 3
+    # The budget is a bucket of one second's rate.
+    assert max(moved) <= 2 * delegation.compute_release_rate(64)
+    after = harness.group.list_shards()
+    assert all(
+        new.zone == old.zone or new.epoch == old.epoch + 1
+        for old, new in zip(before, after, strict=True)
+    )
+
+
+async def test_shard_waits_for_its_release(harness):
+    """Guards against a shard given away while its zone still serves it."""
+    await start(harness, za=6)
+    harness.zones["za"].releases = False
+    await harness.add_zone("zb", 6)
+    await harness.run(20)
+    assert harness.group.count() == {"za": 64}
+    assert any(shard.releasing for shard in harness.group.list_shards())
+    harness.zones["za"].releases = True
+    await harness.run(1)
+    assert harness.group.count().get("zb", 0) > 0
+
+
+async def test_zone_without_upstreams_gives_up_its_shards(harness):
+    """Guards against keys that stay where no upstream is left."""
+    await start(harness, za=6, zb=6)
+    harness.zones["za"].slots = 0
+    await harness.run(2.5)
+    assert harness.group.count() == {"zb": 64}
+
+
+@pytest.mark.parametrize("unfenced_ms", [0, 700])
+async def test_lapse_shards_of_a_silent_zone(harness, unfenced_ms):
+    """Guards against two owners, and against keys not served within 3 s."""
+    await start(harness, za=6, zb=6)
+    harness.zones["za"].unfenced_ms = unfenced_ms
+    await harness.run(0.5)
+    wait_s = 1.5 + 0.2 + unfenced_ms / 1000
+    await harness.run(wait_s - 0.3, "za")
+    assert harness.group.count() == {"za": 32, "zb": 32}
+    await harness.run(0.75, "za")
+    assert harness.group.count() == {"zb": 64}
+
+
+async def test_hold_shards_stay_until_the_zone_is_lost(harness):
+    """Guards against two owners of shards that may not lapse."""
+    await start(harness, "hold", za=6, zb=6)
+    await harness.run(600, "za")
+    assert harness.group.count() == {"za": 32, "zb": 32}
+    lost = messages.DeclareZoneLost(zone="za")
+    await harness.group.service.submit(lost)
+    await harness.run(timing.FOUNDING_WAIT_S - 0.25, "za")
+    assert harness.group.count() == {"za": 32, "zb": 32}
+    await harness.run(0.75, "za")
+    assert harness.group.count() == {"zb": 64}
+
+
+async def test_new_leader_waits_for_leases_it_does_not_know(harness):
+    """Guards against shards taken while a former leader's lease runs."""
+    await start(harness, za=6, zb=6)
+    harness.group.node.elected_at_s = harness.group.clock.monotonic()
+    assert not harness.group.service.leads()
+    assert await harness.group.service._take_over()
+    # The longest deadline of the contract is 4 s.
+    await harness.run(1.5 + 0.2 + 4 - 0.25, "za")
+    assert harness.group.count() == {"za": 32, "zb": 32}
+    await harness.run(0.75, "za")
+    assert harness.group.count() == {"zb": 64}
+
+
+async def test_returning_zone_gets_no_lease_on_old_knowledge(harness):
+    """Guards against a zone that serves shards which it has lost."""
+    await start(harness, za=6, zb=6)
+    await harness.run(3, "za")
+    assert (await harness.zones["za"].beat()).lease_ms == 0
+    assert (await harness.zones["za"].beat()).lease_ms == 1500
+
+
+async def test_beat_during_the_command_gets_no_lease(harness):
+    """Guards against a lease given while its shards are being taken."""
+    await start(harness, za=6, zb=6)
+    replies = []
+
+    async def beat_meanwhile(command):
+        if isinstance(wire.unpack(command), messages.SetDelegations):
+            harness.group.node.before_propose = None
+            replies.append(await harness.zones["za"].beat())
+
+    harness.group.node.before_propose = beat_meanwhile
+    await harness.run(3, "za")
+    assert [each.lease_ms for each in replies] == [0]
+
+
+async def test_returning_zone_brings_no_storm(harness):
+    """Guards against many moves at once when a zone comes back."""
+    await start(harness, za=6, zb=6)
+    await harness.run(600, "za")
+    for _ in range(20):
+        before = harness.group.list_shards()
+        await harness.run(1)
+        after = harness.group.list_shards()
+        begun = sum(
+            new.releasing and not old.releasing
+            for old, new in zip(before, after, strict=True)
+        )
+        assert begun <= 2 * delegation.compute_release_rate(64)
+    assert harness.group.count()["za"] >= 30
+
+
+class Holder:
+    """What a zone believes that it may serve."""
+
+    def __init__(self, zone, clock):
+        self.zone = zone
+        self.clock = clock
+        self.blocks = {}
+        self.lease_end_s = -1.0
+        # Control must rely on what the zone knows, not on its own state.
+        zone.list_released = self.list_released
+
+    def list_released(self):
+        return tuple(
+            messages.ShardRelease(
+                item.keyspace, item.first_shard + offset, item.epochs[offset]
+            )
+            for item in self.blocks.values()
+            for offset, zone in enumerate(item.zones)
+            if zone == self.zone.name and item.releasing[offset]
+        )
+
+    async def beat(self, lost_reply):
+        sent_s = self.clock.monotonic()
+        reply = await self.zone.beat()
+        if lost_reply:
+            self.zone.revision = self.revision
+            return
+        if reply.full:
+            self.blocks = {}
+        for data in reply.items:
+            item = wire.unpack(data)
+            if isinstance(item, messages.DelegationItem):
+                self.blocks[item.first_shard] = item
+        if reply.lease_ms:
+            self.lease_end_s = sent_s + reply.lease_ms / 1000
+
+    @property
+    def revision(self):
+        return max((each.revision for each in self.blocks.values()), default=0)
+
+    def list_held(self):
+        if self.clock.monotonic() >= self.lease_end_s:
+            return set()
+        return {
+            item.first_shard + offset
+            for item in self.blocks.values()
+            for offset, zone in enumerate(item.zones)
+            if zone == self.zone.name and not item.releasing[offset]
+        }
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_one_holder_under_faults(harness, seed):
+    """Guards against two zones that serve a lapse shard at one time."""
+    rng = random.Random(seed)
+    clock, service = harness.group.clock, harness.group.service
+    await start(harness, za=6, zb=6, zc=3)
+    holders = [Holder(zone, clock) for zone in harness.zones.values()]
+    for holder in holders:
+        holder.zone.revision = 0
+    silent_until_s = dict.fromkeys(harness.zones, 0.0)
+    changes = 0
+    for _ in range(1500):
+        await clock.sleep(rng.choice([0.05, 0.1, 0.25]))
+        for holder in holders:
+            name = holder.zone.name
+            if clock.monotonic() >= silent_until_s[name]:
+                await holder.beat(rng.random() < 0.2)
+                if rng.random() < 0.01:
+                    pause_s = rng.choice([0.5, 2, 10])
+                    silent_until_s[name] = clock.monotonic() + pause_s
+        if rng.random() < 0.005:
+            harness.group.node.elected_at_s = clock.monotonic()
+            assert await service._take_over()
+        revision = harness.group.state.revision
+        await service.tick()
+        changes += harness.group.state.revision != revision
+        held = [shard for each in holders for shard in each.list_held()]
+        assert len(held) == len(set(held))
+    assert changes > 20
--- /dev/null
+++ b/packages/daemon/tests/control/test_settlement.py
@@ -0,0 +1,42 @@
+"""Tests of moving a service's keys to another keyspace."""
+
+from bamboosill_common.generated import control as messages
+from bamboosilld.control import timing
+import pytest
+
+pytestmark = pytest.mark.looptime
+
+
+async def retire(harness):
+    await harness.add_zone("za")
+    await harness.add_zone("zb")
+    first = await harness.group.accept()
+    await harness.run(1)
+    command = messages.RetireContract(
+        base_revision=first.revision, customer="a"
+    )
+    return (await harness.group.service.submit(command)).unwrap().revision
+
+
+async def test_same_keyspace_needs_no_wait(harness):
+    """Guards against a wait where the keys stay where they are."""
+    revision = await retire(harness)
+    assert (await harness.group.accept(base=revision)).ok
+
+
+async def test_other_keyspace_waits_for_records(harness):
+    """Guards against a request that runs again in the other keyspace."""
+    revision = await retire(harness)
+    await harness.run(timing.KEYSPACE_CHANGE_WAIT_S - 1)
+    refused = await harness.group.accept(base=revision, zone_loss="hold")
+    assert refused.code == "not_settled"
+    await harness.run(2)
+    assert (await harness.group.accept(base=revision, zone_loss="hold")).ok
+
+
+async def test_other_keyspace_waits_for_a_zone_that_is_cut_off(harness):
+    """Guards against a key with an owner in each of two keyspaces."""
+    revision = await retire(harness)
+    await harness.run(2 * timing.KEYSPACE_CHANGE_WAIT_S, "zb")
+    refused = await harness.group.accept(base=revision, zone_loss="hold")
+    assert refused.code == "not_settled"
