--- a/packages/common/src/bamboosill_common/schema/consensus.capnp
+++ b/packages/common/src/bamboosill_common/schema/consensus.capnp
@@ -42,6 +42,7 @@
   lastIndex @3 :UInt64;
   lastTerm @4 :UInt64;
   preVote @5 :Bool;
+  target @6 :Member;
 }
 
 struct VoteReply {
@@ -59,6 +60,7 @@
   prevTerm @4 :UInt64;
   commit @5 :UInt64;
   entries @6 :List(LogEntry);
+  target @7 :Member;
 }
 
 struct AppendReply {
@@ -79,4 +81,5 @@
   offset @6 :UInt64;
   data @7 :Data;
   done @8 :Bool;
+  target @9 :Member;
 }
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Raft consensus: elections, replication and membership of a group."""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/consensus/interfaces.py
@@ -0,0 +1,113 @@
+"""What a consensus node needs from its surroundings."""
+
+from collections.abc import Sequence
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+from typing import TypeVar
+
+from bamboosill_common import errors
+from bamboosill_common.generated import consensus as messages
+from returns.result import Result
+
+Reply = TypeVar("Reply", bound=NamedTuple)
+
+
+class StorageError(Exception):
+    """A write, sync or read failed; the member must stop acknowledging."""
+
+
+class Snapshot(NamedTuple):
+    """State of the group up to and including `last_index`."""
+
+    last_index: int
+    last_term: int
+    membership: messages.Membership
+    data: bytes
+
+
+class Stored(NamedTuple):
+    """What a storage holds when it is opened.
+
+    Attributes:
+        hard_state: Term and vote; term 0 if the storage is empty.
+        snapshot: Latest snapshot, or None.
+        entries: Log entries after the snapshot, without gaps.
+    """
+
+    hard_state: messages.HardState
+    snapshot: Snapshot | None
+    entries: Sequence[messages.LogEntry]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was ever written."""
+        return (
+            not self.entries
+            and self.snapshot is None
+            and self.hard_state.term == 0
+        )
+
+
+class StateMachine(Protocol):
+    """State that the commands of a group change. Its methods do not raise."""
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Applies a committed command and returns the proposer's value."""
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state."""
+
+
+class Storage(Protocol):
+    """Keeps what a member must not forget. One call at a time is made."""
+
+    async def load(self) -> Stored:
+        """Opens the storage and returns its content.
+
+        Raises:
+            StorageError: The content cannot be read or is damaged.
+        """
+
+    async def write(
+        self,
+        hard_state: messages.HardState | None,
+        entries: Sequence[messages.LogEntry],
+    ) -> None:
+        """Stores a hard state and entries; both are durable on return.
+
+        An entry whose index is already stored replaces it and all entries
+        after it.
+
+        Raises:
+            StorageError: The write or sync failed.
+        """
+
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot, durable on return, and drops what it replaces.
+
+        Entries after the snapshot are kept only if the entry at its last
+        index has its last term.
+
+        Raises:
+            StorageError: The write or sync failed.
+        """
+
+    async def close(self) -> None:
+        """Closes the storage."""
+
+
+class Transport(Protocol):
+    """Sends requests to other members."""
+
+    async def call(
+        self,
+        member: messages.Member,
+        request: Any,
+        reply_type: type[Reply],
+        deadline_s: float,
+    ) -> Result[Reply, errors.PeerError]:
+        """Sends a request and returns the reply, within the deadline."""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/consensus/memberships.py
@@ -0,0 +1,81 @@
+"""Questions about and changes of a group's membership."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bamboosill_common.generated import consensus as messages
+
+
+class Key(NamedTuple):
+    """Identity of a member; its address may change."""
+
+    instance: str
+    incarnation: int
+
+
+def get_key(member: messages.Member) -> Key:
+    """Returns the identity of a member."""
+    return Key(member.instance, member.incarnation)
+
+
+def format_key(member: messages.Member) -> str:
+    """Returns the identity of a member as text."""
+    return f"{member.instance}/{member.incarnation}"
+
+
+def find_member(
+    membership: messages.Membership, key: Key
+) -> messages.Member | None:
+    """Returns the member with an identity, or None."""
+    for member in membership.members:
+        if get_key(member) == key:
+            return member
+    return None
+
+
+def list_voters(membership: messages.Membership) -> list[messages.Member]:
+    """Returns the members that vote."""
+    return [member for member in membership.members if member.voter]
+
+
+def is_voter(membership: messages.Membership, key: Key) -> bool:
+    """Returns whether the member with an identity votes."""
+    member = find_member(membership, key)
+    return member is not None and member.voter
+
+
+def count_majority(membership: messages.Membership) -> int:
+    """Returns the number of voters that make a majority."""
+    return len(list_voters(membership)) // 2 + 1
+
+
+def find_majority_value(
+    membership: messages.Membership, get_value: Callable[[Key], float]
+) -> float:
+    """Returns the largest value that a majority of voters has reached."""
+    values = sorted(
+        (get_value(get_key(voter)) for voter in list_voters(membership)),
+        reverse=True,
+    )
+    if not values:
+        return float("-inf")
+    return values[count_majority(membership) - 1]
+
+
+def put_member(
+    membership: messages.Membership, member: messages.Member
+) -> messages.Membership:
+    """Returns the membership with a member added or replaced."""
+    others = remove_member(membership, get_key(member)).members
+    return messages.Membership(members=(*others, member))
+
+
+def remove_member(
+    membership: messages.Membership, key: Key
+) -> messages.Membership:
+    """Returns the membership without a member."""
+    return messages.Membership(
+        members=tuple(
+            member for member in membership.members if get_key(member) != key
+        )
+    )
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/consensus/signals.py
@@ -0,0 +1,36 @@
+"""Wakes all tasks that wait for a change."""
+
+import asyncio
+from collections.abc import Callable
+
+
+class Signal:
+    """A change that any number of tasks wait for."""
+
+    def __init__(self) -> None:
+        self._future: asyncio.Future[None] | None = None
+
+    def notify(self) -> None:
+        """Wakes all tasks that wait now."""
+        future, self._future = self._future, None
+        if future is not None and not future.done():
+            future.set_result(None)
+
+    async def wait(self) -> None:
+        """Waits for the next `notify`."""
+        if self._future is None:
+            self._future = asyncio.get_running_loop().create_future()
+        # Shielded: one waiter that is cancelled must not cancel the others.
+        await asyncio.shield(self._future)
+
+    async def wait_until(
+        self, predicate: Callable[[], bool], deadline_s: float
+    ) -> bool:
+        """Waits until a predicate holds; returns False at the deadline."""
+        try:
+            async with asyncio.timeout(deadline_s):
+                while not predicate():
+                    await self.wait()
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Storage of a consensus group member."""
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/memory_network.py
@@ -0,0 +1,137 @@
+"""A network in memory between consensus nodes, with faults."""
+
+import asyncio
+import random
+from typing import Any
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common.generated import consensus as messages
+from bamboosilld.consensus import interfaces
+from bamboosilld.consensus import node as node_lib
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+_DEFAULT_DELAY_S = 0.001
+
+
+class PausableClock(clock_lib.LoopClock):
+    """A loop clock that can stand still and jump, as for a paused process."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._paused_at_s: float | None = None
+
+    def monotonic(self) -> float:
+        """Returns the loop's time, or when the clock was paused."""
+        if self._paused_at_s is not None:
+            return self._paused_at_s
+        return super().monotonic()
+
+    def pause(self) -> None:
+        """Stops the clock."""
+        self._paused_at_s = super().monotonic()
+
+    def resume(self) -> None:
+        """Lets the clock jump to the loop's time."""
+        self._paused_at_s = None
+
+
+class Network:
+    """Passes requests between nodes by address.
+
+    Attributes:
+        nodes: Running nodes by address.
+        cuts: Pairs (from, to) of instances whose messages are lost.
+        drop_rate: Part of all messages that is lost.
+        delay_s: Delay of each message, up to twice that at random.
+        calls: Number of calls by name of the request type.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self.nodes: dict[str, node_lib.Node] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.drop_rate = 0.0
+        self.delay_s = _DEFAULT_DELAY_S
+        self.calls: dict[str, int] = {}
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Loses all messages of one direction."""
+        self.cuts.add((sender, receiver))
+
+    def isolate(self, instance: str, others: list[str]) -> None:
+        """Loses all messages from and to an instance."""
+        for other in others:
+            if other != instance:
+                self.cut(instance, other)
+                self.cut(other, instance)
+
+    def heal(self) -> None:
+        """Ends all cuts and drops."""
+        self.cuts.clear()
+        self.drop_rate = 0.0
+
+    async def call(
+        self,
+        sender: str,
+        member: messages.Member,
+        request: Any,
+        deadline_s: float,
+    ) -> Result[Any, errors.PeerError]:
+        """Passes a request to a member and its reply back."""
+        name = type(request).__name__
+        self.calls[name] = self.calls.get(name, 0) + 1
+        # The receiver goes on when the sender gives up.
+        task = asyncio.create_task(self._deliver(sender, member, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            async with asyncio.timeout(deadline_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return Failure(errors.PeerError("timeout", member.instance, True))
+
+    async def _deliver(
+        self, sender: str, member: messages.Member, request: Any
+    ) -> Result[Any, errors.PeerError]:
+        await self._travel(sender, member.instance)
+        node = self.nodes.get(member.address)
+        if node is None:
+            return Failure(errors.PeerError("unreachable", "", False))
+        try:
+            reply = await node.handle(request)
+        except errors.HandlerError as error:
+            return Failure(errors.PeerError(error.code, error.detail, True))
+        await self._travel(member.instance, sender)
+        return Success(reply)
+
+    async def _travel(self, sender: str, receiver: str) -> None:
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s * self._rng.uniform(1, 2))
+        if (sender, receiver) in self.cuts or (
+            self._rng.random() < self.drop_rate
+        ):
+            await asyncio.Event().wait()
+
+
+class NetworkTransport:
+    """The transport of one node."""
+
+    def __init__(self, network: Network, instance: str) -> None:
+        self._network = network
+        self._instance = instance
+
+    async def call(
+        self,
+        member: messages.Member,
+        request: Any,
+        reply_type: type[interfaces.Reply],
+        deadline_s: float,
+    ) -> Result[interfaces.Reply, errors.PeerError]:
+        """Sends a request over the network."""
+        return await self._network.call(
+            self._instance, member, request, deadline_s
+        )
