--- a/packages/common/tests/test_auth.py
+++ b/packages/common/tests/test_auth.py
@@ -3,12 +3,13 @@
 import json
 import os
 
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
 import pytest
 from returns.result import Failure
 from returns.result import Success
 
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+
 SECRET = "s" * 32
 
 
--- a/packages/common/tests/test_contract.py
+++ b/packages/common/tests/test_contract.py
@@ -1,10 +1,11 @@
 """Tests of contract documents."""
 
-from bamboosill_common import contract
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from bamboosill_common import contract
+
 GOOD = """\
 customer: grand-bois
 services:
--- a/packages/common/tests/test_peer.py
+++ b/packages/common/tests/test_peer.py
@@ -2,14 +2,15 @@
 
 import asyncio
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import clock
 from bamboosill_common import events
 from bamboosill_common import peer
 from bamboosill_common.generated import control
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 
 def make_context(name):
--- a/packages/common/tests/test_requestid.py
+++ b/packages/common/tests/test_requestid.py
@@ -3,10 +3,11 @@
 import random
 import uuid
 
-from bamboosill_common import requestid
 import pytest
 from returns.result import Failure
 
+from bamboosill_common import requestid
+
 
 def test_time_is_read_back():
     """Guards against a time stamp that is written and read differently."""
--- a/packages/common/tests/test_settings.py
+++ b/packages/common/tests/test_settings.py
@@ -1,8 +1,9 @@
 """Tests of settings."""
 
+import pytest
+
 from bamboosill_common import settings as settings_lib
 from bamboosill_common.generated import settings as generated
-import pytest
 
 GOOD = {
     "instance_id": "a",
--- a/packages/common/tests/test_wire.py
+++ b/packages/common/tests/test_wire.py
@@ -1,12 +1,13 @@
 """Tests of message encoding."""
 
-from bamboosill_common import wire
-from bamboosill_common.generated import catalog
-from bamboosill_common.generated import consensus
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from bamboosill_common import wire
+from bamboosill_common.generated import catalog
+from bamboosill_common.generated import consensus
+
 ENTRY = consensus.LogEntry(index=7, term=2, kind="barrier", data=b"\x00x")
 MESSAGES = [
     consensus.HardState(term=3, voted_for="a"),
--- a/packages/daemon/src/bamboosilld/admission/gate.py
+++ b/packages/daemon/src/bamboosilld/admission/gate.py
@@ -9,10 +9,10 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from bamboosill_common import clock as clock_module
-from bamboosill_common.generated import zone
 from returns import result
 
+from bamboosill_common import clock as clock_module
+from bamboosill_common.generated import zone
 from bamboosilld.admission import lane
 from bamboosilld.admission import ramp
 from bamboosilld.admission import refusal
--- a/packages/daemon/src/bamboosilld/admission/queues.py
+++ b/packages/daemon/src/bamboosilld/admission/queues.py
@@ -5,10 +5,10 @@
 import math
 import random
 
-from bamboosill_common import clock as clock_module
-from bamboosill_common.generated import zone
 from returns import result
 
+from bamboosill_common import clock as clock_module
+from bamboosill_common.generated import zone
 from bamboosilld.admission import breaker
 from bamboosilld.admission import fairness
 from bamboosilld.admission import refusal
--- a/packages/daemon/src/bamboosilld/consensus/core.py
+++ b/packages/daemon/src/bamboosilld/consensus/core.py
@@ -6,15 +6,15 @@
 import random
 from typing import NamedTuple
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common.generated import consensus as messages
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
 from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import journal as journal_lib
 from bamboosilld.consensus import log as log_lib
--- a/packages/daemon/src/bamboosilld/consensus/election.py
+++ b/packages/daemon/src/bamboosilld/consensus/election.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
-from bamboosill_common import errors
-from bamboosill_common.generated import consensus as messages
 from returns.result import Success
 
+from bamboosill_common import errors
+from bamboosill_common.generated import consensus as messages
 from bamboosilld.consensus import core as core_lib
 from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import memberships
--- a/packages/daemon/src/bamboosilld/consensus/following.py
+++ b/packages/daemon/src/bamboosilld/consensus/following.py
@@ -2,7 +2,6 @@
 
 from bamboosill_common import errors
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.consensus import core as core_lib
 from bamboosilld.consensus import election
 from bamboosilld.consensus import interfaces
--- a/packages/daemon/src/bamboosilld/consensus/groups.py
+++ b/packages/daemon/src/bamboosilld/consensus/groups.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
+from returns.result import Result
+
 from bamboosill_common import errors
 from bamboosill_common import peer as peer_lib
 from bamboosill_common.generated import consensus as messages
 from bamboosill_common.generated import peer as peer_messages
-from returns.result import Result
-
 from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import node as node_lib
 
--- a/packages/daemon/src/bamboosilld/consensus/interfaces.py
+++ b/packages/daemon/src/bamboosilld/consensus/interfaces.py
@@ -6,9 +6,10 @@
 from typing import Protocol
 from typing import TypeVar
 
+from returns.result import Result
+
 from bamboosill_common import errors
 from bamboosill_common.generated import consensus as messages
-from returns.result import Result
 
 Reply = TypeVar("Reply", bound=NamedTuple)
 
--- a/packages/daemon/src/bamboosilld/consensus/journal.py
+++ b/packages/daemon/src/bamboosilld/consensus/journal.py
@@ -5,7 +5,6 @@
 from collections.abc import Sequence
 
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.consensus import interfaces
 
 _Record = messages.HardState | messages.LogEntry | interfaces.Snapshot
--- a/packages/daemon/src/bamboosilld/consensus/log.py
+++ b/packages/daemon/src/bamboosilld/consensus/log.py
@@ -4,7 +4,6 @@
 
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.consensus import interfaces
 
 
--- a/packages/daemon/src/bamboosilld/consensus/node.py
+++ b/packages/daemon/src/bamboosilld/consensus/node.py
@@ -10,14 +10,14 @@
 import random
 from typing import Any
 
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as messages
-from returns.result import Result
-from returns.result import Success
-
 from bamboosilld.consensus import applier as applier_lib
 from bamboosilld.consensus import core as core_lib
 from bamboosilld.consensus import election as election_lib
--- a/packages/daemon/src/bamboosilld/consensus/replication.py
+++ b/packages/daemon/src/bamboosilld/consensus/replication.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from typing import Any
 
-from bamboosill_common.generated import consensus as messages
 from returns.result import Success
 
+from bamboosill_common.generated import consensus as messages
 from bamboosilld.consensus import core as core_lib
 from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import memberships
--- a/packages/daemon/src/bamboosilld/control/commands.py
+++ b/packages/daemon/src/bamboosilld/control/commands.py
@@ -10,7 +10,6 @@
 
 from bamboosill_common import contract as contract_lib
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import delegationrules
 from bamboosilld.control import tables as tables_lib
 
--- a/packages/daemon/src/bamboosilld/control/delegation.py
+++ b/packages/daemon/src/bamboosilld/control/delegation.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import delegationrules
 from bamboosilld.control import tables as tables_lib
 
--- a/packages/daemon/src/bamboosilld/control/delegationrules.py
+++ b/packages/daemon/src/bamboosilld/control/delegationrules.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import tables as tables_lib
 
 # A fence has 64 bits, of which the log index takes 40.
--- a/packages/daemon/src/bamboosilld/control/delegator.py
+++ b/packages/daemon/src/bamboosilld/control/delegator.py
@@ -5,7 +5,6 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import delegation
 from bamboosilld.control import founder as founder_lib
 from bamboosilld.control import state as state_lib
--- a/packages/daemon/src/bamboosilld/control/founder.py
+++ b/packages/daemon/src/bamboosilld/control/founder.py
@@ -11,7 +11,6 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import state as state_lib
 from bamboosilld.control import tables as tables_lib
 from bamboosilld.control import timing
--- a/packages/daemon/src/bamboosilld/control/ports.py
+++ b/packages/daemon/src/bamboosilld/control/ports.py
@@ -4,9 +4,10 @@
 from typing import Any
 from typing import Protocol
 
+from returns.result import Result
+
 from bamboosill_common import errors
 from bamboosill_common.generated import consensus
-from returns.result import Result
 
 
 class Node(Protocol):
@@ -57,6 +58,6 @@
         """Removes a member."""
 
     def add_leadership_listener(
-        self, listener: Callable[..., object]
+        self, listener: Callable[[bool], None]
     ) -> object:
         """Calls the listener when leadership changes."""
--- a/packages/daemon/src/bamboosilld/control/service.py
+++ b/packages/daemon/src/bamboosilld/control/service.py
@@ -2,6 +2,10 @@
 
 from typing import Any
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import contract as contract_lib
 from bamboosill_common import errors
@@ -11,10 +15,6 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
 from bamboosill_common.generated import peer as peer_messages
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
 from bamboosilld.control import delegator as delegator_lib
 from bamboosilld.control import founder as founder_lib
 from bamboosilld.control import ports
--- a/packages/daemon/src/bamboosilld/control/settlement.py
+++ b/packages/daemon/src/bamboosilld/control/settlement.py
@@ -11,7 +11,6 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import contract as contract_lib
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import commands
 from bamboosilld.control import state as state_lib
 from bamboosilld.control import timing
--- a/packages/daemon/src/bamboosilld/control/state.py
+++ b/packages/daemon/src/bamboosilld/control/state.py
@@ -5,10 +5,10 @@
 from typing import Any
 from typing import NamedTuple
 
-from bamboosill_common import wire
-from bamboosill_common.generated import control as messages
 import xxhash
 
+from bamboosill_common import wire
+from bamboosill_common.generated import control as messages
 from bamboosilld.control import commands
 from bamboosilld.control import tables as tables_lib
 
--- a/packages/daemon/src/bamboosilld/control/zoneviews.py
+++ b/packages/daemon/src/bamboosilld/control/zoneviews.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import timing
 
 # Beats whose statements count: those of the last lease, at 250 ms each.
--- a/packages/daemon/src/bamboosilld/entry/answers.py
+++ b/packages/daemon/src/bamboosilld/entry/answers.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from aiohttp import web
-from bamboosill_common.generated import zone as zone_messages
 
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.entry import faults
 from bamboosilld.entry import headers
 from bamboosilld.entry import interfaces
--- a/packages/daemon/src/bamboosilld/entry/crashes.py
+++ b/packages/daemon/src/bamboosilld/entry/crashes.py
@@ -7,7 +7,6 @@
 from bamboosill_common import logs
 from bamboosill_common import settings
 from bamboosill_common.generated import zone as zone_messages
-
 from bamboosilld.entry import interfaces
 
 # An upstream that closed one connection accepts another at once; one that
--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -6,12 +6,12 @@
 from typing import Any
 from typing import NamedTuple
 
-from bamboosill_common import clock as clock_lib
-from bamboosill_common.generated import zone as zone_messages
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import clock as clock_lib
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.entry import answers
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import crashes as crashes_lib
--- a/packages/daemon/src/bamboosilld/entry/forward.py
+++ b/packages/daemon/src/bamboosilld/entry/forward.py
@@ -4,12 +4,12 @@
 import random
 import ssl
 
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import dispatch
--- a/packages/daemon/src/bamboosilld/entry/inbound.py
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -6,14 +6,14 @@
 import urllib.parse
 
 from aiohttp import web
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
-from bamboosill_common import requestid
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 import xxhash
 
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import requestid
 from bamboosilld.entry import answers
 from bamboosilld.entry import headers
 from bamboosilld.entry import interfaces
--- a/packages/daemon/src/bamboosilld/entry/interfaces.py
+++ b/packages/daemon/src/bamboosilld/entry/interfaces.py
@@ -13,9 +13,10 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from returns.result import Result
+
 from bamboosill_common import errors
 from bamboosill_common.generated import zone as zone_messages
-from returns.result import Result
 
 
 class Refusal(NamedTuple):
@@ -182,7 +183,7 @@
     """Applies the limits of contracts."""
 
     async def admit(
-        self, customer: str, service: str, class_: str, until: float
+        self, customer: str, service: str, class_: str, until: float, /
     ) -> Result[Permit, Refusal]:
         """Returns a permit, or why the request is refused."""
 
@@ -198,7 +199,7 @@
     """Requests that wait for one upstream."""
 
     async def acquire(
-        self, customer: str, weight: float, class_: str, until: float
+        self, customer: str, weight: float, class_: str, until: float, /
     ) -> Result[Slot, Refusal]:
         """Returns a slot, or why the request is refused."""
 
--- a/packages/daemon/src/bamboosilld/entry/listener.py
+++ b/packages/daemon/src/bamboosilld/entry/listener.py
@@ -6,8 +6,8 @@
 
 from aiohttp import web
 from aiohttp import web_protocol
-from bamboosill_common import settings
 
+from bamboosill_common import settings
 from bamboosilld.entry import answers
 from bamboosilld.entry import headers
 
--- a/packages/daemon/src/bamboosilld/entry/passthrough.py
+++ b/packages/daemon/src/bamboosilld/entry/passthrough.py
@@ -2,10 +2,10 @@
 
 import random
 
-from bamboosill_common.generated import zone as zone_messages
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.entry import interfaces
 
 _BACKOFF_BASE_S = 0.01
--- a/packages/daemon/src/bamboosilld/entry/pools.py
+++ b/packages/daemon/src/bamboosilld/entry/pools.py
@@ -4,11 +4,11 @@
 import collections
 import ssl
 
-from bamboosill_common import settings
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import settings
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import faults
 
--- a/packages/daemon/src/bamboosilld/entry/records.py
+++ b/packages/daemon/src/bamboosilld/entry/records.py
@@ -2,14 +2,14 @@
 
 from typing import NamedTuple
 
-from bamboosill_common import clock as clock_lib
-from bamboosill_common import errors
-from bamboosill_common import logs
-from bamboosill_common.generated import zone as zone_messages
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import logs
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.entry import answers
 from bamboosilld.entry import exchange
 from bamboosilld.entry import headers
--- a/packages/daemon/src/bamboosilld/entry/router.py
+++ b/packages/daemon/src/bamboosilld/entry/router.py
@@ -2,11 +2,11 @@
 
 import random
 
-from bamboosill_common import clock as clock_lib
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import clock as clock_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import crashes as crashes_lib
 from bamboosilld.entry import dispatch as dispatch_lib
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -7,16 +7,16 @@
 from typing import Any
 
 from aiohttp import web
+import prometheus_client
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common import requestid
-import prometheus_client
-from returns.result import Failure
-from returns.result import Success
-
 from bamboosilld.entry import answers
 from bamboosilld.entry import crashes as crashes_lib
 from bamboosilld.entry import dispatch as dispatch_lib
--- a/packages/daemon/src/bamboosilld/entry/upstreams.py
+++ b/packages/daemon/src/bamboosilld/entry/upstreams.py
@@ -6,13 +6,13 @@
 from typing import NamedTuple
 
 from aiohttp import web
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import logs
 from bamboosill_common import settings
 from bamboosill_common.generated import zone as zone_messages
-from returns.result import Failure
-from returns.result import Success
-
 from bamboosilld.entry import interfaces
 
 MAX_BODY_BYTES = 16 * 1024
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 import aiohttp
-import aiomisc
 from aiohttp import web
+import aiomisc
+
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
@@ -19,7 +20,6 @@
 from bamboosill_common.generated import consensus as consensus_messages
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
-
 from bamboosilld import wiring
 from bamboosilld.consensus import groups as groups_lib
 from bamboosilld.consensus import node as node_lib
@@ -27,7 +27,7 @@
 from bamboosilld.control import state as control_state
 from bamboosilld.entry import server as entry_server
 from bamboosilld.placement import policy
-from bamboosilld.storage import disk
+from bamboosilld.storage import memory
 from bamboosilld.zone import member as member_lib
 from bamboosilld.zone import upstream_client
 
@@ -55,9 +55,7 @@
             node_lib.GroupConfig(
                 CONTROL_GROUP, own, consensus_messages.Membership(members)
             ),
-            disk.DiskStorage(
-                settings.data_dir, CONTROL_GROUP, settings.instance_id
-            ),
+            memory.MemoryStorage(),
             groups_lib.PeerTransport(shared.directory),
             self.state,
             shared.clock,
@@ -177,7 +175,7 @@
         if self._control is not None:
             await self._control.start()
         await self._member.start()
-        self._entry = None
+        self._entry: entry_server.EntryServer | None = None
         if "entry" in settings.roles:
             await self._start_entry()
         await self._start_admin()
--- a/packages/daemon/src/bamboosilld/main.py
+++ b/packages/daemon/src/bamboosilld/main.py
@@ -6,11 +6,11 @@
 import sys
 
 import aiomisc
+
 from bamboosill_common import findings
 from bamboosill_common import logs
 from bamboosill_common import settings as settings_lib
 from bamboosill_common.generated import settings as generated
-
 from bamboosilld import instance
 from bamboosilld import version
 
--- a/packages/daemon/src/bamboosilld/storage/memory.py
+++ b/packages/daemon/src/bamboosilld/storage/memory.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.consensus import interfaces
 
 
--- a/packages/daemon/src/bamboosilld/wiring.py
+++ b/packages/daemon/src/bamboosilld/wiring.py
@@ -8,7 +8,6 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import contract as contract_lib
 from bamboosill_common.generated import zone as zone_messages
-
 from bamboosilld.admission import gate as gate_lib
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.admission import retry
@@ -59,7 +58,9 @@
 
 def view_contract(contract: contract_lib.Contract) -> ContractView:
     """Returns the entry role's view of a contract."""
-    return ContractView({each.name: ServiceView(each) for each in contract.services})
+    return ContractView(
+        {each.name: ServiceView(each) for each in contract.services}
+    )
 
 
 class UpstreamMeter:
@@ -92,9 +93,9 @@
         """Returns the figures since the last report and starts again."""
         names = {*self._seen, *(n for n, c in self._in_flight.items() if c)}
         views = tuple(
-            self._seen.get(
-                name, zone_messages.UpstreamView(id=name)
-            )._replace(in_flight=max(0, self._in_flight.get(name, 0)))
+            self._seen.get(name, zone_messages.UpstreamView(id=name))._replace(
+                in_flight=max(0, self._in_flight.get(name, 0))
+            )
             for name in sorted(names)
         )
         self._seen.clear()
--- a/packages/daemon/src/bamboosilld/zone/contracts.py
+++ b/packages/daemon/src/bamboosilld/zone/contracts.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from bamboosill_common import logs
-
 from bamboosilld.zone import feed as feed_lib
 
 Parse = Callable[[str], Any]
--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -5,6 +5,8 @@
 import random
 from typing import Any
 
+from returns.result import Result
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import events
@@ -12,8 +14,6 @@
 from bamboosill_common import peer
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
-from returns.result import Result
-
 from bamboosilld.zone import authority as authority_lib
 from bamboosilld.zone import contracts as contracts_lib
 from bamboosilld.zone import feed as feed_lib
--- a/packages/daemon/src/bamboosilld/zone/membership.py
+++ b/packages/daemon/src/bamboosilld/zone/membership.py
@@ -6,6 +6,8 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common import logs
@@ -13,8 +15,6 @@
 from bamboosill_common.generated import consensus
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
-from returns.result import Success
-
 from bamboosilld.zone import group as group_lib
 from bamboosilld.zone import registration
 from bamboosilld.zone import state as state_lib
--- a/packages/daemon/tests/consensus/conftest.py
+++ b/packages/daemon/tests/consensus/conftest.py
@@ -1,17 +1,17 @@
 """A cluster of nodes over a network in memory."""
-# ruff: noqa: D102
 
 import asyncio
 import json
 import random
 
+import pytest
+from returns.result import Success
+
 from bamboosill_common import events
 from bamboosill_common.generated import consensus as messages
 from bamboosill_dev import memory_network
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.storage import memory
-import pytest
-from returns.result import Success
 
 
 class Register:
--- a/packages/daemon/tests/consensus/test_groups.py
+++ b/packages/daemon/tests/consensus/test_groups.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import clock
 from bamboosill_common import errors
@@ -12,8 +15,6 @@
 from bamboosilld.consensus import groups as groups_lib
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.storage import memory
-import pytest
-from returns.result import Success
 
 
 class Counter:
--- a/packages/daemon/tests/consensus/test_node.py
+++ b/packages/daemon/tests/consensus/test_node.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
-from bamboosill_common.generated import consensus as messages
 import pytest
 from returns.result import Failure
 from returns.result import Success
 
+from bamboosill_common.generated import consensus as messages
+
 
 @pytest.mark.looptime
 @pytest.mark.parametrize("names", ["a", "ab", "abc", "abcde"])
--- a/packages/daemon/tests/control/conftest.py
+++ b/packages/daemon/tests/control/conftest.py
@@ -3,6 +3,10 @@
 from typing import Any
 from typing import NamedTuple
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import contract as contract_lib
 from bamboosill_common import errors
@@ -16,9 +20,6 @@
 from bamboosilld.control import service as service_lib
 from bamboosilld.control import state as state_lib
 from bamboosilld.control import timing
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 
 class Applied(NamedTuple):
--- a/packages/daemon/tests/control/test_delegation.py
+++ b/packages/daemon/tests/control/test_delegation.py
@@ -1,10 +1,11 @@
 """Tests of planning delegations."""
 
-from bamboosilld.control import delegation
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from bamboosilld.control import delegation
+
 Shard = delegation.Shard
 
 
--- a/packages/daemon/tests/control/test_delegator.py
+++ b/packages/daemon/tests/control/test_delegator.py
@@ -2,11 +2,12 @@
 
 import random
 
+import pytest
+
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
 from bamboosilld.control import delegation
 from bamboosilld.control import timing
-import pytest
 
 pytestmark = pytest.mark.looptime
 
--- a/packages/daemon/tests/control/test_founder.py
+++ b/packages/daemon/tests/control/test_founder.py
@@ -1,8 +1,9 @@
 """Tests of founding the next group of a zone."""
 
+import pytest
+
 from bamboosill_common.generated import control as messages
 from bamboosilld.control import timing
-import pytest
 
 pytestmark = pytest.mark.looptime
 
--- a/packages/daemon/tests/control/test_service.py
+++ b/packages/daemon/tests/control/test_service.py
@@ -1,9 +1,10 @@
 """Tests of the control leader's answers."""
 
+import pytest
+
 from bamboosill_common import errors
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
-import pytest
 
 pytestmark = pytest.mark.looptime
 
--- a/packages/daemon/tests/control/test_settlement.py
+++ b/packages/daemon/tests/control/test_settlement.py
@@ -1,8 +1,9 @@
 """Tests of moving a service's keys to another keyspace."""
 
+import pytest
+
 from bamboosill_common.generated import control as messages
 from bamboosilld.control import timing
-import pytest
 
 pytestmark = pytest.mark.looptime
 
--- a/packages/daemon/tests/control/test_state.py
+++ b/packages/daemon/tests/control/test_state.py
@@ -1,14 +1,15 @@
 """Tests of the control group's state machine."""
 
+import hypothesis
+from hypothesis import strategies
+import pytest
+
 from bamboosill_common import contract as contract_lib
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
 from bamboosilld.control import delegation
 from bamboosilld.control import delegationrules
 from bamboosilld.control import state as state_lib
-import hypothesis
-from hypothesis import strategies
-import pytest
 
 KEYSPACE = "shop/hold/all"
 
--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -7,6 +7,10 @@
 from typing import NamedTuple
 
 import aiohttp
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import clock
 from bamboosill_common import errors
@@ -16,9 +20,6 @@
 from bamboosill_dev.upstream import options
 from bamboosill_dev.upstream import process
 from bamboosilld.entry import server
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 KEYSPACE = "shopfront/hold/all"
 FENCE = 5
--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -4,9 +4,10 @@
 import json
 import random
 
+import pytest
+
 from bamboosill_common import requestid
 from bamboosilld.entry import passthrough
-import pytest
 
 
 class _NoRetries(passthrough.Budget):
--- a/packages/daemon/tests/zone/conftest.py
+++ b/packages/daemon/tests/zone/conftest.py
@@ -6,6 +6,10 @@
 import random
 import types
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import events
@@ -18,9 +22,6 @@
 from bamboosill_common.generated import zone as messages
 from bamboosilld.placement import policy as policy_lib
 from bamboosilld.zone import member as member_lib
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 ZONE = "north"
 LATENCY_S = 0.001
--- a/packages/dev/src/bamboosill_dev/balancer.py
+++ b/packages/dev/src/bamboosill_dev/balancer.py
@@ -11,6 +11,7 @@
 import random
 
 import aiohttp
+
 from bamboosill_common import settings
 
 CHECK_INTERVAL_S = 1.0
--- a/packages/dev/src/bamboosill_dev/caller.py
+++ b/packages/dev/src/bamboosill_dev/caller.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import aiohttp
+
 from bamboosill_common import requestid
 
 ANSWER = "answer"
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/demo.py
@@ -0,0 +1,272 @@
+"""Shows a whole system on loopback, with one upstream stopped and one killed.
+
+Starts three availability zones, accepts contracts, sends repeatable and
+non-repeatable requests through all entry instances, and compares what the
+callers were told with what the upstreams recorded. Exits with 1 if any answer
+was wrong or missing.
+"""
+
+import asyncio
+import collections
+from collections.abc import Iterable
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+from typing import Any
+from typing import NamedTuple
+
+import tabulate
+
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_dev import caller as caller_lib
+from bamboosill_dev import cluster as cluster_lib
+
+ZONES = ("mu-north", "mu-south", "mu-east")
+SERVICES = ("shopfront", "gallery")
+CUSTOMERS = ("grand-bois", "salon-norte")
+EXAMPLES = pathlib.Path(__file__).parents[5] / "examples"
+UPSTREAMS_PER_ZONE = 2
+READY_TIMEOUT_S = 20.0
+ROUTED_TIMEOUT_S = 15.0
+PHASE_S = 3.0
+REQUEST_INTERVAL_S = 0.01
+LONGEST_S = 55.0
+KEYS = 40
+
+
+class Sent(NamedTuple):
+    """One request and what its caller was told in the end."""
+
+    request: caller_lib.Request
+    told: caller_lib.Told
+    order: str
+
+
+class Demo:
+    """One run of the demonstration."""
+
+    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+        self._cluster = cluster_lib.Cluster(folder, ZONES, entries_per_zone=2)
+        self._rng = random.Random(seed)
+        self._sent: list[Sent] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._callers: dict[str, caller_lib.Caller] = {}
+
+    async def run(self) -> list[str]:
+        """Returns what was wrong, one sentence each."""
+        try:
+            await self._start()
+            await self._show_owners("Owners of some keys at the start")
+            await self._send_for(PHASE_S)
+            await self._lose_upstreams()
+            await self._show_owners("Owners of the same keys at the end")
+            return self._report()
+        finally:
+            for caller in self._callers.values():
+                await caller.close()
+            await self._cluster.stop()
+
+    async def _start(self) -> None:
+        cluster = self._cluster
+        print(
+            f"Starting {len(cluster.instances)} instances in {len(ZONES)} "
+            "availability zones, and their upstreams."
+        )
+        await cluster.start_all_instances()
+        for service in SERVICES:
+            for zone in ZONES:
+                for number in range(1, UPSTREAMS_PER_ZONE + 1):
+                    await cluster.start_upstream(
+                        f"{service}-{zone}-{number}",
+                        service,
+                        zone,
+                        checks_fences=number != UPSTREAMS_PER_ZONE,
+                    )
+        for customer in CUSTOMERS:
+            code, output = await cluster.run_operator(
+                "contract", "accept", str(EXAMPLES / f"{customer}.yaml")
+            )
+            print(f"$ bamboosill contract accept examples/{customer}.yaml")
+            print(output.rstrip())
+            if code:
+                raise RuntimeError(f"contract of {customer} was not accepted")
+        await cluster.wait_ready(list(cluster.instances), READY_TIMEOUT_S)
+        self._open_callers()
+        await self._wait_routed()
+
+    def _open_callers(self) -> None:
+        authenticator = auth.Authenticator(
+            str(self._cluster.key_file), clock_lib.SystemClock()
+        )
+        entries = [
+            self._cluster.get_caller_address(spec.name)
+            for spec in self._cluster.list_instances("entry")
+        ]
+        for customer in CUSTOMERS:
+            self._callers[customer] = caller_lib.Caller(
+                lambda: self._rng.choice(entries),
+                random.Random(self._rng.getrandbits(32)),
+                token=authenticator.sign("caller", customer),
+            )
+
+    async def _wait_routed(self) -> None:
+        """Waits until every customer's keys have owners."""
+        async with asyncio.timeout(ROUTED_TIMEOUT_S):
+            for customer in CUSTOMERS:
+                for number in range(KEYS):
+                    request = make_read(customer, f"key-{number}")
+                    told = await self._callers[customer].send(request)
+                    if told.outcome != caller_lib.ANSWER:
+                        raise RuntimeError(f"{customer} is not served: {told}")
+
+    async def _send_for(self, seconds: float) -> None:
+        """Sends requests at a steady rate."""
+        for _ in range(int(seconds / REQUEST_INTERVAL_S)):
+            task = asyncio.create_task(self._send_one(len(self._sent)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+
+    async def _send_one(self, number: int) -> None:
+        customer = self._rng.choice(CUSTOMERS)
+        key = f"key-{self._rng.randrange(KEYS)}"
+        order = ""
+        if self._rng.random() < 0.3:
+            order = f"order-{number}-{self._rng.getrandbits(32):08x}"
+            request = make_order(customer, key, order)
+        else:
+            request = make_read(customer, key)
+        told = await self._callers[customer].send(request)
+        self._sent.append(Sent(request, told, order))
+
+    async def _lose_upstreams(self) -> None:
+        leaving = f"{SERVICES[0]}-{ZONES[0]}-1"
+        killed = f"{SERVICES[0]}-{ZONES[1]}-1"
+        print(f"\nStopping upstream {leaving} gracefully.")
+        self._cluster.processes[leaving].send(signal.SIGTERM)
+        await self._send_for(PHASE_S)
+        print(f"Killing upstream {killed}.")
+        self._cluster.processes[killed].send(signal.SIGKILL)
+        await self._send_for(PHASE_S)
+        await asyncio.gather(*self._tasks)
+
+    async def _show_owners(self, title: str) -> None:
+        rows = []
+        for customer in CUSTOMERS:
+            for number in range(3):
+                found = await self._cluster.run_operator_json(
+                    "key", "explain", customer, SERVICES[0], f"key-{number}"
+                )
+                rows.append(
+                    (
+                        customer,
+                        f"key-{number}",
+                        found.get("zone", ""),
+                        found.get("owner", ""),
+                        found.get("fence", ""),
+                    )
+                )
+        print(f"\n{title}:")
+        print(
+            tabulate.tabulate(
+                rows, ("customer", "key", "zone", "owner", "fence")
+            )
+        )
+
+    def _report(self) -> list[str]:
+        rows = collections.Counter(
+            (
+                "read" if each.request.repeatable else "order",
+                each.told.outcome,
+                each.told.reason,
+            )
+            for each in self._sent
+        )
+        print(f"\nWhat the callers of {len(self._sent)} requests were told:")
+        print(
+            tabulate.tabulate(
+                [(*key, count) for key, count in sorted(rows.items())],
+                ("operation", "outcome", "reason", "requests"),
+            )
+        )
+        records = self._read_records()
+        served = collections.Counter(
+            record["upstream"] for record in records if record["end"] == "done"
+        )
+        print("\nRequests that each upstream ran:")
+        print(tabulate.tabulate(sorted(served.items()), ("upstream", "ran")))
+        return check_history(self._sent, records)
+
+    def _read_records(self) -> list[dict[str, Any]]:
+        records = []
+        for name in self._cluster.upstreams:
+            path = self._cluster.get_record_path(name)
+            if path.exists():
+                lines = path.read_text().splitlines()
+                records += [json.loads(line) for line in lines]
+        return records
+
+
+def make_read(customer: str, key: str) -> caller_lib.Request:
+    """Returns a repeatable request."""
+    return caller_lib.Request("GET", "/shopfront/items", customer, key)
+
+
+def make_order(customer: str, key: str, order: str) -> caller_lib.Request:
+    """Returns a non-repeatable request."""
+    body = json.dumps({"order": order}).encode()
+    return caller_lib.Request(
+        "POST",
+        "/shopfront/orders",
+        customer,
+        key,
+        body=body,
+        repeatable=False,
+    )
+
+
+def check_history(
+    sent: Iterable[Sent], records: Iterable[dict[str, Any]]
+) -> list[str]:
+    """Returns how callers' and upstreams' records contradict each other."""
+    runs = collections.Counter(record["id"] for record in records)
+    problems = []
+    for each in sent:
+        told, name = each.told, each.order or each.told.id
+        if each.request.repeatable:
+            if told.outcome != caller_lib.ANSWER or told.status != 200:
+                problems.append(f"read {name} was not answered: {told}")
+            continue
+        count = runs[told.id]
+        if count > 1:
+            problems.append(f"order {name} ran {count} times")
+        if told.outcome == caller_lib.ANSWER and count == 0:
+            problems.append(f"order {name} was answered and did not run")
+        if told.outcome == caller_lib.NOT_RUN and count:
+            problems.append(f"order {name} was told not-run and ran")
+    return problems
+
+
+async def run_demo() -> int:
+    """Runs the demonstration and returns the exit code."""
+    with tempfile.TemporaryDirectory(prefix="bamboosill-demo-") as folder:
+        try:
+            async with asyncio.timeout(LONGEST_S):
+                problems = await Demo(pathlib.Path(folder), seed=1).run()
+        except (RuntimeError, TimeoutError) as error:
+            print(f"\nThe demonstration failed: {error!r}", file=sys.stderr)
+            return 1
+    if problems:
+        print("\nWrong or missing answers:", file=sys.stderr)
+        print("\n".join(problems), file=sys.stderr)
+        return 1
+    print("\nEvery answer was right: no order ran twice, none was lost.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run_demo()))
--- a/packages/dev/src/bamboosill_dev/generate.py
+++ b/packages/dev/src/bamboosill_dev/generate.py
@@ -12,9 +12,10 @@
 import tomllib
 from typing import Any
 
-from bamboosill_common import codec
 import jinja2
 
+from bamboosill_common import codec
+
 GENERATED_DIR = codec.SCHEMA_DIR.parent / "generated"
 DOCS_DIR = pathlib.Path(__file__).parents[4] / "docs"
 TEMPLATE_DIR = pathlib.Path(__file__).parent / "templates"
--- a/packages/dev/src/bamboosill_dev/memory_network.py
+++ b/packages/dev/src/bamboosill_dev/memory_network.py
@@ -4,14 +4,15 @@
 import random
 from typing import Any
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common.generated import consensus as messages
 from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import node as node_lib
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
 
 _DEFAULT_DELAY_S = 0.001
 
--- a/packages/dev/src/bamboosill_dev/relay.py
+++ b/packages/dev/src/bamboosill_dev/relay.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from aiohttp import web
+
 from bamboosill_common import settings
 
 _CHUNK_BYTES = 64 * 1024
--- a/packages/dev/src/bamboosill_dev/upstream/__main__.py
+++ b/packages/dev/src/bamboosill_dev/upstream/__main__.py
@@ -5,7 +5,6 @@
 import sys
 
 from bamboosill_common import logs
-
 from bamboosill_dev.upstream import options as options_lib
 from bamboosill_dev.upstream import process
 
--- a/packages/dev/src/bamboosill_dev/upstream/heartbeat.py
+++ b/packages/dev/src/bamboosill_dev/upstream/heartbeat.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 import aiohttp
-from bamboosill_common import logs
 
+from bamboosill_common import logs
 from bamboosill_dev.upstream import grants as grants_lib
 from bamboosill_dev.upstream import options as options_lib
 
--- a/packages/dev/src/bamboosill_dev/upstream/process.py
+++ b/packages/dev/src/bamboosill_dev/upstream/process.py
@@ -4,11 +4,11 @@
 import time
 
 from aiohttp import web
+
 from bamboosill_common import auth
 from bamboosill_common import clock
 from bamboosill_common import logs
 from bamboosill_common import settings
-
 from bamboosill_dev.upstream import grants as grants_lib
 from bamboosill_dev.upstream import heartbeat
 from bamboosill_dev.upstream import options as options_lib
