Follow the interfaces of contracts, admission and zone members in entry

Cause: contracts, queues, retry budgets and members got other names than entry assumed; grant versions are not ordered numbers. Change: adapted names, reports of load, gate wiring, quarantine details. Tested: pytest packages/daemon/tests/entry, 61 passed.

--- a/packages/daemon/src/bamboosilld/entry/answers.py
+++ b/packages/daemon/src/bamboosilld/entry/answers.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from bamboosill_common.generated import zone as zone_messages
 
+from bamboosilld.admission import refusal as refusal_lib
 from bamboosilld.entry import faults
 from bamboosilld.entry import headers
 from bamboosilld.entry import interfaces
@@ -47,8 +48,14 @@
     "deadline": _Case(504, "deadline"),
     "silent": _Case(504, "silent"),
 }
-# By reason of a queue or gate; all others are 429.
-_REFUSAL_STATUSES = {"deadline": 504, "circuit-open": 503, "draining": 503}
+# By reason of admission; all others are limits of the contract: 429.
+_REFUSAL_CASES = {
+    refusal_lib.DEADLINE: _Case(504, "deadline"),
+    refusal_lib.BREAKER: _Case(503, "upstream-failing"),
+    refusal_lib.CLOSED: _Case(503, "contract-ended"),
+    refusal_lib.UNKNOWN_CUSTOMER: _Case(404, "unknown-customer"),
+    refusal_lib.UNKNOWN_SERVICE: _Case(404, "unknown-service"),
+}
 # By status of a record; `new` and `finished` are not refusals.
 _RECORD_CASES = {
     "in_progress": (409, _UNKNOWN, "in-progress"),
@@ -76,11 +83,14 @@
     return refuse(case.status, case.reason, fault.detail)
 
 
-def describe_refusal(refusal: interfaces.Refusal) -> Refused:
+def describe_refusal(refusal: refusal_lib.Refusal) -> Refused:
     """Returns what a caller is told about a refusal by admission."""
-    reason = refusal.reason.replace("_", "-")
-    status = _REFUSAL_STATUSES.get(reason, 429)
-    retry_after_s = refusal.retry_after_s or _DEFAULT_RETRY_AFTER_S
+    status, reason = _REFUSAL_CASES.get(
+        refusal.reason, _Case(429, refusal.reason.replace("_", "-"))
+    )
+    retry_after_s = refusal.retry_after_s
+    if status in (429, 503):
+        retry_after_s = retry_after_s or _DEFAULT_RETRY_AFTER_S
     return Refused(status, _NOT_RUN, reason, refusal.detail, retry_after_s)
 
 
@@ -96,6 +106,22 @@
     return Refused(status, outcome, reason, detail, retry_after_s)
 
 
+def describe_quarantine(
+    quarantine: interfaces.Quarantine, now_ms: int
+) -> Refused:
+    """Returns what the caller of a quarantined request is told."""
+    crashed = ", ".join(
+        f"{upstream} (incarnation {incarnation}, at {at_ms} ms)"
+        for upstream, incarnation, at_ms in quarantine.crashes
+    )
+    detail = (
+        f"quarantined until {quarantine.until_ms} ms of Unix time, because "
+        f"these upstreams crashed while they ran it: {crashed}"
+    )
+    retry_after_s = max(1.0, (quarantine.until_ms - now_ms) / 1000)
+    return Refused(422, _NOT_RUN, "quarantined", detail, retry_after_s)
+
+
 def make_response(refused: Refused, request_id: str) -> web.Response:
     """Returns the HTTP response of a refusal."""
     response = web.Response(
--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -12,6 +12,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from bamboosilld.admission import queues as queues_lib
+from bamboosilld.admission import refusal as refusal_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import crashes as crashes_lib
@@ -21,6 +23,7 @@
 from bamboosilld.entry import inbound as inbound_lib
 from bamboosilld.entry import interfaces
 from bamboosilld.entry import pools as pools_lib
+from bamboosilld.entry import tally as tally_lib
 
 # Part of the remaining time after which a repeatable request that saw no
 # byte is sent again; the rest must suffice for the second attempt.
@@ -66,12 +69,16 @@
         member: interfaces.Member,
         queues: interfaces.Queues,
         crashes: crashes_lib.Crashes,
+        tally: tally_lib.Tally,
         clock: clock_lib.Clock,
+        instance_count: Callable[[], int],
         spawn: interfaces.Spawn,
     ) -> None:
         self._member = member
         self._queues = queues
         self._crashes = crashes
+        self._tally = tally
+        self._instance_count = instance_count
         self._clock = clock
         self._spawn = spawn
         self.pools = pools_lib.Pools()
@@ -91,19 +98,22 @@
         slot = await self._queues.get(upstream).acquire(
             inbound.customer,
             inbound.weight,
-            inbound.operation.class_,
+            inbound.operation.traffic_class,
             inbound.until,
         )
         if isinstance(slot, Failure):
-            return Failure(Stopped(answers.describe_refusal(slot.failure())))
+            return Failure(_describe_wait(slot.failure()))
         started_s = self._clock.monotonic()
-        outcome = "not_run"
+        self._tally.begin(upstream.id)
+        outcome = queues_lib.CANCELLED
         try:
             result = await self._run_with_slot(inbound, route, attempt)
             outcome = _judge(result)
             return result
         finally:
-            slot.unwrap().release(outcome, self._clock.monotonic() - started_s)
+            latency_s = self._clock.monotonic() - started_s
+            slot.unwrap().release(outcome, latency_s)
+            self._tally.end(upstream.id, outcome, latency_s)
 
     async def _run_with_slot(
         self,
@@ -113,7 +123,7 @@
     ) -> Result[None, Ended]:
         upstream = route.upstream
         assert upstream is not None
-        limit = upstream.connections // self._member.count_entry_instances()
+        limit = upstream.connections // max(1, self._instance_count())
         pool = self.pools.get(upstream.address, max(1, limit))
         acquired = await pool.acquire(
             inbound.until - self._clock.monotonic(), attempt.fresh
@@ -266,15 +276,22 @@
 def _judge(result: Result[Any, Ended]) -> str:
     """Returns how an attempt counts for the upstream's concurrency limit."""
     if not isinstance(result, Failure):
-        return "ok"
+        return queues_lib.OK
     ended = result.failure()
     if isinstance(ended, Stopped):
-        return "not_run"
+        return queues_lib.CANCELLED
     if ended.code == "shed":
-        return "shed"
+        return queues_lib.SHED
     if ended.may_have_run or ended.code in ("refused", "connect"):
-        return "failed"
-    return "not_run"
+        return queues_lib.FAILURE
+    return queues_lib.CANCELLED
+
+
+def _describe_wait(refusal: refusal_lib.Refusal) -> Ended:
+    if refusal.reason == refusal_lib.CLOSED:
+        # The upstream is gone; its keys get another owner.
+        return _not_run("moved", refusal.detail)
+    return Stopped(answers.describe_refusal(refusal))
 
 
 def _find_refusal(answer: exchange.Answer) -> faults.Fault | None:
--- a/packages/daemon/src/bamboosilld/entry/inbound.py
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -65,6 +65,8 @@
 
 
 class _Target(NamedTuple):
+    """Service, and the path below it with its escapes."""
+
     service: str
     path: str
 
@@ -101,6 +103,7 @@
         return _refuse(400, "bad-path", "the path is not in canonical form")
     try:
         parts = urllib.parse.unquote(path, errors="strict").split("/")[1:]
+        raw_parts = path.split("/")[1:]
     except UnicodeDecodeError:
         return _refuse(400, "bad-path", "the path is not UTF-8")
     if any(
@@ -110,7 +113,7 @@
         return _refuse(400, "bad-path", "the path is not in canonical form")
     if not parts[0]:
         return _refuse(404, "unknown-service", "the path names no service")
-    return Success(_Target(parts[0], "/" + "/".join(parts[1:])))
+    return Success(_Target(parts[0], "/" + "/".join(raw_parts[1:])))
 
 
 class Parser:
@@ -148,7 +151,7 @@
             return _refuse(
                 404, "unknown-customer", f"no contract for {customer!r}"
             )
-        service = contract.services.get(name)
+        service = contract.find_service(name)
         if service is None:
             detail = f"the contract of {customer!r} has no service {name!r}"
             return _refuse(404, "unknown-service", detail)
@@ -158,7 +161,7 @@
         key = self._read_key(request)
         if isinstance(key, Failure):
             return key
-        deadline = _read_deadline_ms(request, service.deadline_ms)
+        deadline = _read_deadline_ms(request, service.deadlines)
         if isinstance(deadline, Failure):
             return deadline
         until = started + deadline.unwrap() / 1000
--- a/packages/daemon/src/bamboosilld/entry/interfaces.py
+++ b/packages/daemon/src/bamboosilld/entry/interfaces.py
@@ -8,22 +8,14 @@
 from collections.abc import Coroutine
 from collections.abc import Mapping
 from collections.abc import Sequence
-import random
 from typing import Any
-from typing import NamedTuple
 from typing import Protocol
 
 from bamboosill_common import errors
 from bamboosill_common.generated import zone as zone_messages
 from returns.result import Result
 
-
-class Refusal(NamedTuple):
-    """Why a request was not admitted."""
-
-    reason: str
-    detail: str
-    retry_after_s: float
+from bamboosilld.admission import refusal
 
 
 class Limits(Protocol):
@@ -58,7 +50,7 @@
         """Whether it may run more than once."""
 
     @property
-    def class_(self) -> str:
+    def traffic_class(self) -> str:
         """Priority class: counter, wait or lag."""
 
 
@@ -70,7 +62,7 @@
         """Size limits."""
 
     @property
-    def deadline_ms(self) -> Deadlines:
+    def deadlines(self) -> Deadlines:
         """Deadlines."""
 
     @property
@@ -85,8 +77,15 @@
     """The contract of one customer."""
 
     @property
-    def services(self) -> Mapping[str, Service]:
-        """Services by name."""
+    def customer(self) -> str:
+        """The customer."""
+
+    @property
+    def services(self) -> Sequence[Any]:
+        """All services."""
+
+    def find_service(self, name: str) -> Any | None:
+        """Returns the service of that name, a `Service`."""
 
 
 class Route(Protocol):
@@ -104,6 +103,10 @@
     def shard(self) -> int:
         """Shard of the key."""
 
+    @property
+    def key(self) -> str:
+        """Name of the key as `sharding.format_hot_key` gives it."""
+
     @property
     def fence(self) -> int:
         """Fence of the assignment."""
@@ -134,7 +137,7 @@
     def route(self, customer: str, service: str, key: str) -> Route:
         """Returns where a key is served now."""
 
-    async def wait_change(self, deadline_s: float) -> None:
+    async def wait_change(self, deadline_s: float) -> object:
         """Waits until routes may have changed, at most `deadline_s`."""
 
     def begin_dispatch(self, route: Any, deadline_s: float) -> Any | None:
@@ -151,11 +154,25 @@
     ) -> Result[object, errors.ProposeError]:
         """Commits a command in the zone group."""
 
-    def is_quarantined(self, fingerprint: bytes) -> str | None:
-        """Returns why a request is quarantined, or None."""
+    def find_quarantine(self, fingerprint: bytes) -> Any | None:
+        """Returns why a request is quarantined, a `Quarantine`, or None."""
+
+    def contracts(self) -> Mapping[str, Any]:
+        """Returns all contracts in force by customer."""
+
+    def upstreams(self) -> Sequence[zone_messages.Upstream]:
+        """Returns the upstreams of the zone."""
 
-    def count_entry_instances(self) -> int:
-        """Returns how many entry instances the zone has, at least 1."""
+    def set_reporter(self, reporter: Callable[[], Any]) -> None:
+        """Sets what provides the figures sent with each lease renewal."""
+
+    def add_share_listener(self, listener: Callable[[Any], None]) -> None:
+        """Calls `listener(shares)` when shares of limits arrive."""
+
+    def add_contract_listener(
+        self, listener: Callable[[str, Any], None]
+    ) -> None:
+        """Calls `listener(customer, contract or None)` at each change."""
 
     async def beat_upstream(
         self, beat: zone_messages.UpstreamBeat
@@ -171,6 +188,18 @@
         """Returns whether requests can be served, and why not."""
 
 
+class Quarantine(Protocol):
+    """Why a request is quarantined."""
+
+    @property
+    def until_ms(self) -> int:
+        """Wall time at which it is released, in milliseconds."""
+
+    @property
+    def crashes(self) -> Sequence[tuple[str, int, int]]:
+        """Upstream, incarnation and wall time of each crash."""
+
+
 class Permit(Protocol):
     """Admission of one request."""
 
@@ -183,15 +212,31 @@
 
     async def admit(
         self, customer: str, service: str, class_: str, until: float
-    ) -> Result[Permit, Refusal]:
+    ) -> Result[Permit, refusal.Refusal]:
         """Returns a permit, or why the request is refused."""
 
+    def update_contract(
+        self, customer: str, contract: Any | None, new: bool = False
+    ) -> None:
+        """Puts a contract in force, or ends it."""
+
+    def update_shares(self, shares: Any) -> None:
+        """Puts shares of limits in force."""
+
+    def report_demand(self) -> tuple[zone_messages.Demand, ...]:
+        """Returns the recent demand of each customer and service."""
+
 
 class Slot(Protocol):
     """One of the requests that an upstream may run at a time."""
 
     def release(self, outcome: str, latency_s: float) -> None:
-        """Gives the slot back; outcome is ok, shed, failed or not_run."""
+        """Gives the slot back.
+
+        Args:
+            outcome: One of `admission.queues`: ok, shed, failure, cancelled.
+            latency_s: Seconds from dispatch to the end of the answer.
+        """
 
 
 class Queue(Protocol):
@@ -199,7 +244,7 @@
 
     async def acquire(
         self, customer: str, weight: float, class_: str, until: float
-    ) -> Result[Slot, Refusal]:
+    ) -> Result[Slot, refusal.Refusal]:
         """Returns a slot, or why the request is refused."""
 
 
@@ -209,18 +254,18 @@
     def get(self, upstream: zone_messages.Upstream) -> Queue:
         """Returns the queue of an upstream."""
 
+    def drop(self, upstream_id: str) -> None:
+        """Forgets an upstream that is gone."""
+
 
 class Budget(Protocol):
     """Bounds retries to a part of recent requests."""
 
-    def note_request(self, customer: str) -> None:
-        """Counts a request that is no retry."""
-
-    def can_retry(self, customer: str) -> bool:
-        """Takes one retry from the budget if there is one."""
+    def record_request(self, customer: str) -> None:
+        """Counts a first attempt."""
 
-    def compute_backoff(self, attempt: int, rng: random.Random) -> float:
-        """Returns the delay in seconds before a retry."""
+    def try_retry(self, customer: str) -> bool:
+        """Takes one retry from the budget; returns whether there was one."""
 
 
 Spawn = Callable[[Coroutine[Any, Any, Any]], object]
--- a/packages/daemon/src/bamboosilld/entry/passthrough.py
+++ b/packages/daemon/src/bamboosilld/entry/passthrough.py
@@ -1,16 +1,14 @@
 """Admission that refuses nothing, used where none is configured."""
 
-import random
+from typing import Any
 
 from bamboosill_common.generated import zone as zone_messages
 from returns.result import Result
 from returns.result import Success
 
+from bamboosilld.admission import refusal
 from bamboosilld.entry import interfaces
 
-_BACKOFF_BASE_S = 0.01
-_BACKOFF_CAP_S = 0.5
-
 
 class Permit:
     """A permit, and a slot, that is not counted."""
@@ -27,17 +25,29 @@
 
     async def admit(
         self, customer: str, service: str, class_: str, until: float
-    ) -> Result[interfaces.Permit, interfaces.Refusal]:
+    ) -> Result[interfaces.Permit, refusal.Refusal]:
         """Returns a permit."""
         return Success(_PERMIT)
 
+    def update_contract(
+        self, customer: str, contract: Any | None, new: bool = False
+    ) -> None:
+        """Does nothing."""
+
+    def update_shares(self, shares: Any) -> None:
+        """Does nothing."""
+
+    def report_demand(self) -> tuple[zone_messages.Demand, ...]:
+        """Returns nothing."""
+        return ()
+
 
 class Queue:
     """Gives every request a slot."""
 
     async def acquire(
         self, customer: str, weight: float, class_: str, until: float
-    ) -> Result[interfaces.Slot, interfaces.Refusal]:
+    ) -> Result[interfaces.Slot, refusal.Refusal]:
         """Returns a slot."""
         return Success(_PERMIT)
 
@@ -52,17 +62,16 @@
         """Returns the queue."""
         return self._queue
 
+    def drop(self, upstream_id: str) -> None:
+        """Does nothing."""
+
 
 class Budget:
     """Allows every retry."""
 
-    def note_request(self, customer: str) -> None:
+    def record_request(self, customer: str) -> None:
         """Does nothing."""
 
-    def can_retry(self, customer: str) -> bool:
+    def try_retry(self, customer: str) -> bool:
         """Returns true."""
         return True
-
-    def compute_backoff(self, attempt: int, rng: random.Random) -> float:
-        """Returns an exponential delay with full jitter, in seconds."""
-        return rng.uniform(0, min(_BACKOFF_CAP_S, _BACKOFF_BASE_S * 2**attempt))
--- a/packages/daemon/src/bamboosilld/entry/router.py
+++ b/packages/daemon/src/bamboosilld/entry/router.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from bamboosilld.admission import retry as retry_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import crashes as crashes_lib
 from bamboosilld.entry import dispatch as dispatch_lib
@@ -19,6 +20,7 @@
 from bamboosilld.entry import records as records_lib
 from bamboosilld.entry import responder as responder_lib
 from bamboosilld.entry import retry
+from bamboosilld.entry import tally as tally_lib
 
 # Requests that may wait at a time for a key that is being moved.
 MAX_HELD = 1000
@@ -68,6 +70,7 @@
         forwarder: forward_lib.Forwarder,
         records: records_lib.Records,
         crashes: crashes_lib.Crashes,
+        tally: tally_lib.Tally,
         clock: clock_lib.Clock,
         rng: random.Random,
     ) -> None:
@@ -77,6 +80,7 @@
         self._forwarder = forwarder
         self._records = records
         self._crashes = crashes
+        self._tally = tally
         self._clock = clock
         self._rng = rng
         self._held = 0
@@ -84,10 +88,10 @@
     async def serve(self, flight: Flight) -> None:
         """Serves one request; the responder then holds the answer."""
         inbound = flight.inbound
-        explanation = self._member.is_quarantined(inbound.fingerprint)
-        if explanation is not None:
+        quarantine = self._member.find_quarantine(inbound.fingerprint)
+        if quarantine is not None:
             flight.responder.refuse(
-                answers.refuse(422, "quarantined", explanation)
+                answers.describe_quarantine(quarantine, self._clock.wall_ms())
             )
             return
         if inbound.hops:
@@ -97,14 +101,14 @@
         permit = await self._gate.admit(
             inbound.customer,
             inbound.service,
-            inbound.operation.class_,
+            inbound.operation.traffic_class,
             inbound.until,
         )
         if isinstance(permit, Failure):
             flight.responder.refuse(answers.describe_refusal(permit.failure()))
             return
         try:
-            self._budget.note_request(inbound.customer)
+            self._budget.record_request(inbound.customer)
             await self._serve_admitted(flight)
         finally:
             permit.unwrap().release()
@@ -195,6 +199,8 @@
                 return Success(None)
             flight.recorded = True
         flight.attempts += 1
+        if flight.attempts == 1:
+            self._tally.record(route)
         return await self._dispatcher.run(
             flight.inbound,
             route,
@@ -219,7 +225,7 @@
         ):
 
             def give_up() -> bool:
-                return self._budget.can_retry(inbound.customer)
+                return self._budget.try_retry(inbound.customer)
 
         return dispatch_lib.Attempt(flight.fresh, give_up, note)
 
@@ -238,12 +244,14 @@
         )
         if rule is None or flight.abandoned:
             return False
-        if rule.budget and not self._budget.can_retry(inbound.customer):
+        if rule.budget and not self._budget.try_retry(inbound.customer):
             return False
         flight.fresh = rule.fresh
         remaining_s = inbound.until - self._clock.monotonic()
         if rule.backoff:
-            delay_s = self._budget.compute_backoff(flight.attempts, self._rng)
+            delay_s = retry_lib.compute_backoff_s(
+                flight.attempts - 1, self._rng
+            )
             if delay_s >= remaining_s:
                 return False
             await self._clock.sleep(delay_s)
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -1,6 +1,7 @@
 """The entry role of one instance."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import random
 import ssl
@@ -29,7 +30,9 @@
 from bamboosilld.entry import records as records_lib
 from bamboosilld.entry import responder as responder_lib
 from bamboosilld.entry import router as router_lib
+from bamboosilld.entry import tally as tally_lib
 from bamboosilld.entry import upstreams as upstreams_lib
+from bamboosilld.entry import wiring
 
 READY_PATH = "/readyz"
 # Balancers check readiness about once a second; this lets each see that the
@@ -69,7 +72,25 @@
         budget: interfaces.Budget | None = None,
         server_tls: ssl.SSLContext | None = None,
         client_tls: ssl.SSLContext | None = None,
+        instance_count: Callable[[], int] | None = None,
     ) -> None:
+        """Prepares the role; `start` begins to listen.
+
+        Args:
+            member: This instance's part in its zone group.
+            authenticator: Verifies and signs tokens.
+            clock: Source of time.
+            rng: Source of randomness.
+            timeline: Receives events.
+            instance: This instance.
+            gate: Applies contracts; by default everything is admitted.
+            queues: Queues of upstreams; by default nothing waits.
+            budget: Bounds retries; by default all are allowed.
+            server_tls: TLS of both addresses.
+            client_tls: TLS towards entry instances of other zones.
+            instance_count: Returns the number of entry instances of the
+                zone, which share the connections of each upstream.
+        """
         self._member = member
         self._authenticator = authenticator
         self._clock = clock
@@ -91,6 +112,8 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._in_flight = 0
         self._draining = False
+        self._instance_count = instance_count or (lambda: 1)
+        self._tally = tally_lib.Tally(clock, self._admission[0])
         self.caller_address = ""
         self.upstream_address = ""
 
@@ -112,7 +135,9 @@
             self._member,
             self._queues,
             self._crashes,
+            self._tally,
             self._clock,
+            self._instance_count,
             self._spawn,
         )
         self._forwarder = forward_lib.Forwarder(
@@ -131,9 +156,12 @@
             self._forwarder,
             records,
             self._crashes,
+            self._tally,
             self._clock,
             self._rng,
         )
+        wiring.connect_gate(self._member, self._admission[0])
+        self._member.set_reporter(self._tally.report)
         self._sweeper = asyncio.create_task(self._sweep())
         self.caller_address = await self._callers.start(caller_address)
         self.upstream_address = await self._upstreams.start(upstream_address)
@@ -188,6 +216,9 @@
             await self._clock.sleep(_SWEEP_INTERVAL_S)
             for pools in self._list_pools():
                 pools.sweep()
+            present = frozenset(each.id for each in self._member.upstreams())
+            for upstream_id in self._tally.drop_missing(present):
+                self._queues.drop(upstream_id)
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
--- a/packages/daemon/src/bamboosilld/entry/upstreams.py
+++ b/packages/daemon/src/bamboosilld/entry/upstreams.py
@@ -65,7 +65,7 @@
     "duplicate": 409,
     "unknown_incarnation": 409,
     "unknown_upstream": 409,
-    "unknown": 409,
+    "announce": 409,
     "old_incarnation": 409,
     "stale_incarnation": 409,
     "wrong_zone": 400,
--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -36,12 +36,13 @@
 
 class _Operation(NamedTuple):
     repeatable: bool
-    class_: str = "counter"
+    traffic_class: str = "counter"
 
 
 class _Service(NamedTuple):
     limits: _Limits = _Limits()
-    deadline_ms: _Deadlines = _Deadlines()
+    name: str = "shopfront"
+    deadlines: _Deadlines = _Deadlines()
     weight: float = 1.0
 
     def find_operation(self, method, path):
@@ -49,7 +50,16 @@
 
 
 class _Contract(NamedTuple):
-    services: dict
+    services: tuple = (_Service(),)
+    customer: str = "acme"
+
+    def find_service(self, name):
+        return next((each for each in self.services if each.name == name), None)
+
+
+class _Quarantine(NamedTuple):
+    until_ms: int
+    crashes: tuple = (("u1", 1, 5), ("u2", 1, 6))
 
 
 class _Route(NamedTuple):
@@ -71,13 +81,13 @@
         self.upstream = None
         self.routes = []
         self.default = None
-        self.contracts = {"acme": _Contract({"shopfront": _Service()})}
+        self.by_customer = {"acme": _Contract()}
         self.records = {}
         self.proposed = []
         self.propose_errors = {}
         self.lease_valid = True
         self.in_flight = 0
-        self.quarantined = {}
+        self.quarantined = set()
         self.ready = (True, "")
         self.beats = []
         self.announced = []
@@ -87,7 +97,7 @@
         self.announce_result = Success(None)
 
     def find_contract(self, customer):
-        return self.contracts.get(customer)
+        return self.by_customer.get(customer)
 
     def route(self, customer, service, key):
         if self.routes:
@@ -142,11 +152,23 @@
     def count(self, name):
         return sum(type(each).__name__ == name for each in self.proposed)
 
-    def is_quarantined(self, fingerprint):
-        return self.quarantined.get(fingerprint)
+    def find_quarantine(self, fingerprint):
+        return _Quarantine(9) if fingerprint in self.quarantined else None
+
+    def contracts(self):
+        return self.by_customer
+
+    def upstreams(self):
+        return [self.upstream] if self.upstream else []
+
+    def set_reporter(self, reporter):
+        self.reporter = reporter
+
+    def add_share_listener(self, listener):
+        self.share_listener = listener
 
-    def count_entry_instances(self):
-        return 1
+    def add_contract_listener(self, listener):
+        self.contract_listener = listener
 
     async def beat_upstream(self, beat):
         self.beats.append(beat)
--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -12,7 +12,7 @@
 class _NoRetries(passthrough.Budget):
     """A retry budget that is used up."""
 
-    def can_retry(self, customer):
+    def try_retry(self, customer):
         return False
 
 
--- a/packages/dev/src/bamboosill_dev/upstream/grants.py
+++ b/packages/dev/src/bamboosill_dev/upstream/grants.py
@@ -34,6 +34,7 @@
         self._monotonic = monotonic
         self._fences: dict[_Name, tuple[int, bool]] = {}
         self._revoked: dict[_Name, int] = {}
+        self._posted_s: dict[_Name, float] = {}
         self._hold_until = float("-inf")
         self._lapse_until = float("-inf")
         self.version = 0
@@ -49,13 +50,18 @@
             reply: The answer.
         """
         if not reply["unchanged"]:
-            # A reply that was overtaken by a newer one is out of date.
-            if reply["grants_version"] < self.version:
-                return
-            self._fences = {
-                _name(grant): (int(grant["fence"]), bool(grant.get("lapse")))
-                for grant in reply["grants"]
+            # Notices posted after the heartbeat was sent are newer.
+            fences = {
+                name: held
+                for name, held in self._fences.items()
+                if self._posted_s.get(name, float("-inf")) >= sent_s
             }
+            for grant in reply["grants"]:
+                name, fence = _name(grant), int(grant["fence"])
+                newest = fences.get(name, (0, False))[0]
+                if fence >= max(self._revoked.get(name, 0), newest):
+                    fences[name] = (fence, bool(grant.get("lapse")))
+            self._fences = fences
             self.version = reply["grants_version"]
         self._hold_until = max(
             self._hold_until, sent_s + reply["lease_ms"] / 1000
@@ -70,8 +76,6 @@
         It is served under the lease of the last heartbeat, because the age of
         a posted grant is not known.
         """
-        if document.get("grants_version", self.version) < self.version:
-            return
         for shard in _list_shards(document):
             name = _Name(document["keyspace"], shard, document.get("key") or "")
             fence = int(document["fence"])
@@ -80,6 +84,7 @@
             if fence >= self._fences.get(name, (0, False))[0]:
                 lapse = "lapse" in name.keyspace.split("/")[1:2]
                 self._fences[name] = (fence, lapse)
+                self._posted_s[name] = self._monotonic()
 
     def revoke(self, document: dict[str, Any]) -> None:
         """Drops grants with a fence below the one posted."""
@@ -95,6 +100,7 @@
         """Forgets all grants, for a new incarnation."""
         self._fences.clear()
         self._revoked.clear()
+        self._posted_s.clear()
         self._hold_until = self._lapse_until = float("-inf")
         self.version = 0
 
--- a/packages/dev/src/bamboosill_dev/upstream/service.py
+++ b/packages/dev/src/bamboosill_dev/upstream/service.py
@@ -89,6 +89,9 @@
     ) -> web.Response:
         document = json.loads(await request.read())
         reply: dict[str, Any] = {}
+        if document.get("incarnation", self.incarnation) != self.incarnation:
+            reply["reason"] = "another incarnation"
+            return web.json_response(reply, status=409)
         if path == "/bamboosill/grant":
             self._grants.add(document)
         elif path == "/bamboosill/revoke":
