--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -13,7 +13,7 @@
 class _NoRetries(passthrough.Budget):
     """A retry budget that is used up."""
 
-    def can_retry(self, customer):
+    def try_retry(self, customer):
         return False
 
 
