--- a/packages/daemon/src/bamboosilld/zone/authority.py
+++ b/packages/daemon/src/bamboosilld/zone/authority.py
@@ -5,6 +5,10 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import events
@@ -12,10 +16,6 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
 from bamboosilld.admission import shares as split_lib
 from bamboosilld.placement import policy as policy_lib
 from bamboosilld.zone import assignments
--- a/packages/daemon/src/bamboosilld/zone/beats.py
+++ b/packages/daemon/src/bamboosilld/zone/beats.py
@@ -4,13 +4,13 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
-from returns.result import Success
-
 from bamboosilld.zone import moves as moves_lib
 from bamboosilld.zone import state as state_lib
 
--- a/packages/daemon/src/bamboosilld/zone/contracts.py
+++ b/packages/daemon/src/bamboosilld/zone/contracts.py
@@ -1,11 +1,10 @@
 """Contracts in force, parsed when they are first used."""
 
 from collections.abc import Callable
-import importlib
 from typing import Any
 
+from bamboosill_common import contract as contract_lib
 from bamboosill_common import logs
-
 from bamboosilld.zone import feed as feed_lib
 
 Parse = Callable[[str], Any]
@@ -13,17 +12,10 @@
 _log = logs.get_logger("zone")
 
 
-def parse_contract(text: str) -> Any:
-    """Returns the contract in a normalised document."""
-    # Imported on first use: the module is optional for tests of this package.
-    module = importlib.import_module("bamboosill_common.contract")
-    return module.read_stored(text)
-
-
 class ContractBook:
     """Parsed contracts by customer and revision."""
 
-    def __init__(self, parse: Parse = parse_contract) -> None:
+    def __init__(self, parse: Parse = contract_lib.read_stored) -> None:
         self._parse = parse
         self._parsed: dict[str, tuple[int, Any]] = {}
 
--- a/packages/daemon/src/bamboosilld/zone/explain.py
+++ b/packages/daemon/src/bamboosilld/zone/explain.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import assignments
 from bamboosilld.zone import grants as grants_lib
 from bamboosilld.zone import moves as moves_lib
--- a/packages/daemon/src/bamboosilld/zone/grants.py
+++ b/packages/daemon/src/bamboosilld/zone/grants.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from bamboosill_common.generated import zone as messages
 import xxhash
 
+from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import assignments
 from bamboosilld.zone import state as state_lib
 from bamboosilld.zone import times
--- a/packages/daemon/src/bamboosilld/zone/group.py
+++ b/packages/daemon/src/bamboosilld/zone/group.py
@@ -4,10 +4,11 @@
 from typing import Any
 from typing import Protocol
 
+from returns.result import Result
+
 from bamboosill_common import errors
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus
-from returns.result import Result
 
 
 class Applied(Protocol):
--- a/packages/daemon/src/bamboosilld/zone/handlers.py
+++ b/packages/daemon/src/bamboosilld/zone/handlers.py
@@ -3,15 +3,15 @@
 from collections.abc import Callable
 from typing import Any
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import errors
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import peer as peer_messages
 from bamboosill_common.generated import zone as messages
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
 from bamboosilld.zone import authority as authority_lib
 from bamboosilld.zone import membership as membership_lib
 
--- a/packages/daemon/src/bamboosilld/zone/inflight.py
+++ b/packages/daemon/src/bamboosilld/zone/inflight.py
@@ -3,7 +3,6 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import assignments
 from bamboosilld.zone import routes
 from bamboosilld.zone import times
--- a/packages/daemon/src/bamboosilld/zone/joins.py
+++ b/packages/daemon/src/bamboosilld/zone/joins.py
@@ -4,7 +4,6 @@
 from bamboosill_common import logs
 from bamboosill_common.generated import consensus
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import group as group_lib
 from bamboosilld.zone import times
 
--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -5,15 +5,16 @@
 import random
 from typing import Any
 
+from returns.result import Result
+
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import contract as contract_lib
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
-from returns.result import Result
-
 from bamboosilld.zone import authority as authority_lib
 from bamboosilld.zone import contracts as contracts_lib
 from bamboosilld.zone import feed as feed_lib
@@ -57,7 +58,7 @@
         timeline: events.Timeline,
         policy: planner_lib.MakePolicy,
         upstream_client: client_lib.UpstreamClient,
-        parse_contract: contracts_lib.Parse = contracts_lib.parse_contract,
+        parse_contract: contracts_lib.Parse = contract_lib.read_stored,
         make_node: membership_lib.MakeNode | None = None,
     ) -> None:
         """Prepares the member; `start` begins its work.
--- a/packages/daemon/src/bamboosilld/zone/membership.py
+++ b/packages/daemon/src/bamboosilld/zone/membership.py
@@ -1,11 +1,12 @@
 """Enters and leaves the zone group that the control group names."""
 
 from collections.abc import Callable
-import importlib
 import random
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common import logs
@@ -13,8 +14,10 @@
 from bamboosill_common.generated import consensus
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
-from returns.result import Success
-
+from bamboosilld.consensus import core as consensus_core
+from bamboosilld.consensus import groups as consensus_groups
+from bamboosilld.consensus import node as consensus_node
+from bamboosilld.storage import memory
 from bamboosilld.zone import group as group_lib
 from bamboosilld.zone import registration
 from bamboosilld.zone import state as state_lib
@@ -193,18 +196,12 @@
 
 def make_node(spec: NodeSpec) -> group_lib.Node:
     """Returns a consensus node without a disk."""
-    # Imported when the first node is made: tests use other nodes.
-    core = importlib.import_module("bamboosilld.consensus.core")
-    groups = importlib.import_module("bamboosilld.consensus.groups")
-    node = importlib.import_module("bamboosilld.consensus.node")
-    memory = importlib.import_module("bamboosilld.storage.memory")
-    made: group_lib.Node = node.Node(
-        core.GroupConfig(spec.group, spec.member, spec.bootstrap),
+    return consensus_node.Node(
+        consensus_core.GroupConfig(spec.group, spec.member, spec.bootstrap),
         memory.MemoryStorage(),
-        groups.PeerTransport(spec.directory),
+        consensus_groups.PeerTransport(spec.directory),
         spec.state,
         spec.clock,
         spec.rng,
         spec.timeline,
     )
-    return made
--- a/packages/daemon/src/bamboosilld/zone/moves.py
+++ b/packages/daemon/src/bamboosilld/zone/moves.py
@@ -7,11 +7,11 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Result
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common.generated import zone as messages
-from returns.result import Result
-
 from bamboosilld.zone import assignments
 from bamboosilld.zone import grants as grants_lib
 from bamboosilld.zone import leases as leases_lib
--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -6,7 +6,6 @@
 
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.placement import hotkeys
 from bamboosilld.placement import load as load_lib
 from bamboosilld.placement import policy as policy_lib
--- a/packages/daemon/src/bamboosilld/zone/proposals.py
+++ b/packages/daemon/src/bamboosilld/zone/proposals.py
@@ -5,14 +5,14 @@
 import json
 from typing import Any
 
-from bamboosill_common import clock as clock_lib
-from bamboosill_common import errors
-from bamboosill_common import wire
-from bamboosill_common.generated import zone as messages
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import wire
+from bamboosill_common.generated import zone as messages
 from bamboosilld.placement import policy as policy_lib
 from bamboosilld.zone import authority as authority_lib
 from bamboosilld.zone import membership as membership_lib
--- a/packages/daemon/src/bamboosilld/zone/records.py
+++ b/packages/daemon/src/bamboosilld/zone/records.py
@@ -4,11 +4,12 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from bamboosill_common import requestid
-from bamboosill_common.generated import zone as messages
 from returns.result import Failure
 from returns.result import Success
 
+from bamboosill_common import requestid
+from bamboosill_common.generated import zone as messages
+
 RETENTION_MS = 600_000
 FUTURE_LIMIT_MS = 2_000
 MAX_RECORDS = 200_000
--- a/packages/daemon/src/bamboosilld/zone/registration.py
+++ b/packages/daemon/src/bamboosilld/zone/registration.py
@@ -1,11 +1,12 @@
 """Registers this instance with the control group."""
 
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common.generated import control
-from returns.result import Failure
-from returns.result import Success
 
 _CALL_S = 1.0
 _RETRY_S = 0.25
--- a/packages/daemon/src/bamboosilld/zone/renewal.py
+++ b/packages/daemon/src/bamboosilld/zone/renewal.py
@@ -6,14 +6,14 @@
 from typing import Any
 from typing import NamedTuple
 
-from bamboosill_common import clock as clock_lib
-from bamboosill_common import errors
-from bamboosill_common import peer
-from bamboosill_common.generated import zone as messages
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import peer
+from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import holder as holder_lib
 from bamboosilld.zone import inflight
 from bamboosilld.zone import membership as membership_lib
--- a/packages/daemon/src/bamboosilld/zone/routes.py
+++ b/packages/daemon/src/bamboosilld/zone/routes.py
@@ -5,7 +5,6 @@
 
 from bamboosill_common import sharding
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import assignments
 from bamboosilld.zone import state as state_lib
 
--- a/packages/daemon/src/bamboosilld/zone/shares.py
+++ b/packages/daemon/src/bamboosilld/zone/shares.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.admission import shares as split_lib
 from bamboosilld.zone import times
 
--- a/packages/daemon/src/bamboosilld/zone/snapshots.py
+++ b/packages/daemon/src/bamboosilld/zone/snapshots.py
@@ -9,7 +9,6 @@
 
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import assignments
 
 if typing.TYPE_CHECKING:
--- a/packages/daemon/src/bamboosilld/zone/state.py
+++ b/packages/daemon/src/bamboosilld/zone/state.py
@@ -9,7 +9,6 @@
 from bamboosill_common import logs
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import assignments
 from bamboosilld.zone import feed as feed_lib
 from bamboosilld.zone import quarantine as quarantine_lib
--- a/packages/daemon/src/bamboosilld/zone/summary.py
+++ b/packages/daemon/src/bamboosilld/zone/summary.py
@@ -5,7 +5,6 @@
 
 from bamboosill_common import peer
 from bamboosill_common.generated import control
-
 from bamboosilld.zone import group as group_lib
 from bamboosilld.zone import planner as planner_lib
 from bamboosilld.zone import state as state_lib
--- a/packages/daemon/src/bamboosilld/zone/upstreams.py
+++ b/packages/daemon/src/bamboosilld/zone/upstreams.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 
 from bamboosill_common.generated import zone as messages
-
 from bamboosilld.zone import assignments
 
 # Bounds the registry; far above the upstreams of one zone.
--- a/packages/daemon/tests/zone/conftest.py
+++ b/packages/daemon/tests/zone/conftest.py
@@ -6,7 +6,12 @@
 import random
 import types
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import contract as contract_lib
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import peer
@@ -18,9 +23,7 @@
 from bamboosill_common.generated import zone as messages
 from bamboosilld.placement import policy as policy_lib
 from bamboosilld.zone import member as member_lib
-import pytest
-from returns.result import Failure
-from returns.result import Success
+from bamboosilld.zone import membership as membership_lib
 
 ZONE = "north"
 LATENCY_S = 0.001
@@ -205,12 +208,20 @@
         keyspace = sharding.format_keyspace(service, zone_loss, ())
         document = {
             "customer": customer,
-            "services": [{"name": service, "zone_loss": zone_loss}],
+            "services": [
+                {
+                    "name": service,
+                    "zone_loss": zone_loss,
+                    "limits": {"rate_per_s": 100, "concurrency": 8},
+                    "deadline_ms": {"default": 1000, "longest": 2000},
+                }
+            ],
         }
-        contract = control.ContractItem(
-            customer=customer, document=json.dumps(document)
+        contract = contract_lib.parse(json.dumps(document)).unwrap()
+        item = control.ContractItem(
+            customer=customer, document=contract_lib.normalise(contract)
         )
-        self.put(("contract", customer), contract)
+        self.put(("contract", customer), item)
         self.put(
             ("keyspace", keyspace),
             control.KeyspaceItem(
@@ -273,25 +284,6 @@
         )
 
 
-def parse_contract(text):
-    value = json.loads(text)
-    services = [
-        types.SimpleNamespace(
-            name=each["name"],
-            zone_loss=each["zone_loss"],
-            zones=(),
-            deadlines=types.SimpleNamespace(default=1000, longest=2000),
-            limits=types.SimpleNamespace(
-                rate_per_s=100.0, burst=10.0, concurrency=8
-            ),
-        )
-        for each in value["services"]
-    ]
-    return types.SimpleNamespace(
-        customer=value["customer"], services=tuple(services)
-    )
-
-
 class Run:
     """One request as an upstream saw it."""
 
@@ -514,8 +506,7 @@
             events.Timeline(process.clock, name),
             lambda: policy_lib.make_policy(self.policy, random.Random(seed)),
             Notices(self, process),
-            parse_contract,
-            self.make_node,
+            make_node=self.make_node,
         )
         self.processes[name], self.members[name] = process, member
         await member.start()
@@ -605,6 +596,12 @@
 
 
 @pytest.fixture
-def make_world():
+def make_lone_world():
     """Returns a factory of worlds whose groups have one member."""
     return lambda **options: World(LoneNode, **options)
+
+
+@pytest.fixture
+def make_world():
+    """Returns a factory of worlds with real consensus."""
+    return lambda **options: World(membership_lib.make_node, **options)
--- /dev/null
+++ b/packages/daemon/tests/zone/test_joins.py
@@ -0,0 +1,74 @@
+"""Tests of joining, leaving and replacing instances of a zone group."""
+
+import asyncio
+
+import pytest
+
+
+def count_voters(world, name):
+    node = world.members[name]._membership.node
+    return sum(each.voter for each in node.membership.members)
+
+
+def find_leader(world):
+    for name, member in world.members.items():
+        node = member._membership.node
+        if node is not None and node.is_leader and node.has_leader_lease():
+            return name
+    return None
+
+
+async def start_zone(world, count):
+    for number in range(count):
+        await world.add_member(f"i{number}")
+        await asyncio.sleep(0.05)
+    await world.wait(
+        lambda: all(m.is_ready()[0] for m in world.members.values())
+    )
+
+
+@pytest.mark.looptime
+async def test_up_to_five_voters(make_world):
+    """Guards against a group that loses its state with one instance."""
+    world = make_world()
+    world.control.add_contract("a", "shop", 16)
+    await start_zone(world, 7)
+    await world.wait(lambda: count_voters(world, "i0") == 5)
+    await asyncio.sleep(3)
+    assert count_voters(world, "i0") == 5
+    members = world.members["i6"]._membership.node.membership.members
+    assert len(members) == 7
+
+
+@pytest.mark.looptime
+async def test_lost_voter_is_replaced(make_world):
+    """Guards against lost voters that keep counting for the majority."""
+    world = make_world()
+    world.control.add_contract("a", "shop", 16)
+    world.add_upstream("u")
+    await start_zone(world, 3)
+    await world.wait(lambda: count_voters(world, "i0") == 3)
+    await world.kill_member("i2")
+    await world.wait(lambda: count_voters(world, "i0") == 2)
+    await world.add_member("i2", 2)
+    await world.wait(lambda: count_voters(world, "i0") == 3)
+    await world.wait(lambda: world.all_local(world.members["i2"]))
+
+
+@pytest.mark.looptime
+async def test_leader_lost(make_world):
+    """Guards against a zone that forgets its shards with its leader."""
+    world = make_world()
+    world.control.add_contract("a", "shop", 16)
+    for name in ("u", "v"):
+        world.add_upstream(name)
+    await start_zone(world, 3)
+    await world.wait(lambda: count_voters(world, "i0") == 3)
+    survivor = world.members["i1"]
+    await world.wait(lambda: world.all_local(survivor))
+    before = world.find_owners(survivor, "a")
+    await world.kill_member(find_leader(world))
+    await asyncio.sleep(0.5)
+    await world.wait(lambda: find_leader(world) is not None)
+    await world.wait(lambda: world.all_local(survivor))
+    assert world.find_owners(survivor, "a") == before
--- a/packages/daemon/tests/zone/test_member.py
+++ b/packages/daemon/tests/zone/test_member.py
@@ -4,9 +4,9 @@
 
 
 @pytest.mark.looptime
-async def test_founds_group_and_routes_to_upstream(make_world):
+async def test_founds_group_and_routes_to_upstream(make_lone_world):
     """Guards against a zone that never begins to serve."""
-    world = make_world()
+    world = make_lone_world()
     world.control.add_contract("a", "shop", 64)
     member = await world.add_member("one")
     upstream = world.add_upstream("u")
--- a/packages/daemon/tests/zone/test_quarantine.py
+++ b/packages/daemon/tests/zone/test_quarantine.py
@@ -1,8 +1,9 @@
 """Tests of the quarantine of requests that crash upstreams."""
 
+import pytest
+
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import quarantine as quarantine_lib
-import pytest
 
 NOW_MS = 1_000_000
 
--- a/packages/daemon/tests/zone/test_records.py
+++ b/packages/daemon/tests/zone/test_records.py
@@ -2,13 +2,14 @@
 
 import random
 
-from bamboosill_common import requestid
-from bamboosill_common.generated import zone as messages
-from bamboosilld.zone import records as records_lib
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from bamboosill_common import requestid
+from bamboosill_common.generated import zone as messages
+from bamboosilld.zone import records as records_lib
+
 BEGIN_MS = 1_700_000_000_000
 GONE = ("gone", 1)
 
--- a/packages/daemon/tests/zone/test_state.py
+++ b/packages/daemon/tests/zone/test_state.py
@@ -1,14 +1,15 @@
 """Tests of assignments and the feed in the replicated state."""
 
+import hypothesis
+from hypothesis import strategies
+import pytest
+
 from bamboosill_common import sharding
 from bamboosill_common import wire
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import assignments
 from bamboosilld.zone import state as state_lib
-import hypothesis
-from hypothesis import strategies
-import pytest
 
 KEYSPACE = "shop/hold/all"
 SHARDS = 3
