--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import contract as contract_lib
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
@@ -57,7 +58,7 @@
         timeline: events.Timeline,
         policy: planner_lib.MakePolicy,
         upstream_client: client_lib.UpstreamClient,
-        parse_contract: contracts_lib.Parse = contracts_lib.parse_contract,
+        parse_contract: contracts_lib.Parse = contract_lib.read_stored,
         make_node: membership_lib.MakeNode | None = None,
     ) -> None:
         """Prepares the member; `start` begins its work.
