--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -20,7 +20,9 @@
 from bamboosill_common.generated import consensus as consensus_messages
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
-from bamboosilld import wiring
+from bamboosilld.admission import gate as gate_lib
+from bamboosilld.admission import queues as queues_lib
+from bamboosilld.admission import retry
 from bamboosilld.consensus import groups as groups_lib
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.control import service as control_service
@@ -205,17 +207,21 @@
 
     async def _start_entry(self) -> None:
         shared = self._shared
-        admission = wiring.Admission(self._member, shared.clock, shared.rng)
+        count = self._member.count_entry_instances
+        queues = queues_lib.Queues(shared.clock, shared.rng, count)
+        gate = gate_lib.Gate(shared.clock, shared.rng, count)
+        gate.watch_queues(queues.get_longest_wait_s)
         self._entry = entry_server.EntryServer(
-            member=admission.member,
+            member=self._member,
             authenticator=shared.authenticator,
             clock=shared.clock,
             rng=shared.rng,
             timeline=shared.timeline,
             instance=shared.identity,
-            gate=admission.gate,
-            queues=admission.queues,
-            budget=admission.budget,
+            gate=gate,
+            queues=queues,
+            budget=retry.Budget(shared.clock),
+            instance_count=count,
         )
         await self._entry.start(
             self._settings.caller_listen, self._settings.upstream_listen
