Add durable storage of consensus members

A record that is followed by its marker was synced; one that is not may be an unfinished write and is cut. Fixed sizes make a file that was cut recognisable.

Tested: a failure and a crash at each write, sync, rename and removal of a scenario, crashes during recovery, flips and cuts of every kind of file.

--- a/packages/common/src/bamboosill_common/schema/consensus.capnp
+++ b/packages/common/src/bamboosill_common/schema/consensus.capnp
@@ -83,3 +83,35 @@
   done @8 :Bool;
   target @9 :Member;
 }
+
+struct StorageIdentity {
+  # Whose data folder this is.
+  group @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+}
+
+struct SegmentHeader {
+  # First record of a segment of the write-ahead log.
+  number @0 :UInt64;
+  sizeBytes @1 :UInt64;
+  firstSequence @2 :UInt64;
+  fresh @3 :Bool;
+  baseIndex @4 :UInt64;
+  baseTerm @5 :UInt64;
+}
+
+struct LogRecord {
+  # Records that were synced together.
+  hardState @0 :HardState;
+  entries @1 :List(LogEntry);
+}
+
+struct SnapshotHeader {
+  # First record of a snapshot file; the state follows it.
+  lastIndex @0 :UInt64;
+  lastTerm @1 :UInt64;
+  membership @2 :Membership;
+  sizeBytes @3 :UInt64;
+  checksum @4 :UInt64;
+}
--- a/packages/daemon/tests/consensus/test_groups.py
+++ b/packages/daemon/tests/consensus/test_groups.py
@@ -1,4 +1,5 @@
 """Tests of groups over real peer connections."""
+# ruff: noqa: D101, D102
 
 import random
 
--- /dev/null
+++ b/packages/daemon/tests/storage/test_disk.py
@@ -0,0 +1,289 @@
+"""Tests of the durable storage."""
+# ruff: noqa: D102
+
+import pathlib
+import random
+
+from bamboosill_common.generated import consensus as messages
+from bamboosill_dev import memory_files
+from bamboosilld.consensus import interfaces
+from bamboosilld.storage import disk
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+FOLDER = pathlib.Path("/data")
+IDENTITY = messages.StorageIdentity("g", "a", 1)
+SEGMENT_BYTES = 3000
+
+
+def open_storage(files, identity=IDENTITY, folder=FOLDER):
+    return disk.DiskStorage(folder, identity, files, SEGMENT_BYTES, False)
+
+
+def make_entry(index, term, size=100):
+    data = random.Random(index * 1000 + term).randbytes(size)
+    return messages.LogEntry(index, term, "command", data)
+
+
+class Model:
+    """What a storage must hold after the steps that were acknowledged."""
+
+    def __init__(self):
+        self.hard_state = messages.HardState()
+        self.snapshot = None
+        self.entries = []
+
+    def copy(self):
+        other = Model()
+        other.hard_state = self.hard_state
+        other.snapshot = self.snapshot
+        other.entries = list(self.entries)
+        return other
+
+    def take(self, step):
+        if isinstance(step, interfaces.Snapshot):
+            held = {each.index: each.term for each in self.entries}
+            matches = held.get(step.last_index) == step.last_term
+            self.snapshot = step
+            self.entries = [
+                each
+                for each in self.entries
+                if matches and each.index > step.last_index
+            ]
+            return
+        hard_state, entries = step
+        self.hard_state = hard_state or self.hard_state
+        for entry in entries:
+            self.entries = [
+                each for each in self.entries if each.index < entry.index
+            ]
+            self.entries.append(entry)
+
+    def get_content(self):
+        return self.hard_state, self.snapshot, self.entries
+
+
+def make_steps():
+    """Returns a scenario with all kinds of steps."""
+    steps = [
+        (messages.HardState(1, ""), [make_entry(1, 1)]),
+        (messages.HardState(2, "a/1"), []),
+    ]
+    for index in range(2, 26):
+        steps.append((None, [make_entry(index, 2)]))
+    # Replaces a tail, as a new leader does.
+    steps.append(
+        (messages.HardState(3, "b/1"), [make_entry(20, 3), make_entry(21, 3)])
+    )
+    members = messages.Membership((messages.Member("a", 1, "a:1", True),))
+    steps.append(interfaces.Snapshot(15, 2, members, b"s" * 700))
+    steps.append((None, [make_entry(22, 3, 2000), make_entry(23, 3, 2000)]))
+    # A leader's snapshot beyond the log.
+    steps.append(interfaces.Snapshot(40, 4, members, b""))
+    steps.append((messages.HardState(4, ""), [make_entry(41, 4)]))
+    for index in range(42, 60):
+        steps.append((None, [make_entry(index, 4)]))
+    return steps
+
+
+async def run_step(storage, step):
+    if isinstance(step, interfaces.Snapshot):
+        await storage.save_snapshot(step)
+    else:
+        await storage.write(*step)
+
+
+async def run_steps(files, steps):
+    """Returns the models before and after the step that failed."""
+    model = Model()
+    try:
+        storage = open_storage(files)
+        await storage.load()
+        for step in steps:
+            after = model.copy()
+            after.take(step)
+            await run_step(storage, step)
+            model = after
+    except interfaces.StorageError:
+        return [model, locals().get("after", model)]
+    return [model]
+
+
+async def load_content(files):
+    stored = await open_storage(files).load()
+    return stored.hard_state, stored.snapshot, list(stored.entries)
+
+
+async def test_content_survives_restart():
+    """Guards against a step that is lost or changed by a restart."""
+    files = memory_files.MemoryFiles(random.Random(1))
+    [model] = await run_steps(files, make_steps())
+    assert await load_content(files) == model.get_content()
+
+
+async def test_system_files(tmp_path):
+    """Guards against a fault in the access to real files."""
+    storage = disk.DiskStorage(tmp_path / "data", IDENTITY, None, SEGMENT_BYTES)
+    await storage.load()
+    model = Model()
+    for step in make_steps():
+        await run_step(storage, step)
+        model.take(step)
+    other = disk.DiskStorage(tmp_path / "data", IDENTITY)
+    with pytest.raises(interfaces.StorageError):
+        await other.load()
+    await other.close()
+    await storage.close()
+    storage = disk.DiskStorage(tmp_path / "data", IDENTITY)
+    stored = await storage.load()
+    await storage.close()
+    assert (
+        stored.hard_state,
+        stored.snapshot,
+        list(stored.entries),
+    ) == model.get_content()
+
+
+@pytest.mark.parametrize("torn", [False, True])
+async def test_failure_and_crash_at_each_operation(torn):
+    """Guards against synced data lost by a crash or a failed write."""
+    steps = make_steps()
+    files = memory_files.MemoryFiles(random.Random(1))
+    await run_steps(files, steps)
+    total = files.operations
+    assert total > 150
+    for fail_at in range(total):
+        files = memory_files.MemoryFiles(random.Random(fail_at))
+        files.fail_at, files.fail_torn = fail_at, torn
+        models = await run_steps(files, steps)
+        files.crash()
+        content = await load_content(files)
+        assert content in [each.get_content() for each in models], fail_at
+        # A second crash during recovery must not lose anything either.
+        assert await load_content(files) == content
+
+
+@pytest.mark.parametrize("torn", [False, True])
+async def test_crash_during_recovery(torn):
+    """Guards against recovery that loses data when it is interrupted."""
+    steps = make_steps()
+    for first in range(20, 150, 7):
+        for second in range(8):
+            files = memory_files.MemoryFiles(random.Random(first))
+            files.fail_at, files.fail_torn = first, True
+            models = await run_steps(files, steps)
+            files.crash()
+            files.fail_at, files.fail_torn = files.operations + second, torn
+            try:
+                await load_content(files)
+            except interfaces.StorageError:
+                pass
+            files.crash()
+            content = await load_content(files)
+            assert content in [each.get_content() for each in models]
+
+
+async def test_no_work_after_failure():
+    """Guards against a sync that is tried again after it failed."""
+    files = memory_files.MemoryFiles(random.Random(1))
+    storage = open_storage(files)
+    await storage.load()
+    files.fail_at = files.operations + 1
+    for _ in range(2):
+        with pytest.raises(interfaces.StorageError):
+            await storage.write(None, [make_entry(1, 1)])
+    assert files.operations == files.fail_at + 1
+
+
+async def test_full_disk():
+    """Guards against an acknowledgement without space."""
+    files = memory_files.MemoryFiles(random.Random(1))
+    files.space_bytes = 3 * SEGMENT_BYTES
+    models = await run_steps(files, make_steps())
+    assert len(models) == 2
+    files.crash()
+    assert await load_content(files) in [each.get_content() for each in models]
+
+
+@pytest.mark.parametrize(
+    "identity",
+    [
+        IDENTITY._replace(instance="b"),
+        IDENTITY._replace(group="h"),
+        IDENTITY._replace(incarnation=2),
+    ],
+)
+async def test_folder_of_another_member(identity):
+    """Guards against a member that votes with another member's state."""
+    files = memory_files.MemoryFiles(random.Random(1))
+    await run_steps(files, make_steps())
+    with pytest.raises(interfaces.StorageError, match="folder of"):
+        await open_storage(files, identity).load()
+
+
+async def test_torn_tail_does_not_return():
+    """Guards against bytes of a cut record that look valid later."""
+    files = memory_files.MemoryFiles(random.Random(1))
+    storage = open_storage(files)
+    await storage.load()
+    await storage.write(None, [make_entry(1, 1)])
+    path = FOLDER / "log-000000000001"
+    before = files.get_data(path)
+    await storage.write(None, [make_entry(2, 1)])
+    after = files.get_data(path)
+    changed = [at for at in range(len(after)) if before[at] != after[at]]
+    # The first byte of the record is lost, and so is its marker.
+    torn = bytearray(after)
+    torn[changed[0]] = 0
+    torn[changed[-1] - 30 :] = bytes(len(torn) - changed[-1] + 30)
+    files.set_data(path, bytes(torn))
+    storage = open_storage(files)
+    stored = await storage.load()
+    assert list(stored.entries) == [make_entry(1, 1)]
+    await storage.write(None, [make_entry(2, 2, 10)])
+    stored = await open_storage(files).load()
+    assert list(stored.entries) == [make_entry(1, 1), make_entry(2, 2, 10)]
+
+
+def list_prefixes(steps):
+    """Returns the contents after each step."""
+    model = Model()
+    contents = []
+    for step in steps:
+        model.take(step)
+        contents.append(model.get_content())
+    return contents
+
+
+@hypothesis.settings(max_examples=600)
+@hypothesis.given(
+    stop=strategies.integers(4, len(make_steps())),
+    file=strategies.integers(0, 100),
+    place=strategies.floats(0, 1, exclude_max=True),
+    change=strategies.integers(0, 255),
+)
+async def test_damaged_files(stop, file, place, change):
+    """Guards against damage that silently loses what was synced.
+
+    Change 0 cuts the file at the place; others flip bits of a byte.
+    """
+    files = memory_files.MemoryFiles(random.Random(1))
+    [model] = await run_steps(files, make_steps()[:stop])
+    paths = files.list_paths()
+    path = paths[file % len(paths)]
+    data = bytearray(files.get_data(path))
+    at = int(place * len(data))
+    if change:
+        data[at] ^= change
+    else:
+        del data[at:]
+    files.set_data(path, bytes(data))
+    try:
+        content = await load_content(files)
+    except interfaces.StorageError as error:
+        name = path.name
+        assert name in str(error) or "folder of" in str(error)
+        assert "offset" in str(error) or "missing" in str(error)
+        return
+    assert content == model.get_content()
