Treat a registration as the statement that a zone has no leader

A nested document took 10 s to parse. Change: every registration counts; documents are bounded in depth and size; a refounded zone keeps shards that rebalancing would leave to it. Tested: packages/daemon/tests/control, packages/common/tests/test_contract.py.

--- a/packages/common/src/bamboosill_common/contract.py
+++ b/packages/common/src/bamboosill_common/contract.py
@@ -21,7 +21,7 @@
 from bamboosill_common import sharding
 from bamboosill_common import yamldoc
 
-MAX_DOCUMENT_BYTES = 256 * 1024
+MAX_DOCUMENT_BYTES = 64 * 1024
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 _SCHEMA_PATH = pathlib.Path(__file__).parent / "schema" / "contract.json"
 
--- a/packages/common/src/bamboosill_common/schema/control.capnp
+++ b/packages/common/src/bamboosill_common/schema/control.capnp
@@ -148,10 +148,9 @@
 # Messages.
 
 struct RegisterInstance {
-  # Sent by each instance to the control leader after its start.
-  # leaderless is set by an instance that has no zone leader at this time.
+  # Sent by each instance to the control leader after its start, and again
+  # only while it has no zone leader.
   item @0 :InstanceItem;
-  leaderless @1 :Bool;
 }
 
 struct RegisterReply {
--- a/packages/common/src/bamboosill_common/yamldoc.py
+++ b/packages/common/src/bamboosill_common/yamldoc.py
@@ -46,6 +46,8 @@
 def load(text: str, source: str) -> Document:
     """Returns a YAML document; faults of its syntax are its findings."""
     reader = _Reader(source)
+    if _measure_depth(text) > _MAX_DEPTH:
+        return reader.fail(1, "is nested too deeply")
     try:
         node = ruamel.yaml.YAML(typ="rt", pure=True).compose(text)
         value = reader.read(node, ()) if node is not None else None
@@ -63,6 +65,18 @@
     return Document(source, value, reader.lines, tuple(reader.found))
 
 
+def _measure_depth(text: str) -> int:
+    """Returns the depth of brackets; the parser's time is its square."""
+    depth = deepest = 0
+    for mark in text:
+        if mark in "[{":
+            depth += 1
+            deepest = max(deepest, depth)
+        elif mark in "]}":
+            depth -= 1
+    return deepest
+
+
 class _Reader:
     """Converts nodes to plain values."""
 
--- a/packages/daemon/src/bamboosilld/control/delegation.py
+++ b/packages/daemon/src/bamboosilld/control/delegation.py
@@ -73,7 +73,7 @@
     """Returns whether each zone is near its quota."""
     held = count_held(shards, view.takeable)
     return all(
-        held.get(zone, 0) <= max(quota * REBALANCE_RATIO, quota + 1)
+        held.get(zone, 0) <= _get_most(quota)
         for zone, quota in compute_quotas(len(shards), view.slots).items()
     )
 
@@ -97,7 +97,7 @@
     budget = view.release_budget if rebalance else 0
     for zone, quota in sorted(quotas.items()):
         excess = min(held.get(zone, 0) - quota, budget)
-        if held.get(zone, 0) > max(quota * REBALANCE_RATIO, quota + 1):
+        if held.get(zone, 0) > _get_most(quota):
             _release(planned, zone, excess)
             budget -= excess
     return planned
@@ -128,6 +128,11 @@
     return shards
 
 
+def _get_most(quota: int) -> float:
+    """Returns the most shards that a zone may keep over its quota."""
+    return max(quota * REBALANCE_RATIO, quota + 1) if quota else 0
+
+
 def _delegate(
     planned: list[Shard],
     view: View,
@@ -138,8 +143,11 @@
     left = []
     for index in sorted(view.takeable):
         shard = planned[index]
-        quota = quotas.get(shard.zone, 0)
-        if not shard.releasing and held.get(shard.zone, 0) < quota:
+        # Left over quota as far as rebalancing would leave it.
+        fits = shard.zone in quotas and held.get(shard.zone, 0) < _get_most(
+            quotas[shard.zone]
+        )
+        if fits and not shard.releasing:
             _give(planned, index, shard.zone, view, held)
         else:
             left.append(index)
--- a/packages/daemon/src/bamboosilld/control/founder.py
+++ b/packages/daemon/src/bamboosilld/control/founder.py
@@ -133,7 +133,7 @@
             if each.instance in self._leaderless
             and self._leaderless[each.instance].incarnation == each.incarnation
             # A member of the given-up group keeps its state of that group.
-            and members.get(each.instance) != each.incarnation
+            and members.get(each.instance, 0) < each.incarnation
             and not (zone.lost and each.revision < zone.revision)
         ]
 
--- a/packages/daemon/src/bamboosilld/control/service.py
+++ b/packages/daemon/src/bamboosilld/control/service.py
@@ -223,7 +223,6 @@
         if problem:
             return self._refuse_instance(item, problem)
         known = self.state.tables.instances.get(item.instance)
-        fresh = known is None or known.incarnation < item.incarnation
         if known is None or item != known._replace(revision=0):
             command = messages.PutInstance(item=item)
             match await self._propose(command):
@@ -239,8 +238,8 @@
             )
         if not item.removed and item.zone not in self.state.tables.zones:
             await self._propose_own(founder_lib.make_founding(item, 1))
-        if fresh or message.leaderless:
-            self._founder.observe_leaderless(item)
+        # An instance registers only while it has no zone leader.
+        self._founder.observe_leaderless(item)
         return self._make_register_reply(item)
 
     def _find_identity_problem(self, item: messages.InstanceItem) -> str:
