--- a/packages/daemon/src/bamboosilld/entry/inbound.py
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -22,6 +22,7 @@
 _MAX_KEY_BYTES = 512
 _MAX_DEADLINE_DIGITS = 9
 _BEARER = "bearer "
+_PREFIX = headers.PREFIX.encode()
 # Verified tokens are kept this long, so that a caller's requests do not each
 # cost a signature check. Expired or withdrawn tokens work that much longer.
 _TOKEN_CACHE_S = 1.0
@@ -137,6 +138,9 @@
     ) -> Result[Inbound, answers.Refused]:
         """Returns the request, or why it is refused."""
         started = self._clock.monotonic()
+        refused = _check_repeats(request)
+        if refused is not None:
+            return Failure(refused)
         caller = self._identify(request)
         if isinstance(caller, Failure):
             return caller
@@ -308,6 +312,19 @@
         return Success(b"".join(chunks))
 
 
+def _check_repeats(request: web.BaseRequest) -> answers.Refused | None:
+    # Which of two values counts would depend on who reads them.
+    seen = set()
+    for name, _ in request.raw_headers:
+        lower = name.lower()
+        if lower.startswith(_PREFIX):
+            if lower in seen:
+                detail = f"the header {lower.decode()!r} occurs twice"
+                return answers.refuse(400, "repeated-header", detail)
+            seen.add(lower)
+    return None
+
+
 def _check_head_size(
     request: web.BaseRequest, limit: int
 ) -> answers.Refused | None:
--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -47,6 +47,9 @@
     ("silent", 504, "unknown", "deadline"),
     ("shed", 503, "not-run", "shed"),
     ("stale", 503, "not-run", "stale-fence"),
+    # Refusals of the service itself, after it ran the request.
+    ("status:503", 503, "answer", "ok"),
+    ("status:409", 409, "answer", "ok"),
     ("duplicated", 200, "answer", "ok"),
     ("duplicated-part", 200, "answer", "ok"),
     ("duplicated-late:30", 200, "answer", "ok"),
--- /dev/null
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -0,0 +1,217 @@
+"""Tests of bad input of callers."""
+
+import asyncio
+import json
+import random
+
+from bamboosill_common import auth
+from bamboosill_common import requestid
+from bamboosilld.entry import inbound
+import pytest
+
+GOOD_ID = requestid.make_request_id(1_700_000_000_000, random.Random(1))
+HEAD = (
+    b"GET /shopfront/items HTTP/1.1\r\nHost: x\r\n"
+    b"Bamboosill-Customer: acme\r\nBamboosill-Key: k\r\n"
+)
+
+# What is sent, and what must be answered; none of it may reach an upstream.
+BAD_REQUESTS = [
+    ({"path": "/"}, 404, "unknown-service"),
+    ({"path": "/nosuch/items"}, 404, "unknown-service"),
+    ({"headers": {"Bamboosill-Customer": ""}}, 400, "missing-customer"),
+    ({"headers": {"Bamboosill-Customer": "bolt"}}, 404, "unknown-customer"),
+    ({"headers": {"Bamboosill-Key": ""}}, 400, "missing-key"),
+    ({"headers": {"Bamboosill-Key": "k" * 513}}, 400, "bad-key"),
+    ({"headers": {"Bamboosill-Deadline-Ms": "0"}}, 400, "bad-deadline"),
+    ({"headers": {"Bamboosill-Deadline-Ms": "-5"}}, 400, "bad-deadline"),
+    ({"headers": {"Bamboosill-Deadline-Ms": "1e3"}}, 400, "bad-deadline"),
+    ({"headers": {"Bamboosill-Deadline-Ms": "9" * 30}}, 400, "bad-deadline"),
+    ({"headers": {"Bamboosill-Request-Id": "7"}}, 400, "bad-request-id"),
+    (
+        {
+            "headers": {
+                "Bamboosill-Request-Id": "00000000-0000-4000-8000-000000000000"
+            }
+        },
+        400,
+        "bad-request-id",
+    ),
+    (
+        {"method": "POST", "path": "/shopfront/orders"},
+        400,
+        "missing-request-id",
+    ),
+    ({"headers": {"X-Large": "a" * 2000}}, 431, "head-too-large"),
+    (
+        {"method": "POST", "path": "/shopfront/notes", "data": b"a" * 5001},
+        413,
+        "body-too-large",
+    ),
+    ({"headers": {"Bamboosill-Forwarded": "x"}}, 400, "bad-forward"),
+    ({"headers": {"Bamboosill-Forwarded": "3"}}, 503, "hop-limit"),
+]
+
+BAD_BYTES = [
+    (b"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400),
+    (b"GET /shopfront/items\r\n\r\n", 400),
+    (b"GET  HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    (HEAD + b"Content-Length: -1\r\n\r\n", 400),
+    (HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    (
+        HEAD + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        400,
+    ),
+    (HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    (HEAD + b"X: " + b"a" * 100_000 + b"\r\n\r\n", 431),
+    (HEAD + b"Bamboosill-Key: other\r\n\r\n", 400),
+    (
+        HEAD.replace(b"Key: k", b"Key: \xff\xfe") + b"\r\n",
+        400,
+    ),
+    (HEAD.replace(b"/shopfront", b"http://y/shopfront") + b"\r\n", 400),
+]
+
+# Different spellings of a path that the contract marks as not repeatable.
+SPELLINGS = [
+    "/shopfront//orders",
+    "/shopfront/./orders",
+    "/shopfront/x/../orders",
+    "/shopfront/x/%2e%2e/orders",
+    "/shopfront%2Forders",
+    "/shopfront/%5corders",
+    "/shopfront/%ff",
+    "/shopfront/%00",
+    "shopfront/orders",
+]
+
+
+@pytest.mark.parametrize(("request_", "status", "reason"), BAD_REQUESTS)
+async def test_bad_requests_are_refused(bench, request_, status, reason):
+    """Guards against bad input that is dispatched or not explained."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    answer = await bench.send(**request_)
+    assert answer[0] == status
+    document = json.loads(answer[2])
+    assert answer[1]["Bamboosill-Outcome"] == document["outcome"] == "not-run"
+    assert answer[1]["Bamboosill-Reason"] == document["reason"] == reason
+    assert document["detail"]
+    assert upstream.recorder.lines == []
+
+
+@pytest.mark.parametrize(("data", "status"), BAD_BYTES)
+async def test_malformed_bytes_are_refused(bench, data, status):
+    """Guards against malformed HTTP that is dispatched or not labelled."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    host, port = bench.entry.caller_address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(data)
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.split()[1] == str(status).encode()
+    assert b"Bamboosill-Outcome: not-run" in head
+    assert upstream.recorder.lines == []
+    writer.close()
+
+
+@pytest.mark.parametrize("raw", SPELLINGS)
+def test_other_spellings_of_a_path_are_refused(raw):
+    """Guards against an order that is taken for a repeatable operation."""
+    assert inbound.parse_target(raw).failure().status == 400
+
+
+async def test_slow_body_is_refused_at_the_deadline(bench):
+    """Guards against a request held for ever by a caller that went silent."""
+    await bench.start()
+    await bench.start_upstream()
+    host, port = bench.entry.caller_address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        HEAD + b"Bamboosill-Deadline-Ms: 50\r\nContent-Length: 9\r\n\r\nabc"
+    )
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 504")
+    assert b"Bamboosill-Outcome: not-run" in head
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("role", "subject", "customer", "extra", "status", "reason"),
+    [
+        ("caller", "acme", "", {}, 200, "ok"),
+        ("caller", "acme", "acme", {}, 200, "ok"),
+        ("caller", "acme", "bolt", {}, 403, "other-customer"),
+        ("upstream", "acme", "acme", {}, 401, "bad-token"),
+        ("", "", "acme", {}, 401, "no-token"),
+        (
+            "caller",
+            "acme",
+            "acme",
+            {"Bamboosill-Forwarded": "1"},
+            401,
+            "bad-token",
+        ),
+        (
+            "instance",
+            "e2",
+            "acme",
+            {"Bamboosill-Forwarded": "1"},
+            200,
+            "ok",
+        ),
+        ("instance", "e2", "acme", {}, 401, "bad-token"),
+    ],
+)
+async def test_identity_is_checked(
+    bench, tmp_path, role, subject, customer, extra, status, reason
+):
+    """Guards against callers that act for another customer."""
+    path = tmp_path / "keys.json"
+    keys = [
+        {
+            "id": "k",
+            "secret": "s" * 40,
+            "roles": ["caller", "instance", "upstream"],
+        }
+    ]
+    path.write_text(json.dumps({"keys": keys}))
+    authenticator = auth.Authenticator(str(path), bench.clock)
+    await bench.start(authenticator)
+    await bench.start_upstream()
+    fields = {"Bamboosill-Customer": customer, **extra}
+    if role:
+        token = authenticator.sign(role, subject)
+        fields["Authorization"] = f"Bearer {token}"
+    answer = await bench.send(headers=fields)
+    assert (answer[0], answer[1]["Bamboosill-Reason"]) == (status, reason)
+
+
+async def test_upstream_gets_the_remaining_deadline_and_no_token(bench):
+    """Guards against deadlines, tokens and hop headers passed on wrongly."""
+    await bench.start()
+    await bench.start_upstream()
+    seen = {}
+    handle = bench.upstream.service.handle
+
+    async def note(request):
+        seen.update(request.headers)
+        return await handle(request)
+
+    bench.upstream.service.handle = note
+    answer = await bench.send(
+        headers={
+            "Bamboosill-Deadline-Ms": "999999",
+            "Bamboosill-Fence": "77",
+            "Authorization": "Bearer secret",
+            "Connection": "keep-alive, X-Hop",
+            "X-Hop": "1",
+            "X-Kept": "1",
+        }
+    )
+    assert answer[0] == 200
+    assert 2000 < int(seen["Bamboosill-Deadline-Ms"]) <= 3000
+    assert seen["Bamboosill-Fence"] == "5"
+    assert seen["X-Kept"] == "1"
+    assert "X-Hop" not in seen
+    assert "Authorization" not in seen
--- /dev/null
+++ b/packages/daemon/tests/entry/test_upstreams.py
@@ -0,0 +1,225 @@
+"""Tests of announcements and heartbeats of upstreams."""
+
+import json
+
+from bamboosill_common import auth
+from bamboosill_common import errors
+from bamboosill_common.generated import zone as zone_messages
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+ANNOUNCE = {
+    "id": "u1",
+    "incarnation": 7,
+    "service": "shopfront",
+    "zone": "z1",
+    "address": "127.0.0.1:9000",
+    "slots": 6,
+    "connections": 110,
+    "checks_fences": True,
+    "accepts_cancellation": True,
+    "accepts_deadlines": False,
+    "state": "cold",
+}
+BEAT = {
+    "id": "u1",
+    "incarnation": 7,
+    "state": "warm",
+    "in_flight": 1,
+    "queue": 0,
+    "latency_ms": 1.5,
+    "grants_version": 0,
+}
+
+
+async def post(bench, path, document, **changes):
+    async with bench.session.post(
+        f"http://{bench.entry.upstream_address}{path}",
+        data=document
+        if isinstance(document, bytes)
+        else json.dumps(document).encode(),
+        **changes,
+    ) as response:
+        return response.status, await response.json()
+
+
+async def test_announcement_reaches_the_authority(bench):
+    """Guards against fields that are lost or mixed up."""
+    await bench.start()
+    status, reply = await post(bench, "/v1/announce", ANNOUNCE)
+    assert (status, reply) == (200, {"code": "ok"})
+    assert bench.member.announced == [zone_messages.Upstream(**ANNOUNCE)]
+
+
+async def test_heartbeat_carries_the_authoritys_grants(bench):
+    """Guards against grants that an entry instance makes up."""
+    await bench.start()
+    grants = (
+        zone_messages.Grant("shopfront/lapse/all", 3, 9),
+        zone_messages.Grant("shopfront/hold/all", 4, 8, "acme\x1fk"),
+    )
+    bench.member.beat_result = Success(
+        zone_messages.UpstreamBeatReply("ok", 1500, 77, False, grants, "", 900)
+    )
+    status, reply = await post(bench, "/v1/heartbeat", BEAT)
+    assert status == 200
+    assert reply["lease_ms"] == 1500
+    assert reply["lapse_lease_ms"] == 900
+    assert reply["grants"] == [
+        {
+            "keyspace": "shopfront/lapse/all",
+            "shard": 3,
+            "fence": 9,
+            "lapse": True,
+        },
+        {
+            "keyspace": "shopfront/hold/all",
+            "shard": 4,
+            "fence": 8,
+            "lapse": False,
+            "key": "acme\x1fk",
+        },
+    ]
+    assert bench.member.beats == [zone_messages.UpstreamBeat(**BEAT)]
+
+
+def without(document, name):
+    return {key: value for key, value in document.items() if key != name}
+
+
+MALFORMED = [
+    ("/v1/announce", b"{"),
+    ("/v1/announce", b"\xff"),
+    ("/v1/announce", b"[]"),
+    ("/v1/announce", b"[" * 10_000),
+    ("/v1/announce", b'{"id": "a", "id": "b"}'),
+    *(("/v1/announce", without(ANNOUNCE, name)) for name in ANNOUNCE),
+    *(("/v1/heartbeat", without(BEAT, name)) for name in BEAT),
+    *(
+        ("/v1/announce", {**ANNOUNCE, name: value})
+        for name, value in [
+            ("id", ""),
+            ("id", "a" * 129),
+            ("id", "a\nb"),
+            ("id", 5),
+            ("incarnation", 0),
+            ("incarnation", -1),
+            ("incarnation", 2**64),
+            ("incarnation", 1.5),
+            ("incarnation", True),
+            ("incarnation", "7"),
+            ("slots", 0),
+            ("connections", 0),
+            ("checks_fences", 1),
+            ("state", "hot"),
+            ("address", "example.org:80"),
+            ("address", "127.0.0.1"),
+            ("address", "127.0.0.1:0"),
+            ("address", "0.0.0.0:80"),
+            ("address", "127.0.0.1:99999"),
+        ]
+    ),
+    *(
+        ("/v1/heartbeat", {**BEAT, name: value})
+        for name, value in [
+            ("state", "gone"),
+            ("in_flight", -1),
+            ("in_flight", 1.5),
+            ("latency_ms", -1),
+            ("latency_ms", "1"),
+            ("grants_version", 2**64),
+        ]
+    ),
+    ("/v1/heartbeat", json.dumps(BEAT).replace("1.5", "NaN").encode()),
+]
+
+
+@pytest.mark.parametrize(("path", "document"), MALFORMED)
+async def test_malformed_documents_are_refused(bench, path, document):
+    """Guards against bad fields that reach the zone group."""
+    await bench.start()
+    status, reply = await post(bench, path, document)
+    assert (status, reply["code"]) == (400, "malformed")
+    assert reply["details"]
+    assert bench.member.announced == bench.member.beats == []
+
+
+@pytest.mark.parametrize(
+    ("path", "document", "changes", "status", "code"),
+    [
+        ("/v1/other", ANNOUNCE, {}, 404, "unknown_path"),
+        ("/v1/announce", b"a" * 20_000, {}, 413, "too_large"),
+        (
+            "/v1/announce",
+            {**ANNOUNCE, "zone": "z2"},
+            {},
+            400,
+            "wrong_zone",
+        ),
+    ],
+)
+async def test_other_refusals(bench, path, document, changes, status, code):
+    """Guards against requests that are answered without a reason."""
+    await bench.start()
+    got, reply = await post(bench, path, document, **changes)
+    assert (got, reply["code"]) == (status, code)
+
+
+@pytest.mark.parametrize(
+    ("code", "status"),
+    [
+        ("announce", 409),
+        ("unknown_incarnation", 409),
+        ("old_incarnation", 409),
+        ("not_leader", 503),
+        ("anything", 503),
+    ],
+)
+async def test_codes_of_the_authority(bench, code, status):
+    """Guards against an upstream that goes on with an ended incarnation."""
+    await bench.start()
+    bench.member.beat_result = Success(
+        zone_messages.UpstreamBeatReply(code=code)
+    )
+    got, reply = await post(bench, "/v1/heartbeat", BEAT)
+    assert (got, reply["code"]) == (status, code)
+
+
+async def test_authority_that_cannot_be_reached(bench):
+    """Guards against grants or losses made up without the authority."""
+    await bench.start()
+    bench.member.beat_result = Failure(
+        errors.PeerError("timeout", "no reply", True)
+    )
+    bench.member.announce_result = Failure(
+        errors.ProposeError("timeout", "no reply", True)
+    )
+    for path, document in (("/v1/announce", ANNOUNCE), ("/v1/heartbeat", BEAT)):
+        status, reply = await post(bench, path, document)
+        assert (status, reply["code"]) == (503, "authority_unreachable")
+
+
+@pytest.mark.parametrize(
+    ("role", "subject", "status"),
+    [
+        ("upstream", "u1", 200),
+        ("upstream", "u2", 403),
+        ("caller", "u1", 401),
+        ("", "", 401),
+    ],
+)
+async def test_identity_of_upstreams(bench, tmp_path, role, subject, status):
+    """Guards against an upstream that speaks for another one."""
+    path = tmp_path / "keys.json"
+    keys = [{"id": "k", "secret": "s" * 40, "roles": ["caller", "upstream"]}]
+    path.write_text(json.dumps({"keys": keys}))
+    authenticator = auth.Authenticator(str(path), bench.clock)
+    await bench.start(authenticator)
+    fields = {}
+    if role:
+        token = authenticator.sign(role, subject)
+        fields["Authorization"] = f"Bearer {token}"
+    for name, document in (("announce", ANNOUNCE), ("heartbeat", BEAT)):
+        got, _ = await post(bench, f"/v1/{name}", document, headers=fields)
+        assert got == status
--- a/packages/dev/src/bamboosill_dev/upstream/faults.py
+++ b/packages/dev/src/bamboosill_dev/upstream/faults.py
@@ -103,6 +103,13 @@
     if name == "late":
         await asyncio.sleep(int(number or _LATE_MS) / 1000)
         return None
+    if name == "status":
+        echoed = request.headers.get("Bamboosill-Request-Id", "")
+        return web.json_response(
+            document,
+            status=int(number),
+            headers={"Bamboosill-Request-Id": echoed},
+        )
     if name == "mute":
         # The request ran, and nothing is ever sent.
         await asyncio.sleep(3600)
