Delegate shards for the first time without an id floor; store control on disk

Cause: in the thin path every order of the first 3 s after a contract was accepted got 'unknown' (id-below-floor), although no request of a shard that was never delegated can have run before. Change: the floor is set from the second delegation of a shard on. Control instances use the durable storage.

--- a/packages/daemon/src/bamboosilld/control/delegation.py
+++ b/packages/daemon/src/bamboosilld/control/delegation.py
@@ -166,11 +166,13 @@
     held: dict[str, int],
 ) -> None:
     shard = planned[index]
+    # No request of a shard that was never delegated can have run before.
+    floor_ms = view.id_floor_ms if shard.epoch else 0
     planned[index] = Shard(
         zone,
         shard.epoch + 1,
         view.group_epochs[zone],
-        max(shard.id_floor_ms, view.id_floor_ms),
+        max(shard.id_floor_ms, floor_ms),
     )
     held[zone] = held.get(zone, 0) + 1
 
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -1,6 +1,7 @@
 """Assembles one instance from its settings and runs it."""
 
 import asyncio
+import pathlib
 import random
 import secrets
 import time
@@ -29,7 +30,7 @@
 from bamboosilld.control import state as control_state
 from bamboosilld.entry import server as entry_server
 from bamboosilld.placement import policy
-from bamboosilld.storage import memory
+from bamboosilld.storage import disk
 from bamboosilld.zone import member as member_lib
 from bamboosilld.zone import upstream_client
 
@@ -57,7 +58,12 @@
             node_lib.GroupConfig(
                 CONTROL_GROUP, own, consensus_messages.Membership(members)
             ),
-            memory.MemoryStorage(),
+            disk.DiskStorage(
+                pathlib.Path(settings.data_dir),
+                consensus_messages.StorageIdentity(
+                    CONTROL_GROUP, settings.instance_id
+                ),
+            ),
             groups_lib.PeerTransport(shared.directory),
             self.state,
             shared.clock,
--- a/packages/daemon/src/bamboosilld/storage/disk.py
+++ b/packages/daemon/src/bamboosilld/storage/disk.py
@@ -15,7 +15,6 @@
 
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.consensus import interfaces
 from bamboosilld.storage import files as files_lib
 from bamboosilld.storage import frames
--- a/packages/daemon/src/bamboosilld/storage/recovery.py
+++ b/packages/daemon/src/bamboosilld/storage/recovery.py
@@ -6,7 +6,6 @@
 
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.consensus import interfaces
 from bamboosilld.storage import files as files_lib
 from bamboosilld.storage import frames
--- a/packages/daemon/src/bamboosilld/storage/segments.py
+++ b/packages/daemon/src/bamboosilld/storage/segments.py
@@ -13,7 +13,6 @@
 
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as messages
-
 from bamboosilld.storage import frames
 
 _NAME = re.compile(r"log-(\d{12})")
--- a/packages/daemon/src/bamboosilld/storage/snapshots.py
+++ b/packages/daemon/src/bamboosilld/storage/snapshots.py
@@ -2,10 +2,10 @@
 
 import re
 
-from bamboosill_common import wire
-from bamboosill_common.generated import consensus as messages
 import xxhash
 
+from bamboosill_common import wire
+from bamboosill_common.generated import consensus as messages
 from bamboosilld.consensus import interfaces
 from bamboosilld.storage import frames
 
--- a/packages/daemon/tests/consensus/test_groups.py
+++ b/packages/daemon/tests/consensus/test_groups.py
@@ -1,5 +1,4 @@
 """Tests of groups over real peer connections."""
-# ruff: noqa: D101, D102
 
 import random
 
--- a/packages/daemon/tests/entry/test_inbound.py
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -4,10 +4,11 @@
 import json
 import random
 
+import pytest
+
 from bamboosill_common import auth
 from bamboosill_common import requestid
 from bamboosilld.entry import inbound
-import pytest
 
 GOOD_ID = requestid.make_request_id(1_700_000_000_000, random.Random(1))
 HEAD = (
--- a/packages/daemon/tests/entry/test_records.py
+++ b/packages/daemon/tests/entry/test_records.py
@@ -3,9 +3,10 @@
 import asyncio
 import random
 
+import pytest
+
 from bamboosill_common import requestid
 from bamboosill_common.generated import zone as zone_messages
-import pytest
 
 
 def make_id(number=1):
--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -3,12 +3,13 @@
 import asyncio
 import json
 
+import pytest
+from returns.result import Failure
+
 from bamboosilld.admission import refusal
 from bamboosilld.entry import faults
 from bamboosilld.entry import passthrough
 from bamboosilld.entry import retry
-import pytest
-from returns.result import Failure
 
 
 def summarize(answer):
--- a/packages/daemon/tests/entry/test_upstreams.py
+++ b/packages/daemon/tests/entry/test_upstreams.py
@@ -2,13 +2,14 @@
 
 import json
 
-from bamboosill_common import auth
-from bamboosill_common import errors
-from bamboosill_common.generated import zone as zone_messages
 import pytest
 from returns.result import Failure
 from returns.result import Success
 
+from bamboosill_common import auth
+from bamboosill_common import errors
+from bamboosill_common.generated import zone as zone_messages
+
 ANNOUNCE = {
     "id": "u1",
     "incarnation": 7,
--- a/packages/daemon/tests/storage/test_disk.py
+++ b/packages/daemon/tests/storage/test_disk.py
@@ -1,16 +1,16 @@
 """Tests of the durable storage."""
-# ruff: noqa: D102
 
 import pathlib
 import random
 
+import hypothesis
+from hypothesis import strategies
+import pytest
+
 from bamboosill_common.generated import consensus as messages
 from bamboosill_dev import memory_files
 from bamboosilld.consensus import interfaces
 from bamboosilld.storage import disk
-import hypothesis
-from hypothesis import strategies
-import pytest
 
 FOLDER = pathlib.Path("/data")
 IDENTITY = messages.StorageIdentity("g", "a", 1)
