--- a/packages/dev/src/bamboosill_dev/demo.py
+++ b/packages/dev/src/bamboosill_dev/demo.py
@@ -28,7 +28,7 @@
 ZONES = ("mu-north", "mu-south", "mu-east")
 SERVICES = ("shopfront", "gallery")
 CUSTOMERS = ("grand-bois", "salon-norte")
-EXAMPLES = pathlib.Path(__file__).parents[5] / "examples"
+EXAMPLES = pathlib.Path(__file__).parents[4] / "examples"
 UPSTREAMS_PER_ZONE = 2
 READY_TIMEOUT_S = 20.0
 ROUTED_TIMEOUT_S = 15.0
@@ -195,7 +195,9 @@
         )
         records = self._read_records()
         served = collections.Counter(
-            record["upstream"] for record in records if record["end"] == "done"
+            record["upstream"]
+            for record in records
+            if record["outcome"] == "done"
         )
         print("\nRequests that each upstream ran:")
         print(tabulate.tabulate(sorted(served.items()), ("upstream", "ran")))
