--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -195,6 +195,8 @@
         self.session = await self._stack.enter_async_context(
             aiohttp.ClientSession()
         )
+        # Requests that aiohttp repeats by itself would hide faults.
+        self.session._retry_connection = False
 
     async def start_entry(self, member, authenticator=None, **parts):
         entry = server.EntryServer(
--- a/packages/dev/src/bamboosill_dev/caller.py
+++ b/packages/dev/src/bamboosill_dev/caller.py
@@ -138,7 +138,12 @@
 
     async def _exchange(self, request: Request, request_id: str) -> Told:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0)
+            )
+            # A request that aiohttp repeats by itself would be missing in the
+            # record. There is no public setting for it.
+            self._session._retry_connection = False
         fields = {
             "Bamboosill-Customer": request.customer,
             "Bamboosill-Key": request.key,
