--- a/packages/daemon/src/bamboosilld/entry/upstreams.py
+++ b/packages/daemon/src/bamboosilld/entry/upstreams.py
@@ -62,12 +62,11 @@
 # be reached or does not know.
 _REFUSAL_STATUSES = {
     "duplicate_identity": 409,
-    "duplicate": 409,
     "unknown_incarnation": 409,
-    "unknown_upstream": 409,
     "announce": 409,
+    "stale": 409,
+    "lost": 409,
     "old_incarnation": 409,
-    "stale_incarnation": 409,
     "wrong_zone": 400,
     "invalid": 400,
 }
