Bound writes to callers by the deadline; silence is no upstream failure

Cause: a caller that stopped reading a long answer held its upstream slot for ever; a silent connection counted against the upstream's breaker. Change: streaming ends at the deadline; silent exchanges are neutral; the service name of the upstream protocol is reserved.

--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -282,6 +282,9 @@
         return queues_lib.CANCELLED
     if ended.code == "shed":
         return queues_lib.SHED
+    if ended.code == "silent":
+        # The connection may be at fault; the upstream's heartbeats tell.
+        return queues_lib.CANCELLED
     if ended.may_have_run or ended.code in ("refused", "connect"):
         return queues_lib.FAILURE
     return queues_lib.CANCELLED
--- a/packages/daemon/src/bamboosilld/entry/inbound.py
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -22,6 +22,8 @@
 _MAX_KEY_BYTES = 512
 _MAX_DEADLINE_DIGITS = 9
 _BEARER = "bearer "
+# Paths of the protocol between entry instances and upstreams.
+_RESERVED = frozenset({"bamboosill"})
 _PREFIX = headers.PREFIX.encode()
 # Verified tokens are kept this long, so that a caller's requests do not each
 # cost a signature check. Expired or withdrawn tokens work that much longer.
@@ -112,6 +114,8 @@
         for part in parts
     ):
         return _refuse(400, "bad-path", "the path is not in canonical form")
+    if parts[0] in _RESERVED:
+        return _refuse(404, "unknown-service", "this name is reserved")
     if not parts[0]:
         return _refuse(404, "unknown-service", "the path names no service")
     return Success(_Target(parts[0], "/" + "/".join(raw_parts[1:])))
--- a/packages/daemon/src/bamboosilld/entry/listener.py
+++ b/packages/daemon/src/bamboosilld/entry/listener.py
@@ -95,8 +95,8 @@
         if self._server is not None:
             self._server.close()
 
-    async def close(self) -> None:
-        """Closes all connections at once."""
+    async def close(self, flush_s: float) -> None:
+        """Closes all connections, after `flush_s` even amid an answer."""
         self.stop_accepting()
         if self._web is not None:
-            await self._web.shutdown(0.1)
+            await self._web.shutdown(flush_s)
--- a/packages/daemon/src/bamboosilld/entry/responder.py
+++ b/packages/daemon/src/bamboosilld/entry/responder.py
@@ -1,5 +1,7 @@
 """Writes an answer to a caller."""
 
+import asyncio
+
 from aiohttp import web
 
 from bamboosilld.entry import answers
@@ -19,9 +21,12 @@
         response: The response to send, or the one that was streamed.
     """
 
-    def __init__(self, request: web.BaseRequest, request_id: str) -> None:
+    def __init__(
+        self, request: web.BaseRequest, request_id: str, deadline_s: float
+    ) -> None:
         self._request = request
         self._request_id = request_id
+        self._until = asyncio.get_running_loop().time() + deadline_s
         self.response: web.StreamResponse | None = None
 
     def refuse(self, refused: answers.Refused) -> None:
@@ -88,14 +93,17 @@
             response.content_length = answer.length
         else:
             response.enable_chunked_encoding()
-        gone = not await self._write(response, answer.body, True)
         try:
-            while chunk := await rest.read():
-                # A caller that went away does not end the reading: the end of
-                # the answer still has to be recorded. Cancellation ends it
-                # where it need not be.
-                gone = gone or not await self._write(response, chunk)
-        except connection_lib.ConnectionFaultError:
+            # A caller that stops reading would otherwise hold the upstream's
+            # slot and connection for ever.
+            async with asyncio.timeout_at(self._until):
+                gone = not await self._write(response, answer.body, True)
+                while chunk := await rest.read():
+                    # A caller that went away does not end the reading: the
+                    # end of the answer still has to be recorded. Cancellation
+                    # ends it where it need not be.
+                    gone = gone or not await self._write(response, chunk)
+        except (connection_lib.ConnectionFaultError, TimeoutError):
             self._abort()
             return False
         return True
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -40,6 +40,8 @@
 DRAIN_NOTICE_S = 3.0
 _SWEEP_INTERVAL_S = 5.0
 _POLL_S = 0.02
+_FLUSH_S = 0.1
+_LONGEST_FLUSH_S = 5.0
 
 _log = logs.get_logger("entry")
 
@@ -185,8 +187,11 @@
             await self._clock.sleep(_POLL_S)
         if self._busy():
             _log.warning("Stopped with %d requests in flight.", self._in_flight)
-        await self._callers.close()
-        await self._upstreams.close()
+        # Answers that were handed over may still be on their way out.
+        remaining_s = until - self._clock.monotonic()
+        flush_s = max(_FLUSH_S, min(_LONGEST_FLUSH_S, remaining_s))
+        await self._callers.close(flush_s)
+        await self._upstreams.close(_FLUSH_S)
         await self._close_rest()
         self._timeline.record("entry", "stopped", in_flight=self._in_flight)
 
@@ -251,7 +256,11 @@
                 parsed.failure(), given if isinstance(valid, Success) else ""
             )
         inbound = parsed.unwrap()
-        responder = responder_lib.Responder(request, inbound.request_id)
+        responder = responder_lib.Responder(
+            request,
+            inbound.request_id,
+            inbound.until - self._clock.monotonic(),
+        )
         flight = router_lib.Flight(inbound, responder)
         if inbound.operation.repeatable:
             await self._router.serve(flight)
--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -205,6 +205,34 @@
     assert status == 0
 
 
+async def test_caller_that_stops_reading_is_cut_off_at_its_deadline(bench):
+    """Guards against a slot held for ever by a caller that went silent."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    host, port = bench.entry.caller_address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port), limit=1024)
+    writer.write(
+        b"GET /shopfront/long?chunks=4000 HTTP/1.1\r\nHost: x\r\n"
+        b"Bamboosill-Customer: acme\r\nBamboosill-Key: k\r\n"
+        b"Bamboosill-Deadline-Ms: 300\r\n\r\n"
+    )
+    await reader.readuntil(b"\r\n\r\n")
+    assert bench.entry.in_flight == 1
+    await bench.wait_until(lambda: bench.entry.in_flight == 0)
+    assert bench.member.in_flight == 0
+    assert upstream.service.running == 0
+    writer.close()
+
+
+async def test_silence_is_no_failure_of_the_upstream(bench):
+    """Guards against an upstream taken out for one silent connection."""
+    await bench.start()
+    await bench.start_upstream()
+    await bench.send(headers={"X-Test-Fault": "once-mute"})
+    view = bench.member.reporter().upstreams[0]
+    assert (view.completions, view.failures) == (1, 0)
+
+
 async def test_connections_to_an_upstream_are_bounded(bench):
     """Guards against more connections than the upstream announced."""
     await bench.start()
--- a/packages/daemon/tests/entry/test_inbound.py
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -19,6 +19,7 @@
 BAD_REQUESTS = [
     ({"path": "/"}, 404, "unknown-service"),
     ({"path": "/nosuch/items"}, 404, "unknown-service"),
+    ({"path": "/bamboosill/grant"}, 404, "unknown-service"),
     ({"headers": {"Bamboosill-Customer": ""}}, 400, "missing-customer"),
     ({"headers": {"Bamboosill-Customer": "bolt"}}, 404, "unknown-customer"),
     ({"headers": {"Bamboosill-Key": ""}}, 400, "missing-key"),
