Test silent connections of each kind; do not cancel a repeated exchange

Cause: after a silent exchange, the cancellation could have ended its own repetition, which runs under the same request id. Change: only requests whose deadline passed or whose caller left are cancelled; tests with a silenced network before upstreams, between zones and before callers. Tested: test_silence.py; it failed before by one extra connection, which was that cancellation. Conclusion: silent connections are replaced and nothing is reported dead.

--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -267,10 +267,9 @@
     if not isinstance(ended, Failure):
         return False
     fault = ended.failure()
-    return isinstance(fault, faults.Fault) and fault.code in (
-        "deadline",
-        "silent",
-    )
+    # A silent exchange is repeated under the same id, so that a cancellation
+    # would end its successor.
+    return isinstance(fault, faults.Fault) and fault.code == "deadline"
 
 
 def _judge(result: Result[Any, Ended]) -> str:
--- /dev/null
+++ b/packages/daemon/tests/entry/test_silence.py
@@ -0,0 +1,122 @@
+"""Tests of connections that go silent while new ones work."""
+
+import asyncio
+import random
+
+from bamboosill_common import requestid
+from bamboosill_dev import caller as caller_lib
+from bamboosill_dev import relay as relay_lib
+import pytest
+
+
+@pytest.fixture
+async def make_relay():
+    relays = []
+
+    async def make(target):
+        relays.append(relay_lib.Relay(target))
+        await relays[-1].start()
+        return relays[-1]
+
+    yield make
+    for relay in relays:
+        await relay.stop()
+
+
+async def open_connections(bench, count=4):
+    """Leaves several idle connections behind."""
+    answers = await asyncio.gather(
+        *(bench.send(headers={"X-Test-Service-Ms": "30"}) for _ in range(count))
+    )
+    assert {answer[0] for answer in answers} == {200}
+
+
+async def test_upstream_connections_are_replaced(bench, make_relay):
+    """Guards against an upstream taken for dead when connections go silent."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    relay = await make_relay(upstream.address)
+    bench.member.upstream = bench.member.upstream._replace(
+        address=relay.address
+    )
+    await open_connections(bench)
+    relay.silence()
+    answers = [await bench.send() for _ in range(4)]
+    assert [answer[0] for answer in answers] == [200] * 4
+    # One request noticed it, the others used new connections.
+    assert relay.accepted == 4 + 1
+    assert bench.member.count("ReportCrash") == 0
+    assert bench.member.reporter().upstreams[0].failures == 0
+
+
+async def test_order_on_a_silent_connection_is_unknown_and_runs_once(
+    bench, make_relay
+):
+    """Guards against an order repeated because its connection went silent."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    relay = await make_relay(upstream.address)
+    bench.member.upstream = bench.member.upstream._replace(
+        address=relay.address
+    )
+    await open_connections(bench, 1)
+    relay.silence()
+
+    async def order(number):
+        return await bench.send(
+            "POST",
+            "/shopfront/orders",
+            data=b"one",
+            headers={
+                "Bamboosill-Deadline-Ms": "300",
+                "Bamboosill-Request-Id": requestid.make_request_id(
+                    1_700_000_000_000, random.Random(number)
+                ),
+            },
+        )
+
+    first = await order(1)
+    assert (first[0], first[1]["Bamboosill-Outcome"]) == (504, "unknown")
+    assert (await order(1))[0] == 409
+    assert (await order(2))[0] == 201
+    orders = [
+        each for each in upstream.recorder.lines if each["method"] != "GET"
+    ]
+    assert len(orders) == 1
+
+
+async def test_connections_between_zones_are_replaced(bench, make_relay):
+    """Guards against a zone taken for lost when connections go silent."""
+    await bench.start()
+    await bench.start_upstream()
+    member = bench.make_member()
+    member.upstream = bench.member.upstream
+    other = await bench.start_entry(member)
+    relay = await make_relay(other.caller_address)
+    bench.member.default = bench.make_route(
+        "remote", zone="z2", addresses=(relay.address,)
+    )
+    await open_connections(bench)
+    relay.silence()
+    answers = [await bench.send() for _ in range(3)]
+    assert [answer[0] for answer in answers] == [200] * 3
+    assert relay.accepted == 4 + 1
+
+
+async def test_callers_replace_their_connections(bench, make_relay):
+    """Guards against a caller that waits for ever on a silent connection."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    relay = await make_relay(bench.entry.caller_address)
+    caller = caller_lib.Caller(lambda: relay.address, random.Random(1))
+    read = caller_lib.Request("GET", "/shopfront/items", "acme", "k", b"", 100)
+    order = caller_lib.Request(
+        "POST", "/shopfront/orders", "acme", "k", b"one", 100, False
+    )
+    assert (await caller.send(read)).sendings == 1
+    relay.silence()
+    told = await caller.send(order)
+    assert (told.outcome, told.sendings) == ("answer", 2)
+    runs = [line for line in upstream.recorder.lines if line["id"] == told.id]
+    assert len(runs) == 1
+    await caller.close()
