--- a/packages/daemon/src/bamboosilld/entry/interfaces.py
+++ b/packages/daemon/src/bamboosilld/entry/interfaces.py
@@ -11,10 +11,10 @@
 from typing import Any
 from typing import Protocol
 
-from bamboosill_common import errors
-from bamboosill_common.generated import zone as zone_messages
 from returns.result import Result
 
+from bamboosill_common import errors
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.admission import refusal
 
 
--- a/packages/daemon/src/bamboosilld/entry/passthrough.py
+++ b/packages/daemon/src/bamboosilld/entry/passthrough.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from bamboosill_common.generated import zone as zone_messages
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.admission import refusal
 from bamboosilld.entry import interfaces
 
--- a/packages/daemon/src/bamboosilld/entry/tally.py
+++ b/packages/daemon/src/bamboosilld/entry/tally.py
@@ -4,7 +4,6 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import zone as zone_messages
-
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.entry import interfaces
 from bamboosilld.placement import load as load_lib
--- a/packages/daemon/src/bamboosilld/main.py
+++ b/packages/daemon/src/bamboosilld/main.py
@@ -6,11 +6,11 @@
 import sys
 
 import aiomisc
+
 from bamboosill_common import findings
 from bamboosill_common import logs
 from bamboosill_common import settings as settings_lib
 from bamboosill_common.generated import settings as generated
-
 from bamboosilld import instance
 from bamboosilld import version
 
@@ -63,7 +63,7 @@
     with aiomisc.entrypoint(
         service, log_config=False, shutdown_timeout=settings.shutdown_grace_s
     ) as loop:
-        loop.run_until_complete(service.wait_failed())
+        loop.run_forever()
     return service.exit_code
 
 
