--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -267,10 +267,9 @@
     if not isinstance(ended, Failure):
         return False
     fault = ended.failure()
-    return isinstance(fault, faults.Fault) and fault.code in (
-        "deadline",
-        "silent",
-    )
+    # A silent exchange is repeated under the same id, so that a cancellation
+    # would end its successor.
+    return isinstance(fault, faults.Fault) and fault.code == "deadline"
 
 
 def _judge(result: Result[Any, Ended]) -> str:
@@ -282,6 +281,9 @@
         return queues_lib.CANCELLED
     if ended.code == "shed":
         return queues_lib.SHED
+    if ended.code == "silent":
+        # The connection may be at fault; the upstream's heartbeats tell.
+        return queues_lib.CANCELLED
     if ended.may_have_run or ended.code in ("refused", "connect"):
         return queues_lib.FAILURE
     return queues_lib.CANCELLED
