Let relays cut connections by their source

Cause: a fault run must cut zones from each other, in each direction. Change: forwards come from the instance's own address; the relay silences connections of stated sources.

--- a/packages/daemon/src/bamboosilld/entry/forward.py
+++ b/packages/daemon/src/bamboosilld/entry/forward.py
@@ -42,13 +42,14 @@
         clock: clock_lib.Clock,
         rng: random.Random,
         tls: ssl.SSLContext | None,
+        local_host: str = "",
     ) -> None:
         self._authenticator = authenticator
         self._clock = clock
         self._rng = rng
         self._token = ""
         self._token_until_s = float("-inf")
-        self.pools = pools_lib.Pools(tls)
+        self.pools = pools_lib.Pools(tls, local_host)
 
     async def run(
         self,
--- a/packages/daemon/src/bamboosilld/entry/pools.py
+++ b/packages/daemon/src/bamboosilld/entry/pools.py
@@ -27,12 +27,17 @@
     """
 
     def __init__(
-        self, address: str, limit: int, tls: ssl.SSLContext | None = None
+        self,
+        address: str,
+        limit: int,
+        tls: ssl.SSLContext | None = None,
+        local_host: str = "",
     ) -> None:
         self.address = address
         self.limit = max(1, limit)
         self._host, self._port = settings.split_address(address)
         self._tls = tls
+        self._local_address = (local_host, 0) if local_host else None
         self._loop = asyncio.get_running_loop()
         self._idle: list[connection_lib.Connection] = []
         self._open: set[connection_lib.Connection] = set()
@@ -136,6 +141,7 @@
                     self._host,
                     self._port,
                     ssl=self._tls,
+                    local_addr=self._local_address,
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
@@ -182,15 +188,26 @@
 class Pools:
     """Pools by address."""
 
-    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self, tls: ssl.SSLContext | None = None, local_host: str = ""
+    ) -> None:
+        """Makes no connection yet.
+
+        Args:
+            tls: TLS of all connections, if any.
+            local_host: IP number that connections come from, if stated.
+        """
         self._tls = tls
+        self._local_host = local_host
         self._pools: dict[str, Pool] = {}
 
     def get(self, address: str, limit: int) -> Pool:
         """Returns the pool of an address with the given limit."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = Pool(address, limit, self._tls)
+            pool = self._pools[address] = Pool(
+                address, limit, self._tls, self._local_host
+            )
         elif pool.limit != limit:
             pool.limit = max(1, limit)
         return pool
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -18,6 +18,7 @@
 from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common import requestid
+from bamboosill_common import settings as settings_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import crashes as crashes_lib
 from bamboosilld.entry import dispatch as dispatch_lib
@@ -143,7 +144,11 @@
             self._spawn,
         )
         self._forwarder = forward_lib.Forwarder(
-            self._authenticator, self._clock, self._rng, self._client_tls
+            self._authenticator,
+            self._clock,
+            self._rng,
+            self._client_tls,
+            settings_lib.split_address(caller_address)[0],
         )
         records = records_lib.Records(
             self._member,
--- a/packages/dev/src/bamboosill_dev/relay.py
+++ b/packages/dev/src/bamboosill_dev/relay.py
@@ -27,6 +27,7 @@
         cut_to_target: Whether bytes to the target stop, silently.
         cut_to_client: Whether bytes to the client stop, silently.
         hold_new: Whether new connections are accepted and never served.
+        cut_sources: IP numbers whose connections stop, silently.
     """
 
     refuse: bool = False
@@ -34,6 +35,7 @@
     cut_to_target: bool = False
     cut_to_client: bool = False
     hold_new: bool = False
+    cut_sources: frozenset[str] = frozenset()
 
 
 class _Link:
@@ -43,6 +45,7 @@
         self.writers = [writer]
         self.tasks: list[asyncio.Task[None]] = []
         self.silent = False
+        self.source = str(writer.get_extra_info("peername")[0])
 
     def abort(self) -> None:
         for writer in self.writers:
@@ -129,7 +132,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        while self.faults.hold_new:
+        while self.faults.hold_new or link.source in self.faults.cut_sources:
             await self._changed.wait()
         target_reader, target_writer = await asyncio.open_connection(
             *self._target
@@ -145,6 +148,13 @@
         ]
         await asyncio.wait(link.tasks)
 
+    def _is_cut(self, link: _Link, cut: str) -> bool:
+        return (
+            link.silent
+            or link.source in self.faults.cut_sources
+            or getattr(self.faults, cut)
+        )
+
     async def _pump(
         self,
         link: _Link,
@@ -156,11 +166,11 @@
             while chunk := await reader.read(_CHUNK_BYTES):
                 if self.faults.delay_s:
                     await asyncio.sleep(self.faults.delay_s)
-                while link.silent or getattr(self.faults, cut):
+                while self._is_cut(link, cut):
                     await self._changed.wait()
                 writer.write(chunk)
                 await writer.drain()
-            while link.silent or getattr(self.faults, cut):
+            while self._is_cut(link, cut):
                 # The end of a connection is not passed on either.
                 await self._changed.wait()
             writer.close()
