--- a/packages/dev/src/bamboosill_dev/memory_network.py
+++ b/packages/dev/src/bamboosill_dev/memory_network.py
@@ -45,7 +45,9 @@
         nodes: Running nodes by address.
         cuts: Pairs (from, to) of instances whose messages are lost.
         drop_rate: Part of all messages that is lost.
-        delay_s: Delay of each message, up to twice that at random.
+        delay_s: Least delay of each message.
+        jitter: Largest random part of a delay, relative to `delay_s`; with
+            jitter, messages overtake each other.
         calls: Number of calls by name of the request type.
     """
 
@@ -56,6 +58,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.drop_rate = 0.0
         self.delay_s = _DEFAULT_DELAY_S
+        self.jitter = 1.0
         self.calls: dict[str, int] = {}
 
     def cut(self, sender: str, receiver: str) -> None:
@@ -110,7 +113,9 @@
 
     async def _travel(self, sender: str, receiver: str) -> None:
         if self.delay_s:
-            await asyncio.sleep(self.delay_s * self._rng.uniform(1, 2))
+            await asyncio.sleep(
+                self.delay_s * self._rng.uniform(1, 1 + self.jitter)
+            )
         if (sender, receiver) in self.cuts or (
             self._rng.random() < self.drop_rate
         ):
