Add the admin application and the operators' command line

Cause: operators need contracts, zones, instances, upstreams, keys and events through any control instance, with truthful results when answers are lost. Change: admin.app.make_app with linearizable reads, 421 to the leader and JSON errors; bamboosill with one module per subcommand, one command id per invocation and a deadline for each.

--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands; each module registers its own."""
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/completion.py
@@ -0,0 +1,22 @@
+"""Prints shell code for completion."""
+
+import argparse
+
+import argcomplete
+
+from bamboosill import output
+from bamboosill import registry
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("shell", choices=("bash", "zsh", "fish"))
+
+
+@registry.register(
+    "completion", "Print shell code for completion.", _add_arguments
+)
+async def run(context: registry.Context) -> int:
+    """Prints code that the shell evaluates."""
+    shell = context.flags.shell
+    code = argcomplete.shellcode(["bamboosill"], shell=shell)
+    return output.print_result(context, {"shell": shell, "code": code}, code)
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/contract_change.py
@@ -0,0 +1,22 @@
+"""Changes the contract of a customer."""
+
+import argparse
+
+from bamboosill import documents
+from bamboosill import registry
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    documents.add_file(parser)
+    documents.add_base(parser)
+    parser.add_argument(
+        "--dry-run", action="store_true", help="Check only; change nothing."
+    )
+
+
+@registry.register(
+    "contract change", "Change a contract in force.", _add_arguments
+)
+async def run(context: registry.Context) -> int:
+    """Submits the file as a change."""
+    return await documents.submit(context, False, context.flags.dry_run)
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/contract_list.py
@@ -0,0 +1,23 @@
+"""Lists all contracts."""
+
+from bamboosill import output
+from bamboosill import registry
+
+
+@registry.register("contract list", "List all contracts.")
+async def run(context: registry.Context) -> int:
+    """Prints customers, revisions and services."""
+    return await output.show(
+        context,
+        "/v1/contracts",
+        lambda document: [
+            (
+                each["customer"],
+                each["revision"],
+                "retired" if each["retired"] else "in force",
+                ", ".join(each["services"]),
+            )
+            for each in document["contracts"]
+        ],
+        ("customer", "revision", "state", "services"),
+    )
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/contract_show.py
@@ -0,0 +1,32 @@
+"""Shows one contract."""
+
+import argparse
+import io
+
+import ruamel.yaml
+
+from bamboosill import client as client_lib
+from bamboosill import output
+from bamboosill import registry
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("customer")
+
+
+@registry.register("contract show", "Show one contract.", _add_arguments)
+async def run(context: registry.Context) -> int:
+    """Prints the contract as a document that can be changed and submitted."""
+    path = f"/v1/contracts/{client_lib.quote(context.flags.customer)}"
+    answer = await context.client.call("GET", path)
+    if answer.status != 200:
+        return output.refuse(context, answer)
+    document = answer.document
+    text = io.StringIO()
+    ruamel.yaml.YAML(typ="safe", pure=True).dump(document["document"], text)
+    state = "retired" if document["retired"] else "in force"
+    return output.print_result(
+        context,
+        document,
+        f"# revision {document['revision']}, {state}\n{text.getvalue()}",
+    )
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/instance_list.py
@@ -0,0 +1,30 @@
+"""Lists the instances."""
+
+from bamboosill import output
+from bamboosill import registry
+
+
+@registry.register("instance list", "List the instances.")
+async def run(context: registry.Context) -> int:
+    """Prints the registry and the control group's members."""
+    return await output.show(
+        context,
+        "/v1/instances",
+        lambda document: [
+            (
+                each["instance"],
+                each["zone"],
+                ",".join(each["roles"]),
+                "removed"
+                if each["removed"]
+                else "live"
+                if each["live"]
+                else "silent",
+                each["control"],
+                each["peer_address"],
+                each["admin_address"],
+            )
+            for each in document["instances"]
+        ],
+        ("instance", "zone", "roles", "state", "control", "peer", "admin"),
+    )
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/instance_remove.py
@@ -0,0 +1,29 @@
+"""Removes an instance."""
+
+import argparse
+
+from bamboosill import client as client_lib
+from bamboosill import output
+from bamboosill import registry
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("instance")
+
+
+@registry.register(
+    "instance remove",
+    "Remove an instance from the control group, or one that ended for good.",
+    _add_arguments,
+)
+async def run(context: registry.Context) -> int:
+    """Removes the instance."""
+    name = context.flags.instance
+    answer = await context.client.call(
+        "DELETE", f"/v1/instances/{client_lib.quote(name)}"
+    )
+    if answer.status != 200:
+        return output.refuse(context, answer)
+    return output.print_result(
+        context, answer.document, f"instance {name} is removed"
+    )
--- /dev/null
+++ b/packages/cli/src/bamboosill/commands/upstream_list.py
@@ -0,0 +1,34 @@
+"""Lists the upstreams of all zones."""
+
+from bamboosill import exits
+from bamboosill import output
+from bamboosill import registry
+
+
+@registry.register("upstream list", "List the upstreams of all zones.")
+async def run(context: registry.Context) -> int:
+    """Prints the upstreams, and the zones that do not answer."""
+    answer = await context.client.call("GET", "/v1/upstreams")
+    if answer.status != 200:
+        return output.refuse(context, answer)
+    document = answer.document
+    output.print_rows(
+        context,
+        document,
+        (
+            (
+                each["id"],
+                each["zone"],
+                each["service"],
+                each["state"],
+                each["slots"],
+                "yes" if each["checks_fences"] else "no",
+                each["address"],
+            )
+            for each in document["upstreams"]
+        ),
+        ("upstream", "zone", "service", "state", "slots", "fences", "address"),
+    )
+    for each in document["unreachable"]:
+        context.warn(f"zone {each['zone']} does not answer: {each['detail']}")
+    return exits.UNREACHABLE if document["unreachable"] else exits.OK
--- /dev/null
+++ b/packages/cli/tests/test_commands.py
@@ -0,0 +1,389 @@
+"""Tests of what each subcommand sends, prints and returns."""
+
+import json
+import pathlib
+import stat
+
+import pytest
+
+from bamboosill import exits
+from bamboosill import main as main_lib
+from bamboosill import registry
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+
+DOCUMENT = """\
+customer: a
+services:
+  - name: shop
+    limits: {rate_per_s: 1, concurrency: 1}
+"""
+SHOWN = {"customer": "a", "revision": 5, "retired": False, "document": {}}
+GONE = (404, {"code": "unknown_customer", "detail": "none"})
+DONE = (200, {"revision": 6})
+PATH = "/v1/contracts/a"
+CHANGES = [{"path": "services[shop].weight", "old": 1, "new": 2}]
+
+
+@pytest.fixture
+def document(tmp_path):
+    path = tmp_path / "a.yaml"
+    path.write_text(DOCUMENT)
+    return str(path)
+
+
+def find_sent(instance, method):
+    return [body for verb, _, body in instance.requests if verb == method]
+
+
+async def test_accept(instances, run, document):
+    """Guards against a new contract that is based on no revision."""
+    instances[0].script(f"GET {PATH}", GONE)
+    instances[0].script(f"PUT {PATH}", DONE)
+    code, out, _ = await run("contract", "accept", document)
+    assert (code, "revision 6" in out) == (exits.OK, True)
+    (sent,) = find_sent(instances[0], "PUT")
+    assert (sent["base_revision"], sent["document"]) == (0, DOCUMENT)
+
+
+@pytest.mark.parametrize("word", ["accept", "change"])
+async def test_lost_answer_is_resent_with_the_same_id(
+    instances, run, document, word
+):
+    """Guards against a command that is applied twice after a lost answer."""
+    shown = (200, SHOWN | {"retired": word == "accept"})
+    for each in instances:
+        each.script(f"GET {PATH}", shown)
+    instances[0].script(f"PUT {PATH}", (0, None))
+    instances[1].script(f"PUT {PATH}", DONE)
+    code, _, _ = await run("contract", word, document)
+    assert code == exits.OK
+    # The HTTP library may itself repeat a PUT on a connection that closed.
+    first, *others = find_sent(instances[0], "PUT")
+    others += find_sent(instances[1], "PUT")
+    assert others and all(each == first for each in others)
+    assert first["command_id"] and first["base_revision"] == 5
+
+
+@pytest.mark.parametrize(
+    ("words", "shown", "answer", "code", "message"),
+    [
+        ("accept", (200, SHOWN), DONE, exits.REFUSED, "contract change"),
+        ("change", GONE, DONE, exits.REFUSED, "contract accept"),
+        (
+            "change",
+            (200, SHOWN),
+            (409, {"code": "conflict", "detail": "at 6"}),
+            exits.CONFLICT,
+            "conflict",
+        ),
+        (
+            "change",
+            (200, SHOWN),
+            (409, {"code": "keyspace_change", "detail": "no"}),
+            exits.REFUSED,
+            "keyspace_change",
+        ),
+        (
+            "change",
+            (200, SHOWN),
+            (
+                422,
+                {
+                    "code": "findings",
+                    "detail": "1",
+                    "findings": [
+                        {
+                            "source": "f",
+                            "line": 3,
+                            "path": "x",
+                            "message": "is bad",
+                        }
+                    ],
+                },
+            ),
+            exits.REFUSED,
+            "f:3: x: is bad",
+        ),
+    ],
+)
+async def test_refusals(
+    instances, run, document, words, shown, answer, code, message
+):
+    """Guards against exit codes that hide a refusal from scripts."""
+    instances[0].script(f"GET {PATH}", shown)
+    instances[0].script(f"PUT {PATH}", answer)
+    got, _, err = await run("contract", words, document)
+    assert (got, message in err) == (code, True)
+
+
+async def test_given_base_is_used(instances, run, document):
+    """Guards against a change on top of a revision nobody has looked at."""
+    instances[0].script(f"PUT {PATH}", DONE)
+    instances[0].script(f"POST {PATH}/retire", DONE)
+    await run("contract", "change", document, "--base=4")
+    await run("contract", "retire", "a", "--base=4")
+    assert find_sent(instances[0], "PUT")[0]["base_revision"] == 4
+    assert find_sent(instances[0], "POST")[0]["base_revision"] == 4
+    assert not find_sent(instances[0], "GET")
+
+
+async def test_retire(instances, run):
+    """Guards against a retirement of what is already retired."""
+    instances[0].script(f"GET {PATH}", (200, SHOWN), GONE)
+    instances[0].script(f"POST {PATH}/retire", DONE)
+    assert (await run("contract", "retire", "a"))[0] == exits.OK
+    assert (await run("contract", "retire", "a"))[0] == exits.REFUSED
+
+
+async def test_dry_run_and_diff(instances, run, document):
+    """Guards against changes that operators do not get to see."""
+    changes = (200, {"revision": 5, "changes": CHANGES})
+    instances[0].script(f"GET {PATH}", (200, SHOWN))
+    instances[0].script(f"PUT {PATH}", changes)
+    instances[0].script(f"POST {PATH}/diff", changes)
+    for words in (("change", document, "--dry-run"), ("diff", document)):
+        code, out, _ = await run("contract", *words)
+        assert code == exits.OK
+        assert "services[shop].weight" in out
+    assert find_sent(instances[0], "PUT")[0]["dry_run"] is True
+
+
+@pytest.mark.parametrize("flags", [(), ("--json",)])
+async def test_findings_are_reported_offline(run, instances, tmp_path, flags):
+    """Guards against a bad document that is sent, or findings without place."""
+    path = tmp_path / "bad.yaml"
+    path.write_text("customer: A\nservices: []\n")
+    for words in (("check",), ("accept",), ("diff",)):
+        code, out, err = await run("contract", *words, str(path), *flags)
+        assert code == exits.REFUSED
+        text = out if flags else err
+        assert "does not match" in text and "non-empty" in text
+    assert not instances[0].requests
+    code, _, err = await run("contract", "check", str(tmp_path / "none"))
+    assert (code, "cannot be read" in err) == (exits.REFUSED, True)
+
+
+ZONE = {
+    "zone": "za",
+    "group_epoch": 1,
+    "lost": False,
+    "live": True,
+    "voters": ["e1"],
+    "leader": "e1",
+    "live_instances": ["e1"],
+    "services": [{"service": "shop", "slots": 6}],
+}
+INSTANCE = {
+    "instance": "e1",
+    "zone": "za",
+    "roles": ["entry"],
+    "removed": False,
+    "live": True,
+    "control": "",
+    "peer_address": "p",
+    "admin_address": "",
+}
+UPSTREAM = {
+    "id": "u1",
+    "zone": "za",
+    "service": "shop",
+    "state": "warm",
+    "slots": 6,
+    "checks_fences": False,
+    "address": "x",
+}
+READS = [
+    (
+        "status",
+        "/v1/status",
+        {
+            "leader": "c1",
+            "revision": 9,
+            "instances": 1,
+            "contracts": 1,
+            "control_members": [
+                {"instance": "c1", "address": "p", "part": "voter"}
+            ],
+            "zones": [ZONE],
+            "keyspaces": [
+                {
+                    "keyspace": "shop/hold/all",
+                    "shards": 64,
+                    "shards_by_zone": {"za": 60, "": 4},
+                    "releasing": 0,
+                    "customers": ["a"],
+                }
+            ],
+        },
+        ["c1", "za", "none 4, za 60"],
+    ),
+    (
+        "contract list",
+        "/v1/contracts",
+        {"contracts": [SHOWN | {"services": ["shop"]}]},
+        ["shop", "in force"],
+    ),
+    (
+        "contract show a",
+        PATH,
+        SHOWN | {"document": {"customer": "a"}},
+        ["revision 5", "customer: a"],
+    ),
+    ("zone list", "/v1/zones", {"zones": [ZONE]}, ["za", "shop 6"]),
+    ("instance list", "/v1/instances", {"instances": [INSTANCE]}, ["e1"]),
+    (
+        "upstream list",
+        "/v1/upstreams",
+        {"upstreams": [UPSTREAM], "unreachable": []},
+        ["u1", "no"],
+    ),
+    (
+        "key explain a shop k",
+        "/v1/keys/explain",
+        {"owner": "u1", "zone": "za"},
+        ["u1"],
+    ),
+]
+
+
+@pytest.mark.parametrize(("words", "path", "document", "parts"), READS)
+async def test_reads(instances, run, words, path, document, parts):
+    """Guards against reads that print nothing useful, or no JSON."""
+    instances[0].script(f"GET {path}", (200, document))
+    code, out, _ = await run(*words.split())
+    assert code == exits.OK
+    assert all(part in out for part in parts)
+    code, out, _ = await run(*words.split(), "--json")
+    assert (code, json.loads(out)) == (exits.OK, document)
+
+
+async def test_silent_zone_is_told(instances, run):
+    """Guards against a list of upstreams that seems complete."""
+    silent = [{"zone": "zb", "detail": "dead"}]
+    document = {"upstreams": [], "unreachable": silent}
+    instances[0].script("GET /v1/upstreams", (200, document))
+    code, _, err = await run("upstream", "list")
+    assert (code, "zb does not answer" in err) == (exits.UNREACHABLE, True)
+
+
+@pytest.mark.parametrize(
+    ("words", "request_line", "body"),
+    [
+        ("upstream drain u/1", "POST /v1/upstreams/u/1/drain", {}),
+        ("zone declare-lost za --yes", "POST /v1/zones/za/declare-lost", None),
+        (
+            "instance add c4 127.0.0.1:5",
+            "POST /v1/instances",
+            {"instance": "c4", "address": "127.0.0.1:5"},
+        ),
+        ("instance remove c4", "DELETE /v1/instances/c4", None),
+    ],
+)
+async def test_commands(instances, run, words, request_line, body):
+    """Guards against commands that reach the wrong resource."""
+    instances[0].script(request_line, (200, {}))
+    code, out, _ = await run(*words.split())
+    assert code == exits.OK and out
+    if body is not None:
+        assert instances[0].requests[0][2] == body
+
+
+async def test_declare_lost_wants_a_confirmation(instances, run):
+    """Guards against two owners after a slip of the keyboard."""
+    code, _, err = await run("zone", "declare-lost", "za")
+    assert (code, "--yes" in err) == (exits.USAGE, True)
+    assert not instances[0].requests
+
+
+def make_event(stamp, instance, part="control", name="moved"):
+    return {
+        "stamp": stamp,
+        "time_ms": 0,
+        "instance": instance,
+        "part": part,
+        "name": name,
+        "fields": {},
+    }
+
+
+@pytest.mark.parametrize(
+    ("flags", "stamps"),
+    [
+        ((), [1, 2, 3, 4]),
+        (("--instance=c2",), [2, 4]),
+        (("--part=zone",), [3]),
+        (("--name=lost",), [4]),
+    ],
+)
+async def test_events_are_merged(instances, run, flags, stamps):
+    """Guards against events out of order, doubled or of one instance only."""
+    known = [
+        INSTANCE | {"admin_address": each.address}
+        for each in (*instances, instances[1])
+    ]
+    known.append(INSTANCE | {"admin_address": "127.0.0.1:9"})
+    lists = (
+        [make_event(1, "c1"), make_event(3, "c1", part="zone")],
+        [make_event(2, "c2"), make_event(4, "c2", name="lost")],
+    )
+    for number, each in enumerate(instances):
+        document = {"instance": f"c{number + 1}", "events": lists[number]}
+        each.script("GET /v1/events", (200, document))
+    instances[0].script("GET /v1/instances", (200, {"instances": known}))
+    code, out, err = await run(
+        "events", "--json", "--since=0", *flags, addresses=instances[0].address
+    )
+    assert code == exits.OK
+    assert [each["stamp"] for each in json.loads(out)["events"]] == stamps
+    assert "127.0.0.1:9: cannot connect" in err
+
+
+def test_new_keys(tmp_path, capsys):
+    """Guards against keys that others can read, or that replace others."""
+    path = tmp_path / "keys.json"
+    assert main_lib.main(["keys", "new", str(path)]) == exits.OK
+    assert stat.S_IMODE(path.stat().st_mode) == 0o600
+    clock = clock_lib.SystemClock()
+    authenticator = auth.Authenticator(str(path), clock)
+    token = authenticator.sign("operator", "x")
+    assert authenticator.verify(token, "operator").unwrap().subject == "x"
+    before = path.read_text()
+    assert main_lib.main(["keys", "new", str(path)]) == exits.REFUSED
+    assert path.read_text() == before
+    other = str(pathlib.Path(tmp_path) / "b")
+    assert main_lib.main(["keys", "new", other, "--roles=x"]) == exits.USAGE
+    secrets = [each["secret"] for each in json.loads(before)["keys"]]
+    captured = capsys.readouterr()
+    assert not any(each in captured.out + captured.err for each in secrets)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        ([], exits.USAGE),
+        (["nothing"], exits.USAGE),
+        (["contract"], exits.USAGE),
+        (["status", "--timeout-s=x"], exits.USAGE),
+        (["status", "--instances=somewhere"], exits.USAGE),
+        (["status", "--instances="], exits.USAGE),
+        (["status", "--inst=127.0.0.1:9"], exits.USAGE),
+        (["--version"], exits.OK),
+        (["version"], exits.OK),
+        (["completion", "bash"], exits.OK),
+        (["--help"], exits.OK),
+    ],
+)
+def test_usage(arguments, code, capsys):
+    """Guards against wrong usage that looks like a refusal."""
+    assert main_lib.main(arguments) == code
+    captured = capsys.readouterr()
+    assert captured.out or captured.err
+
+
+@pytest.mark.parametrize("words", registry.load_commands(), ids=" ".join)
+def test_every_command_has_json_and_deadline(words, capsys):
+    """Guards against a subcommand without the common flags."""
+    assert main_lib.main([*words, "--help"]) == exits.OK
+    out = capsys.readouterr().out
+    assert all(flag in out for flag in ("--json", "--timeout-s", "--instances"))
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/admin/contracts.py
@@ -0,0 +1,183 @@
+"""Operators' requests about contracts."""
+
+import asyncio
+import json
+from typing import Any
+
+from aiohttp import web
+from returns.result import Failure
+from returns.result import Success
+
+from bamboosill_common import contract as contract_lib
+from bamboosill_common.generated import control as messages
+from bamboosilld.admin import answers
+from bamboosilld.control import service as service_lib
+
+routes = web.RouteTableDef()
+
+
+@routes.get("/v1/contracts")
+async def _list_contracts(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    items = control.state.tables.contracts.values()
+    return web.json_response(
+        {
+            "contracts": [
+                {
+                    "customer": each.customer,
+                    "revision": each.revision,
+                    "retired": each.retired,
+                    "services": _list_services(each),
+                }
+                for each in sorted(items)
+            ],
+            "revision": control.state.revision,
+        }
+    )
+
+
+@routes.get("/v1/contracts/{customer}")
+async def _show_contract(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    item = control.state.tables.contracts.get(request.match_info["customer"])
+    if item is None:
+        raise answers.AdminError(
+            404, "unknown_customer", "the customer has no contract"
+        )
+    return web.json_response(
+        {
+            "customer": item.customer,
+            "revision": item.revision,
+            "retired": item.retired,
+            "document": json.loads(item.document),
+        }
+    )
+
+
+@routes.put("/v1/contracts/{customer}")
+async def _accept_contract(request: web.Request) -> web.Response:
+    """Accepts or changes a contract; `dry_run` only checks it."""
+    body = await answers.read_body(request)
+    contract = await _parse(request, body)
+    command = messages.AcceptContract(
+        command_id=answers.get_command_id(body),
+        base_revision=answers.get_field(body, "base_revision", int),
+        customer=contract.customer,
+        document=contract_lib.normalise(contract),
+        operator=request[answers.OPERATOR].subject,
+    )
+    if not 0 <= command.base_revision < 1 << 63:
+        raise answers.AdminError(400, "bad_request", "base_revision is bad")
+    if not body.get("dry_run"):
+        return await answers.submit(request, command)
+    control = await answers.lead(request)
+    refusal = control.find_accept_refusal(command)
+    if refusal:
+        return answers.answer_result(refusal)
+    return web.json_response(
+        {
+            "revision": command.base_revision,
+            "dry_run": True,
+            "changes": _diff(control, contract),
+        }
+    )
+
+
+@routes.post("/v1/contracts/{customer}/diff")
+async def _diff_contract(request: web.Request) -> web.Response:
+    """Returns what a document would change."""
+    body = await answers.read_body(request)
+    contract = await _parse(request, body)
+    control = await answers.lead(request)
+    item = control.state.tables.contracts.get(contract.customer)
+    return web.json_response(
+        {
+            "customer": contract.customer,
+            "revision": item.revision if item else 0,
+            "changes": _diff(control, contract),
+        }
+    )
+
+
+@routes.post("/v1/contracts/{customer}/retire")
+async def _retire_contract(request: web.Request) -> web.Response:
+    body = await answers.read_body(request)
+    command = messages.RetireContract(
+        command_id=answers.get_command_id(body),
+        base_revision=answers.get_field(body, "base_revision", int),
+        customer=request.match_info["customer"],
+        operator=request[answers.OPERATOR].subject,
+    )
+    if not 0 <= command.base_revision < 1 << 63:
+        raise answers.AdminError(400, "bad_request", "base_revision is bad")
+    return await answers.submit(request, command)
+
+
+async def _parse(
+    request: web.Request, body: dict[str, Any]
+) -> contract_lib.Contract:
+    text = answers.get_field(body, "document", str)
+    source = str(body.get("source", "contract"))[:200]
+    # Parsing a large document takes seconds, which would end leases.
+    result = await asyncio.to_thread(contract_lib.parse, text, source)
+    match result:
+        case Failure(found):
+            raise answers.AdminError(
+                422, "findings", f"{len(found)} findings", found
+            )
+        case Success(contract):
+            if contract.customer != request.match_info["customer"]:
+                detail = f"the document is about {contract.customer}"
+                raise answers.AdminError(400, "bad_request", detail)
+            return contract
+    raise AssertionError
+
+
+def _list_services(item: messages.ContractItem) -> list[str]:
+    if item.retired:
+        return []
+    return [
+        each.name for each in contract_lib.read_stored(item.document).services
+    ]
+
+
+def _diff(
+    control: service_lib.ControlService, contract: contract_lib.Contract
+) -> list[dict[str, Any]]:
+    item = control.state.tables.contracts.get(contract.customer)
+    before = (
+        _flatten(json.loads(item.document)) if item and not item.retired else {}
+    )
+    after = _flatten(json.loads(contract_lib.normalise(contract)))
+    return [
+        {"path": path, "old": before.get(path), "new": after.get(path)}
+        for path in sorted(before.keys() | after.keys())
+        if before.get(path) != after.get(path)
+    ]
+
+
+def _flatten(value: Any, path: str = "") -> dict[str, Any]:
+    """Returns the leaves of a document; named items go by their names."""
+    if isinstance(value, dict):
+        pairs = [
+            (f"{path}.{key}" if path else key, value[key]) for key in value
+        ]
+    elif isinstance(value, list) and value:
+        pairs = [
+            (f"{path}[{_get_label(each, index)}]", each)
+            for index, each in enumerate(value)
+        ]
+    else:
+        return {path: value}
+    leaves: dict[str, Any] = {}
+    for inner, each in pairs:
+        leaves |= _flatten(each, inner)
+    return leaves
+
+
+def _get_label(value: Any, index: int) -> str:
+    if isinstance(value, dict) and "name" in value:
+        return str(value["name"])
+    if isinstance(value, dict) and "method" in value:
+        return f"{value['method']} {value['path']}"
+    return str(index)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/admin/registry.py
@@ -0,0 +1,225 @@
+"""Operators' requests about the control group, instances and zones."""
+
+from typing import Any
+
+from aiohttp import web
+from returns.result import Failure
+from returns.result import Success
+
+from bamboosill_common import settings as settings_lib
+from bamboosill_common.generated import consensus
+from bamboosill_common.generated import control as messages
+from bamboosilld.admin import answers
+from bamboosilld.control import delegation
+from bamboosilld.control import service as service_lib
+from bamboosilld.control import zoneviews
+
+# A learner must catch up before it may vote.
+_MEMBERSHIP_DEADLINE_S = 4.0
+
+routes = web.RouteTableDef()
+
+
+@routes.get("/v1/status")
+async def _show_status(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    tables = control.state.tables
+    leader = control.node.leader
+    return web.json_response(
+        {
+            "leader": leader.instance if leader else "",
+            "revision": control.state.revision,
+            "control_members": _list_members(control),
+            "zones": _list_zones(request, control),
+            "instances": sum(
+                not each.removed for each in tables.instances.values()
+            ),
+            "contracts": len(tables.parsed),
+            "keyspaces": [
+                _describe_keyspace(control, name)
+                for name in sorted(tables.keyspaces)
+            ],
+        }
+    )
+
+
+@routes.get("/v1/zones")
+async def _list_zones_only(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    return web.json_response({"zones": _list_zones(request, control)})
+
+
+@routes.post("/v1/zones/{zone}/declare-lost")
+async def _declare_lost(request: web.Request) -> web.Response:
+    body = await answers.read_body(request)
+    command = messages.DeclareZoneLost(
+        command_id=answers.get_command_id(body),
+        zone=request.match_info["zone"],
+        operator=request[answers.OPERATOR].subject,
+    )
+    return await answers.submit(request, command)
+
+
+@routes.get("/v1/instances")
+async def _list_instances(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    now_s = answers.get_parts(request).clock.monotonic()
+    members = {each.instance: each for each in control.node.membership.members}
+    listed = []
+    for item in sorted(control.state.tables.instances.values()):
+        document: dict[str, Any] = item._asdict()
+        document["live"] = _is_live(control, item, now_s)
+        document["control"] = _get_part(members.get(item.instance))
+        listed.append(document)
+    return web.json_response({"instances": listed})
+
+
+@routes.post("/v1/instances")
+async def _add_member(request: web.Request) -> web.Response:
+    """Adds an instance to the control group: a learner, then a voter."""
+    body = await answers.read_body(request)
+    name = answers.get_field(body, "instance", str)
+    address = answers.get_field(body, "address", str)
+    try:
+        settings_lib.split_address(address)
+    except ValueError as error:
+        raise answers.AdminError(
+            400, "bad_request", f"address: {error}"
+        ) from error
+    control = await answers.lead(request)
+    known = _find_member(control, name)
+    if known and known.address != address:
+        raise answers.AdminError(
+            409, "member_exists", f"{name} is a member at {known.address}"
+        )
+    member = known or consensus.Member(name, 0, address, False)
+    if not known:
+        await _change(
+            control, control.node.add_learner(member, _MEMBERSHIP_DEADLINE_S)
+        )
+    if not member.voter:
+        await _change(
+            control, control.node.promote(member, _MEMBERSHIP_DEADLINE_S)
+        )
+    return web.json_response({"control_members": _list_members(control)})
+
+
+@routes.delete("/v1/instances/{instance}")
+async def _remove_instance(request: web.Request) -> web.Response:
+    """Removes an instance from the control group or, if dead, the registry."""
+    control = await answers.lead(request)
+    name = request.match_info["instance"]
+    member = _find_member(control, name)
+    item = control.state.tables.instances.get(name)
+    now_s = answers.get_parts(request).clock.monotonic()
+    live = item is not None and _is_live(control, item, now_s)
+    if member is None and item is None:
+        raise answers.AdminError(
+            404, "unknown_instance", f"there is no instance {name}"
+        )
+    if member is None and live:
+        raise answers.AdminError(
+            409, "instance_live", f"{name} is live; stop it first"
+        )
+    if member is not None:
+        await _change(
+            control, control.node.remove(member, _MEMBERSHIP_DEADLINE_S)
+        )
+    if item is not None and not live and not item.removed:
+        command = messages.PutInstance(
+            item=item._replace(removed=True, revision=0)
+        )
+        return await answers.submit(request, command)
+    return web.json_response({"control_members": _list_members(control)})
+
+
+async def _change(control: service_lib.ControlService, change: Any) -> None:
+    match await change:
+        case Success(_):
+            return
+        case Failure(error):
+            raise answers.make_propose_error(control, error)
+
+
+def _find_member(
+    control: service_lib.ControlService, name: str
+) -> consensus.Member | None:
+    members = control.node.membership.members
+    return next((each for each in members if each.instance == name), None)
+
+
+def _get_part(member: consensus.Member | None) -> str:
+    if member is None:
+        return ""
+    return "voter" if member.voter else "learner"
+
+
+def _list_members(
+    control: service_lib.ControlService,
+) -> list[dict[str, Any]]:
+    return [
+        {
+            "instance": each.instance,
+            "address": each.address,
+            "part": _get_part(each),
+        }
+        for each in control.node.membership.members
+    ]
+
+
+def _is_live(
+    control: service_lib.ControlService,
+    item: messages.InstanceItem,
+    now_s: float,
+) -> bool:
+    view = control.views.get(item.zone)
+    return (
+        view is not None
+        and zoneviews.is_live(view, now_s)
+        and item.instance in view.beat.live_instances
+    )
+
+
+def _list_zones(
+    request: web.Request, control: service_lib.ControlService
+) -> list[dict[str, Any]]:
+    now_s = answers.get_parts(request).clock.monotonic()
+    listed = []
+    for item in sorted(control.state.tables.zones.values()):
+        view = control.views.get(item.zone)
+        document: dict[str, Any] = {
+            "zone": item.zone,
+            "group_epoch": item.group_epoch,
+            "lost": item.lost,
+            "live": zoneviews.is_live(view, now_s),
+            "voters": list(item.voters),
+        }
+        if view is not None:
+            document |= {
+                "silent_s": round(now_s - view.heard_s, 3),
+                "leader": view.beat.leader,
+                "applied_revision": view.beat.applied_revision,
+                "live_instances": list(view.beat.live_instances),
+                "services": [each._asdict() for each in view.beat.services],
+            }
+        listed.append(document)
+    return listed
+
+
+def _describe_keyspace(
+    control: service_lib.ControlService, name: str
+) -> dict[str, Any]:
+    shards = delegation.read_shards(control.state.tables, name)
+    held: dict[str, int] = {}
+    for shard in shards:
+        held[shard.zone] = held.get(shard.zone, 0) + 1
+    item = control.state.tables.keyspaces[name]
+    return {
+        "keyspace": name,
+        "service": item.service,
+        "zone_loss": item.zone_loss,
+        "shards": item.shards,
+        "shards_by_zone": held,
+        "releasing": sum(each.releasing for each in shards),
+        "customers": sorted(control.state.tables.customers.get(name, ())),
+    }
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/admin/zoneparts.py
@@ -0,0 +1,223 @@
+"""Operators' requests about upstreams and keys.
+
+Each zone's leader knows them; any instance of the zone asks it. The control
+instances pass requests on to an instance of the zone by HTTP.
+"""
+
+import asyncio
+from typing import Any
+import urllib.parse
+
+import aiohttp
+from aiohttp import web
+import yarl
+
+from bamboosill_common import sharding
+from bamboosill_common.generated import control as messages
+from bamboosilld.admin import answers
+from bamboosilld.admin import ports
+from bamboosilld.control import delegation
+from bamboosilld.control import service as service_lib
+
+_CALL_TIMEOUT_S = 1.0
+# How many instances of one zone are asked until one answers.
+_TRIES = 3
+
+routes = web.RouteTableDef()
+local_routes = web.RouteTableDef()
+
+
+class _ZoneError(Exception):
+    """No instance of a zone gave an answer."""
+
+
+@local_routes.get("/v1/local/upstreams")
+async def _list_local(request: web.Request) -> web.Response:
+    member = _get_member(request)
+    return web.json_response(
+        {"upstreams": [each._asdict() for each in member.upstreams()]}
+    )
+
+
+@local_routes.post("/v1/local/upstreams/{upstream}/drain")
+async def _drain_local(request: web.Request) -> web.Response:
+    upstream = request.match_info["upstream"]
+    status = answers.unwrap(await _get_member(request).drain_upstream(upstream))
+    code = getattr(status, "code", "")
+    if code and not getattr(status, "ok", False):
+        raise answers.AdminError(
+            404 if code == "unknown_upstream" else 409, code, upstream
+        )
+    return web.json_response({"upstream": upstream, "state": "draining"})
+
+
+@local_routes.get("/v1/local/explain")
+async def _explain_local(request: web.Request) -> web.Response:
+    customer, service, key = _read_key(request)
+    result = await _get_member(request).explain(customer, service, key)
+    return web.json_response(answers.unwrap(result))
+
+
+@routes.get("/v1/upstreams")
+async def _list_upstreams(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    zones = sorted(control.state.tables.zones)
+    replies = await asyncio.gather(
+        *(
+            _ask_zone(request, control, zone, "GET", "/v1/local/upstreams")
+            for zone in zones
+        ),
+        return_exceptions=True,
+    )
+    upstreams: list[dict[str, Any]] = []
+    silent = []
+    for zone, reply in zip(zones, replies, strict=True):
+        if isinstance(reply, dict):
+            upstreams += reply["upstreams"]
+        elif isinstance(reply, (_ZoneError, answers.AdminError)):
+            silent.append({"zone": zone, "detail": str(reply)})
+        elif isinstance(reply, BaseException):
+            raise reply
+    return web.json_response({"upstreams": upstreams, "unreachable": silent})
+
+
+@routes.post("/v1/upstreams/{upstream}/drain")
+async def _drain_upstream(request: web.Request) -> web.Response:
+    control = await answers.lead(request)
+    upstream = request.match_info["upstream"]
+    quoted = urllib.parse.quote(upstream, safe="")
+    path = f"/v1/local/upstreams/{quoted}/drain"
+    silent = []
+    for zone in sorted(control.state.tables.zones):
+        try:
+            reply = await _ask_zone(request, control, zone, "POST", path)
+        except _ZoneError:
+            silent.append(zone)
+        except answers.AdminError as error:
+            if error.document["code"] != "unknown_upstream":
+                raise
+        else:
+            return web.json_response(reply | {"zone": zone})
+    if silent:
+        raise answers.AdminError(
+            503,
+            "zone_unreachable",
+            f"{upstream} may be in {', '.join(silent)}, which does not answer",
+        )
+    raise answers.AdminError(
+        404, "unknown_upstream", f"there is no upstream {upstream}"
+    )
+
+
+@routes.get("/v1/keys/explain")
+async def _explain_key(request: web.Request) -> web.Response:
+    """Says where a key is: its shard, its zone and what the zone knows."""
+    control = await answers.lead(request)
+    customer, service_name, key = _read_key(request)
+    contract = control.state.tables.parsed.get(customer)
+    service = contract.find_service(service_name) if contract else None
+    if service is None:
+        raise answers.AdminError(
+            404,
+            "unknown_customer",
+            f"{customer} has no contract for {service_name}",
+        )
+    keyspace = service.format_keyspace()
+    shards = delegation.read_shards(control.state.tables, keyspace)
+    index = sharding.compute_shard(customer, key, len(shards))
+    shard = shards[index]
+    document: dict[str, Any] = {
+        "customer": customer,
+        "service": service_name,
+        "key": key,
+        "keyspace": keyspace,
+        "shard": index,
+        **shard._asdict(),
+        "status": "not delegated to a zone",
+    }
+    if shard.zone:
+        query = {"customer": customer, "service": service_name, "key": key}
+        path = str(yarl.URL("/v1/local/explain").with_query(query))
+        try:
+            document |= await _ask_zone(
+                request, control, shard.zone, "GET", path
+            )
+        except (_ZoneError, answers.AdminError) as error:
+            document["status"] = f"zone does not answer: {error}"
+    return web.json_response(document)
+
+
+def _get_member(request: web.Request) -> ports.ZoneMember:
+    member = answers.get_parts(request).member
+    if member is None:
+        raise answers.AdminError(404, "no_zone", "this instance has no zone")
+    return member
+
+
+def _read_key(request: web.Request) -> tuple[str, str, str]:
+    names = ("customer", "service", "key")
+    values = [request.query.get(name, "") for name in names]
+    if not all(values):
+        raise answers.AdminError(
+            400, "bad_request", "customer, service and key are required"
+        )
+    return values[0], values[1], values[2]
+
+
+async def _ask_zone(
+    request: web.Request,
+    control: service_lib.ControlService,
+    zone: str,
+    method: str,
+    path: str,
+) -> dict[str, Any]:
+    """Returns the answer of an instance of a zone.
+
+    Raises:
+        _ZoneError: No instance answered.
+        answers.AdminError: An instance refused.
+    """
+    parts = answers.get_parts(request)
+    detail = "no live instance is known"
+    for item in _list_zone_instances(control, zone)[:_TRIES]:
+        url = yarl.URL(
+            f"{parts.scheme}://{item.admin_address}{path}", encoded=True
+        )
+        headers = {}
+        if "Authorization" in request.headers:
+            headers["Authorization"] = request.headers["Authorization"]
+        try:
+            async with parts.session.request(
+                method,
+                url,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S),
+            ) as answer:
+                document: dict[str, Any] = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            detail = f"{item.instance}: {error or type(error).__name__}"
+            continue
+        if answer.status == 200:
+            return document
+        detail = f"{item.instance}: {document.get('detail')}"
+        if answer.status < 500:
+            raise answers.AdminError(
+                answer.status, str(document.get("code")), detail
+            )
+    raise _ZoneError(detail)
+
+
+def _list_zone_instances(
+    control: service_lib.ControlService, zone: str
+) -> list[messages.InstanceItem]:
+    """Returns the instances of a zone, those that are live first."""
+    view = control.views.get(zone)
+    live = view.beat.live_instances if view else ()
+    return sorted(
+        (
+            each
+            for each in control.state.tables.instances.values()
+            if each.zone == zone and not each.removed and each.admin_address
+        ),
+        key=lambda each: (each.instance not in live, each.instance),
+    )
--- a/packages/daemon/src/bamboosilld/control/commands.py
+++ b/packages/daemon/src/bamboosilld/control/commands.py
@@ -55,10 +55,10 @@
     return refuse("conflict", detail, current)
 
 
-@register(messages.AcceptContract)
-def _accept_contract(
-    tables: tables_lib.Tables, index: int, command: messages.AcceptContract
-) -> messages.CommandResult:
+def find_accept_refusal(
+    tables: tables_lib.Tables, command: messages.AcceptContract
+) -> messages.CommandResult | None:
+    """Returns why a contract is refused, or None if it would be accepted."""
     try:
         contract = contract_lib.read_stored(command.document)
     except ValueError as error:
@@ -80,9 +80,20 @@
                 "it is in force; remove the service first",
                 command.base_revision,
             )
+    return None
+
+
+@register(messages.AcceptContract)
+def _accept_contract(
+    tables: tables_lib.Tables, index: int, command: messages.AcceptContract
+) -> messages.CommandResult:
+    refusal = find_accept_refusal(tables, command)
+    if refusal:
+        return refusal
     item = messages.ContractItem(
         customer=command.customer, revision=index, document=command.document
     )
+    contract = contract_lib.read_stored(command.document)
     tables.put_contract(item, contract, index, command.shards)
     return accept(index)
 
--- a/packages/daemon/src/bamboosilld/control/service.py
+++ b/packages/daemon/src/bamboosilld/control/service.py
@@ -15,6 +15,7 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
 from bamboosill_common.generated import peer as peer_messages
+from bamboosilld.control import commands
 from bamboosilld.control import delegator as delegator_lib
 from bamboosilld.control import founder as founder_lib
 from bamboosilld.control import ports
@@ -124,6 +125,14 @@
                 )
         return result
 
+    def find_accept_refusal(
+        self, command: messages.AcceptContract
+    ) -> messages.CommandResult | None:
+        """Returns why a contract would be refused now, or None."""
+        return commands.find_accept_refusal(
+            self.state.tables, command
+        ) or self._settlement.find_refusal(command)
+
     def get_longest_deadline_s(self, service: str = "") -> float:
         """Returns the longest deadline that contracts allow a service."""
         return max(
--- /dev/null
+++ b/packages/daemon/tests/admin/conftest.py
@@ -0,0 +1,193 @@
+"""Admin applications of a control group of one member."""
+
+import json
+from typing import Any
+from typing import NamedTuple
+
+import aiohttp
+from aiohttp import test_utils
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
+from bamboosill_common import events
+from bamboosill_common import wire
+from bamboosill_common.generated import consensus
+from bamboosill_common.generated import control as messages
+from bamboosill_common.generated import zone as zone_messages
+from bamboosilld.admin import app as app_lib
+from bamboosilld.admin import ports
+from bamboosilld.control import service as service_lib
+from bamboosilld.control import state as state_lib
+
+LEADER = consensus.Member("c1", 0, "127.0.0.1:1", True)
+
+
+class Applied(NamedTuple):
+    """What proposing gives."""
+
+    index: int
+    term: int
+    value: Any
+
+
+class FakeNode:
+    """Applies each command at once; `failure` makes all calls fail."""
+
+    def __init__(self, state: state_lib.ControlState) -> None:
+        self.state = state
+        self.is_leader = True
+        self.elected_at_s = 0.0
+        self.index = 0
+        self.failure: errors.ProposeError | None = None
+        self.leader = LEADER
+        self.membership = consensus.Membership((LEADER,))
+
+    def has_leader_lease(self) -> bool:
+        """Returns whether this member leads."""
+        return self.is_leader
+
+    async def propose(self, command: bytes, deadline_s: float) -> Any:
+        """Applies a command."""
+        if self.failure:
+            return Failure(self.failure)
+        self.index += 1
+        value = self.state.apply(self.index, command)
+        return Success(Applied(self.index, 1, value))
+
+    async def read_barrier(self, deadline_s: float) -> Any:
+        """Succeeds unless a failure is set."""
+        return Failure(self.failure) if self.failure else Success(None)
+
+    async def add_learner(self, member: Any, deadline_s: float) -> Any:
+        """Adds a learner."""
+        return self._put(member.instance, member._replace(voter=False))
+
+    async def promote(self, member: Any, deadline_s: float) -> Any:
+        """Gives a member a vote."""
+        return self._put(member.instance, member._replace(voter=True))
+
+    async def remove(self, member: Any, deadline_s: float) -> Any:
+        """Removes a member."""
+        return self._put(member.instance)
+
+    def _put(self, name: str, *new: Any) -> Any:
+        if self.failure:
+            return Failure(self.failure)
+        kept = [e for e in self.membership.members if e.instance != name]
+        self.membership = consensus.Membership((*kept, *new))
+        return Success(None)
+
+
+class FakeMember:
+    """A zone with one upstream."""
+
+    def __init__(self) -> None:
+        self.drained: list[str] = []
+
+    def upstreams(self) -> tuple[zone_messages.Upstream, ...]:
+        """Returns the upstream."""
+        return (zone_messages.Upstream(id="u1", zone="za", service="shop"),)
+
+    async def drain_upstream(self, upstream_id: str) -> Any:
+        """Drains the upstream."""
+        if upstream_id != "u1":
+            status = zone_messages.CommandStatus(code="unknown_upstream")
+            return Success(status)
+        self.drained.append(upstream_id)
+        return Success(zone_messages.CommandStatus(ok=True))
+
+    async def explain(self, customer: str, service: str, key: str) -> Any:
+        """Names the owner."""
+        return Success({"owner": "u1", "fence": 7, "status": "owned"})
+
+
+class Admin:
+    """One control instance with its admin port."""
+
+    def __init__(self, key_file: str = "") -> None:
+        self.clock = clock_lib.LoopClock()
+        self.state = state_lib.ControlState()
+        self.node = FakeNode(self.state)
+        self.timeline = events.Timeline(self.clock, "c1")
+        self.service = service_lib.ControlService(
+            node=self.node,
+            state=self.state,
+            clock=self.clock,
+            timeline=self.timeline,
+            shards_per_keyspace=64,
+        )
+        self.member = FakeMember()
+        self.reasons: tuple[str, ...] = ()
+        self.authenticator = auth.Authenticator(key_file, self.clock)
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listens, and registers itself in zone za."""
+        assert await self.service._take_over()
+        self.session = aiohttp.ClientSession()
+        parts = ports.Parts(
+            instance="c1",
+            authenticator=self.authenticator,
+            clock=self.clock,
+            timeline=self.timeline,
+            check_readiness=lambda: self.reasons,
+            member=self.member,
+            control=self.service,
+            session=self.session,
+        )
+        self.server = test_utils.TestServer(app_lib.make_app(parts))
+        self.client = test_utils.TestClient(self.server)
+        await self.client.start_server()
+        self.address = f"127.0.0.1:{self.server.port}"
+        item = messages.InstanceItem(
+            instance="c1", incarnation=1, zone="za", admin_address=self.address
+        )
+        await self.propose(messages.PutInstance(item=item))
+        zone = messages.ZoneItem(
+            zone="za", group_epoch=1, founder="c1", founder_incarnation=1
+        )
+        await self.propose(messages.FoundZone(item=zone))
+
+    async def propose(self, command: Any) -> Any:
+        """Applies a command."""
+        return (await self.node.propose(wire.pack(command), 1)).unwrap().value
+
+    async def ask(
+        self, method: str, path: str, body: Any = None, **options: Any
+    ) -> tuple[int, Any]:
+        """Returns status and document of an answer."""
+        async with self.client.request(
+            method, path, json=body, **options
+        ) as answer:
+            return answer.status, await answer.json()
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        await self.client.close()
+        await self.session.close()
+
+
+@pytest.fixture
+async def admin():
+    built = Admin()
+    await built.start()
+    yield built
+    await built.stop()
+
+
+@pytest.fixture
+async def guarded(tmp_path):
+    keys = [
+        {"id": role, "secret": "s" * 32, "roles": [role]}
+        for role in ("operator", "caller")
+    ]
+    path = tmp_path / "keys.json"
+    path.write_text(json.dumps({"keys": keys}))
+    built = Admin(str(path))
+    await built.start()
+    yield built
+    await built.stop()
--- /dev/null
+++ b/packages/daemon/tests/admin/test_app.py
@@ -0,0 +1,73 @@
+"""Tests of health, metrics, events and access."""
+
+import pytest
+
+
+async def test_readiness_gives_its_reasons(admin):
+    """Guards against a balancer that sends work to an unready instance."""
+    assert await admin.ask("GET", "/readyz") == (
+        200,
+        {"ready": True, "reasons": []},
+    )
+    admin.reasons = ("no lease",)
+    assert await admin.ask("GET", "/readyz") == (
+        503,
+        {"ready": False, "reasons": ["no lease"]},
+    )
+    status, _ = await admin.ask("GET", "/healthz")
+    assert status == 200
+
+
+async def test_metrics_and_events(admin):
+    """Guards against events that are told twice, and missing metrics."""
+    admin.timeline.record("a", "one")
+    _, first = await admin.ask("GET", "/v1/events")
+    stamp = first["events"][-1]["stamp"]
+    admin.timeline.record("a", "two")
+    _, second = await admin.ask("GET", f"/v1/events?since={stamp}")
+    assert [each["name"] for each in second["events"]] == ["two"]
+    assert (await admin.ask("GET", "/v1/events?since=x"))[0] == 400
+    answer = await admin.client.get("/metrics")
+    assert "bamboosill_peer" in await answer.text()
+
+
+@pytest.mark.parametrize(
+    ("role", "status"), [("operator", 200), ("caller", 401), ("", 401)]
+)
+async def test_only_operators_are_answered(guarded, role, status):
+    """Guards against commands from anyone who reaches the port."""
+    token = guarded.authenticator.sign(role) if role else ""
+    headers = {"Authorization": f"Bearer {token}"}
+    for path in ("/v1/contracts", "/v1/events", "/v1/local/upstreams"):
+        answer = await guarded.ask("GET", path, headers=headers)
+        assert answer[0] == status
+    assert (await guarded.ask("GET", "/healthz"))[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"", 400),
+        (b"{", 400),
+        (b"[]", 400),
+        (b"[" * 100_000, 400),
+        (b" " * 300_000, 413),
+        (b"{}", 400),
+        (b'{"command_id": 1}', 400),
+        (b'{"command_id": "x", "base_revision": -1}', 400),
+        (b'{"command_id": "x", "base_revision": true}', 400),
+        (b'{"command_id": "x", "base_revision": 1e400}', 400),
+        (b'{"command_id": "' + b"x" * 65 + b'", "base_revision": 1}', 400),
+    ],
+)
+async def test_bad_bodies(admin, data, status):
+    """Guards against bodies that crash or fill an instance."""
+    answer = await admin.client.post("/v1/contracts/a/retire", data=data)
+    assert answer.status == status
+    assert set(await answer.json()) >= {"code", "detail", "findings"}
+
+
+async def test_unknown_path(admin):
+    """Guards against errors that are not JSON."""
+    status, document = await admin.ask("GET", "/v1/nothing")
+    assert (status, document["code"]) == (404, "http")
