--- a/packages/daemon/src/bamboosilld/admin/answers.py
+++ b/packages/daemon/src/bamboosilld/admin/answers.py
@@ -171,5 +171,7 @@
         case Success(value):
             return value
         case Failure(error):
+            if getattr(error, "applied_unknown", False):
+                raise AdminError(504, "unknown", error.detail)
             raise AdminError(503, error.code, error.detail)
     raise AssertionError
--- a/packages/daemon/src/bamboosilld/admin/zoneparts.py
+++ b/packages/daemon/src/bamboosilld/admin/zoneparts.py
@@ -99,8 +99,9 @@
         else:
             return web.json_response(reply | {"zone": zone})
     if silent:
+        # An instance may have passed the command on before it went silent.
         raise answers.AdminError(
-            503,
+            504,
             "zone_unreachable",
             f"{upstream} may be in {', '.join(silent)}, which does not answer",
         )
