--- a/packages/daemon/tests/entry/test_exchange.py
+++ b/packages/daemon/tests/entry/test_exchange.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from bamboosilld.entry import exchange
 from bamboosilld.entry import pools
-import pytest
 
 OK = (
     b"HTTP/1.1 200 OK\r\nBamboosill-Request-Id: r\r\n"
--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -201,6 +201,48 @@
     assert len(upstream.recorder.lines) == 1
 
 
+async def test_record_goes_where_the_key_went(bench):
+    """Guards against a record left in a zone that lost the key."""
+    await bench.start()
+    upstream = await bench.start_upstream()
+    local = bench.make_route("local", upstream=bench.member.upstream)
+    member, _ = await start_other_zone(bench)
+    bench.member.routes = [local]
+    bench.member.lease_valid = False
+    answer = await bench.send(
+        "POST",
+        "/shopfront/orders",
+        data=b"one",
+        headers={
+            "Bamboosill-Request-Id": "018bcfe5-6800-7000-8000-000000000001"
+        },
+    )
+    assert summarize(answer) == (201, "answer", "ok")
+    assert bench.member.records == {}
+    assert member.count("BeginRequest") == 1
+    assert len(upstream.recorder.lines) == 1
+
+
+class _NoRetries(passthrough.Budget):
+    """A retry budget that is used up."""
+
+    def try_retry(self, customer):
+        return False
+
+
+@pytest.mark.parametrize(
+    ("fault", "status", "runs"),
+    [("once-truncated-body", 502, 1), ("once-shed", 503, 0)],
+)
+async def test_retries_need_a_budget(bench, fault, status, runs):
+    """Guards against retries that multiply an overload."""
+    await bench.start(budget=_NoRetries())
+    upstream = await bench.start_upstream()
+    answer = await bench.send(headers={"X-Test-Fault": fault})
+    assert answer[0] == status
+    assert len(upstream.recorder.lines) == runs
+
+
 async def test_long_answer_is_forwarded_or_visibly_broken(bench):
     """Guards against a truncated long answer hidden by the second hop."""
     await bench.start()
--- a/packages/daemon/tests/entry/test_silence.py
+++ b/packages/daemon/tests/entry/test_silence.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 
+import pytest
+
 from bamboosill_common import requestid
 from bamboosill_dev import caller as caller_lib
 from bamboosill_dev import relay as relay_lib
-import pytest
 
 
 @pytest.fixture
--- a/packages/dev/tests/test_caller.py
+++ b/packages/dev/tests/test_caller.py
@@ -6,9 +6,10 @@
 import random
 
 from aiohttp import web
+import pytest
+
 from bamboosill_dev import balancer as balancer_lib
 from bamboosill_dev import caller as caller_lib
-import pytest
 
 ORDER = caller_lib.Request(
     "POST", "/s/orders", "acme", "k", b"one", 200, repeatable=False
--- a/packages/dev/tests/test_relay.py
+++ b/packages/dev/tests/test_relay.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 
-from bamboosill_dev import relay as relay_lib
 import pytest
 
+from bamboosill_dev import relay as relay_lib
+
 
 @pytest.fixture
 async def relay():
--- a/packages/dev/tests/upstream/test_grants.py
+++ b/packages/dev/tests/upstream/test_grants.py
@@ -1,8 +1,9 @@
 """Tests of the grants that the stand-in for upstreams holds."""
 
-from bamboosill_dev.upstream import grants as grants_lib
 import pytest
 
+from bamboosill_dev.upstream import grants as grants_lib
+
 KEYSPACE = "shopfront/hold/all"
 LAPSE = "shopfront/lapse/all"
 
--- a/packages/dev/tests/upstream/test_process.py
+++ b/packages/dev/tests/upstream/test_process.py
@@ -8,10 +8,11 @@
 
 import aiohttp
 from aiohttp import web
+import pytest
+
 from bamboosill_dev import relay as relay_lib
 from bamboosill_dev.upstream import options
 from bamboosill_dev.upstream import process
-import pytest
 
 GRANT = {"keyspace": "s/hold/all", "shard": 1, "fence": 5, "lapse": False}
 
