--- a/packages/daemon/tests/consensus/test_faults.py
+++ b/packages/daemon/tests/consensus/test_faults.py
@@ -1,17 +1,18 @@
 """Tests of groups with faults of network, disks and processes."""
-# ruff: noqa: D102, ASYNC110
+# ruff: noqa: ASYNC110
 
 import asyncio
 import pathlib
 import random
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import errors
 from bamboosill_common.generated import consensus as messages
 from bamboosill_dev import memory_files
 from bamboosilld.storage import disk
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 NAMES = "abc"
 
