Serve the operators' API on the admin port

Cause: the command line had nothing to talk to. Change: instance.py serves admin.app on the admin address.

--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -21,6 +21,8 @@
 from bamboosill_common.generated import consensus as consensus_messages
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
+from bamboosilld.admin import app
+from bamboosilld.admin import ports
 from bamboosilld.admission import gate as gate_lib
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.admission import retry
@@ -234,17 +236,29 @@
         )
 
     async def _start_admin(self) -> None:
-        application = web.Application()
-        application.router.add_get("/readyz", self._answer_ready)
-        self._admin = web.AppRunner(application)
+        shared, control = self._shared, self._control
+        application = app.make_app(
+            ports.Parts(
+                instance=self._settings.instance_id,
+                clock=shared.clock,
+                timeline=shared.timeline,
+                authenticator=shared.authenticator,
+                check_readiness=self._check_readiness,
+                member=self._member,
+                control=control.service if control else None,
+                session=self._session,
+            )
+        )
+        self._admin = web.AppRunner(application, access_log=None)
         await self._admin.setup()
         host, port = settings_lib.split_address(self._settings.admin_listen)
         await web.TCPSite(self._admin, host, port).start()
 
-    async def _answer_ready(self, request: web.Request) -> web.Response:
-        del request
+    def _check_readiness(self) -> tuple[str, ...]:
+        """Returns the reasons why this instance is not ready."""
         part = self._entry or self._member
         ready, reason = part.is_ready()
-        return web.json_response(
-            {"ready": ready, "reason": reason}, status=200 if ready else 503
-        )
+        reasons = [] if ready else [reason]
+        if self._control is not None and self._control.node.failure:
+            reasons.append(f"control: {self._control.node.failure}")
+        return tuple(reasons)
