Show times in the demonstration and end it sooner

Cause: the run did not end within 55 s; most of the time went to stopping upstreams that wait for each other, and to operator commands one by one. Change: stand-ins are killed at the end, keys are explained at the same time.

--- a/packages/dev/src/bamboosill_dev/cluster.py
+++ b/packages/dev/src/bamboosill_dev/cluster.py
@@ -307,7 +307,13 @@
         return json.loads(output)
 
     async def stop(self) -> None:
-        """Ends all processes that were started here."""
+        """Ends all processes that were started here.
+
+        Upstreams are killed: a graceful stop would wait for other upstreams
+        that are ending as well.
+        """
+        for name in self.upstreams:
+            self.processes[name].send(signal.SIGKILL)
         await asyncio.gather(
             *(process.end() for process in self.processes.values())
         )
--- a/packages/dev/src/bamboosill_dev/demo.py
+++ b/packages/dev/src/bamboosill_dev/demo.py
@@ -15,6 +15,7 @@
 import signal
 import sys
 import tempfile
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -54,8 +55,12 @@
         self._rng = random.Random(seed)
         self._sent: list[Sent] = []
         self._tasks: set[asyncio.Task[None]] = set()
+        self._begun_s = time.monotonic()
         self._callers: dict[str, caller_lib.Caller] = {}
 
+    def _say(self, text: str) -> None:
+        print(f"[{time.monotonic() - self._begun_s:5.1f} s] {text}")
+
     async def run(self) -> list[str]:
         """Returns what was wrong, one sentence each."""
         try:
@@ -72,7 +77,7 @@
 
     async def _start(self) -> None:
         cluster = self._cluster
-        print(
+        self._say(
             f"Starting {len(cluster.instances)} instances in {len(ZONES)} "
             "availability zones, and their upstreams."
         )
@@ -90,11 +95,12 @@
             code, output = await cluster.run_operator(
                 "contract", "accept", str(EXAMPLES / f"{customer}.yaml")
             )
-            print(f"$ bamboosill contract accept examples/{customer}.yaml")
+            self._say(f"$ bamboosill contract accept examples/{customer}.yaml")
             print(output.rstrip())
             if code:
                 raise RuntimeError(f"contract of {customer} was not accepted")
         await cluster.wait_ready(list(cluster.instances), READY_TIMEOUT_S)
+        self._say("All instances are ready.")
         self._open_callers()
         await self._wait_routed()
 
@@ -146,37 +152,36 @@
     async def _lose_upstreams(self) -> None:
         leaving = f"{SERVICES[0]}-{ZONES[0]}-1"
         killed = f"{SERVICES[0]}-{ZONES[1]}-1"
-        print(f"\nStopping upstream {leaving} gracefully.")
+        self._say(f"Stopping upstream {leaving} gracefully.")
         self._cluster.processes[leaving].send(signal.SIGTERM)
         await self._send_for(PHASE_S)
-        print(f"Killing upstream {killed}.")
+        self._say(f"Killing upstream {killed}.")
         self._cluster.processes[killed].send(signal.SIGKILL)
         await self._send_for(PHASE_S)
         await asyncio.gather(*self._tasks)
 
     async def _show_owners(self, title: str) -> None:
-        rows = []
-        for customer in CUSTOMERS:
-            for number in range(3):
-                found = await self._cluster.run_operator_json(
-                    "key", "explain", customer, SERVICES[0], f"key-{number}"
-                )
-                rows.append(
-                    (
-                        customer,
-                        f"key-{number}",
-                        found.get("zone", ""),
-                        found.get("owner", ""),
-                        found.get("fence", ""),
-                    )
-                )
-        print(f"\n{title}:")
+        rows = await asyncio.gather(
+            *(
+                self._explain(customer, f"key-{number}")
+                for customer in CUSTOMERS
+                for number in range(3)
+            )
+        )
+        self._say(f"{title}:")
         print(
             tabulate.tabulate(
                 rows, ("customer", "key", "zone", "owner", "fence")
             )
         )
 
+    async def _explain(self, customer: str, key: str) -> tuple[str, ...]:
+        found = await self._cluster.run_operator_json(
+            "key", "explain", customer, SERVICES[0], key
+        )
+        owner = (found.get("owner") or {}).get("id", "none")
+        return customer, key, found["zone"], owner, str(found["fence"])
+
     def _report(self) -> list[str]:
         rows = collections.Counter(
             (
@@ -186,7 +191,7 @@
             )
             for each in self._sent
         )
-        print(f"\nWhat the callers of {len(self._sent)} requests were told:")
+        self._say(f"What the callers of {len(self._sent)} requests were told:")
         print(
             tabulate.tabulate(
                 [(*key, count) for key, count in sorted(rows.items())],
