--- a/packages/dev/src/bamboosill_dev/caller.py
+++ b/packages/dev/src/bamboosill_dev/caller.py
@@ -194,6 +194,7 @@
             "outcome": told.outcome,
             "reason": told.reason,
             "sendings": told.sendings,
+            "body": _parse_body(told.body),
             "start_ns": begun_ns,
             "end_ns": time.clock_gettime_ns(time.CLOCK_MONOTONIC),
             **more,
@@ -204,6 +205,13 @@
             self.lines.append(line)
 
 
+def _parse_body(body: bytes) -> Any:
+    try:
+        return json.loads(body)
+    except ValueError:
+        return None
+
+
 def _is_settled(request: Request, told: Told) -> bool:
     if told.outcome == ANSWER or told.reason in _FINAL_REASONS:
         return True
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault runs over real processes on loopback."""
