Pass a wake-up on when its waiter was cancelled at the same time

Cause: a waiter for a connection that was cancelled right after its wake-up kept the wake-up, so that the next one waited to its deadline. Tested: test_wake_up_of_a_cancelled_waiter_reaches_the_next fails with the former pools.py.

--- a/packages/daemon/src/bamboosilld/entry/pools.py
+++ b/packages/daemon/src/bamboosilld/entry/pools.py
@@ -152,16 +152,18 @@
     async def _wait(self, until: float) -> bool:
         waiter: asyncio.Future[None] = self._loop.create_future()
         self._waiters.append(waiter)
+        woken = False
         try:
             async with asyncio.timeout_at(until):
                 await waiter
+            woken = True
         except TimeoutError:
             return False
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-            elif waiter.cancelled() or self._loop.time() >= until:
-                # The wake-up is passed on to the next one.
+            elif not woken:
+                # Woken and cancelled at once: the next one is woken instead.
                 self._wake()
         return True
 
--- a/packages/daemon/tests/entry/test_exchange.py
+++ b/packages/daemon/tests/entry/test_exchange.py
@@ -121,6 +121,20 @@
     server.close()
 
 
+async def test_wake_up_of_a_cancelled_waiter_reaches_the_next():
+    """Guards against a free connection that nobody is told of."""
+    server, pool = await start(OK)
+    held = [(await pool.acquire(1.0)).unwrap() for _ in range(2)]
+    waiting = [asyncio.create_task(pool.acquire(5.0)) for _ in range(2)]
+    await asyncio.sleep(0.01)
+    pool.put_back(held[0])
+    waiting[0].cancel()
+    result = await asyncio.wait_for(waiting[1], 2.0)
+    assert result.unwrap() is held[0]
+    pool.close()
+    server.close()
+
+
 async def test_waiting_for_a_connection_is_bounded_and_in_order():
     """Guards against waiters that are lost, and waits beyond deadlines."""
     server, pool = await start(OK)
--- a/packages/daemon/tests/entry/test_records.py
+++ b/packages/daemon/tests/entry/test_records.py
@@ -129,6 +129,7 @@
         order(bench, headers=fields), order(bench, headers=fields)
     )
     assert sorted(each[0] for each in told) == [201, 409]
+    assert bench.member.count("BeginRequest") == 1
     assert len(upstream.recorder.lines) == 1
 
 
--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -1,11 +1,14 @@
 """Tests of routing, holding, forwarding and crash reports."""
 
 import asyncio
+import contextlib
 import json
+import sys
 
 import pytest
 from returns.result import Failure
 
+from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.admission import refusal
 from bamboosilld.entry import faults
 from bamboosilld.entry import passthrough
@@ -297,6 +300,32 @@
     assert (await bench.send())[0] == 200
 
 
+async def test_exit_of_a_process_is_recognised(bench):
+    """Guards against a real crash that is taken for a broken connection."""
+    await bench.start()
+    child = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", "bamboosill_dev.upstream", "--id", "u1", "--no-fences"),
+        *("--service", "shopfront", "--zone", "z1"),
+        env={"PYTHONPATH": ":".join(sys.path)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        address = (await child.stdout.readline()).decode().split()[1]
+        bench.member.upstream = zone_messages.Upstream(
+            id="u1", incarnation=1, address=address, slots=6, connections=20
+        )
+        assert (await bench.send())[0] == 200
+        answer = await bench.send("POST", "/shopfront/notes", data=b"poison")
+        assert summarize(answer) == (502, "unknown", "broken")
+        assert bench.member.count("ReportCrash") == 1
+    finally:
+        if child.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                child.kill()
+        await child.wait()
+
+
 async def test_broken_connection_alone_is_no_crash(bench):
     """Guards against crash reports for a connection that broke."""
     await bench.start()
