--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -38,6 +38,8 @@
 # Section 2.6 of the design: beyond it, non-repeatable requests are refused.
 MAX_CLOCK_SKEW_MS = 1_000
 _LEADER_CALL_S = 1.0
+# Short, so that an upstream can still try another instance in time.
+_BEAT_CALL_S = 0.4
 
 _log = logs.get_logger("zone")
 
@@ -255,7 +257,7 @@
         self, beat: messages.UpstreamBeat
     ) -> Result[messages.UpstreamBeatReply, errors.PeerError]:
         """Passes a heartbeat of an upstream to the leader."""
-        return await self._proposals.beat_upstream(beat, _LEADER_CALL_S)
+        return await self._proposals.beat_upstream(beat, _BEAT_CALL_S)
 
     async def explain(
         self, customer: str, service: str, key: str
--- a/packages/daemon/src/bamboosilld/zone/membership.py
+++ b/packages/daemon/src/bamboosilld/zone/membership.py
@@ -5,9 +5,12 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common import peer
@@ -23,6 +26,7 @@
 from bamboosilld.zone import state as state_lib
 
 _JOIN_CALL_S = 2.5
+_ASK_CALL_S = 0.25
 _RETRY_S = 0.1
 # Rounds of asking all instances before control is asked again for the group.
 _JOIN_ROUNDS = 20
@@ -98,15 +102,44 @@
             await node.stop()
         self._incarnation += 1
 
-    async def find_newer_epoch(self) -> bool:
-        """Asks control whether a newer group was founded."""
+    async def is_obsolete(self, renewal: messages.RenewLease) -> bool:
+        """Asks control and the other instances whether to enter again.
+
+        An instance that was removed while it was cut off hears from no
+        leader any more; another member tells it who leads.
+        """
         reply = await self._parts.registrar.register_once()
-        return (
-            reply is not None
-            and self.state is not None
-            and reply.zone.group_epoch > self.state.group_epoch
+        if reply is None or self.state is None:
+            return False
+        if reply.zone.group_epoch > self.state.group_epoch:
+            return True
+        for address in self._list_others(reply.instances):
+            result = await self._call(address, renewal)
+            match result:
+                case Success(found) if found.leader_address:
+                    result = await self._call(found.leader_address, renewal)
+            match result:
+                case Failure(error) if error.code == "not_member":
+                    return True
+        return False
+
+    async def _call(
+        self, address: str, renewal: messages.RenewLease
+    ) -> Result[messages.LeaseReply, errors.PeerError]:
+        return await self._parts.directory.call(
+            address, renewal, messages.LeaseReply, _ASK_CALL_S
         )
 
+    def _list_others(
+        self, instances: tuple[control.InstanceItem, ...]
+    ) -> list[str]:
+        identity = self._parts.identity
+        return [
+            item.peer_address
+            for item in instances
+            if item.zone == identity.zone and item.instance != identity.instance
+        ]
+
     async def _try_enter(self, reply: control.RegisterReply) -> bool:
         parts = self._parts
         epoch = reply.zone.group_epoch
@@ -157,12 +190,7 @@
         )
 
     async def _join(self, instances: tuple[control.InstanceItem, ...]) -> bool:
-        identity = self._parts.identity
-        known = [
-            item.peer_address
-            for item in instances
-            if item.zone == identity.zone and item.instance != identity.instance
-        ]
+        known = self._list_others(instances)
         for _ in range(_JOIN_ROUNDS):
             addresses = list(known)
             while addresses:
--- a/packages/daemon/src/bamboosilld/zone/renewal.py
+++ b/packages/daemon/src/bamboosilld/zone/renewal.py
@@ -99,7 +99,8 @@
             if code == "ok":
                 heard_s = now_s
             elif now_s - heard_s > _ASK_CONTROL_S:
-                if await self._membership.find_newer_epoch():
+                message = self._make_message(now_s)
+                if await self._membership.is_obsolete(message):
                     return
                 heard_s = self._clock.monotonic()
             has_lease = self.has_lease(False)
--- a/packages/daemon/tests/zone/conftest.py
+++ b/packages/daemon/tests/zone/conftest.py
@@ -479,6 +479,8 @@
         self.members = {}
         self.upstreams = {}
         self.runs = []
+        self.tasks = []
+        self.drivers = []
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -508,6 +510,7 @@
             Notices(self, process),
             make_node=self.make_node,
         )
+        member.name = name
         self.processes[name], self.members[name] = process, member
         await member.start()
         return member
@@ -551,9 +554,7 @@
 
     async def request(self, member, key, duration_s=0.01, deadline_s=2.0):
         """Dispatches one request as an entry instance does."""
-        process = next(
-            self.processes[n] for n, m in self.members.items() if m is member
-        )
+        process = self.processes[member.name]
         route = member.route("a", "shop", key)
         if route.status != "local":
             return route.status
--- a/packages/daemon/tests/zone/test_joins.py
+++ b/packages/daemon/tests/zone/test_joins.py
@@ -27,7 +27,7 @@
     )
 
 
-@pytest.mark.looptime
+@pytest.mark.looptime(noop_cycles=0)
 async def test_up_to_five_voters(make_world):
     """Guards against a group that loses its state with one instance."""
     world = make_world()
@@ -40,7 +40,7 @@
     assert len(members) == 7
 
 
-@pytest.mark.looptime
+@pytest.mark.looptime(noop_cycles=0)
 async def test_lost_voter_is_replaced(make_world):
     """Guards against lost voters that keep counting for the majority."""
     world = make_world()
@@ -55,7 +55,7 @@
     await world.wait(lambda: world.all_local(world.members["i2"]))
 
 
-@pytest.mark.looptime
+@pytest.mark.looptime(noop_cycles=0)
 async def test_leader_lost(make_world):
     """Guards against a zone that forgets its shards with its leader."""
     world = make_world()
--- a/packages/daemon/tests/zone/test_member.py
+++ b/packages/daemon/tests/zone/test_member.py
@@ -3,7 +3,7 @@
 import pytest
 
 
-@pytest.mark.looptime
+@pytest.mark.looptime(noop_cycles=0)
 async def test_founds_group_and_routes_to_upstream(make_lone_world):
     """Guards against a zone that never begins to serve."""
     world = make_lone_world()
