--- /dev/null
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -0,0 +1,353 @@
+"""Tests of moves between upstreams and of each wait before they end."""
+
+import asyncio
+
+import pytest
+from returns.result import Success
+
+from bamboosill_common import sharding
+from bamboosill_common.generated import zone as messages
+from bamboosilld.zone import assignments
+from bamboosilld.zone import times
+
+SHARDS = 16
+
+
+def get_state(world, name="i0"):
+    return world.members[name]._membership.state
+
+
+def find_leader(world):
+    for name, member in world.members.items():
+        node = member._membership.node
+        if node is not None and node.is_leader and node.has_leader_lease():
+            return name
+    return None
+
+
+def count_moves(world):
+    """Returns how many changes began, by the leader's events."""
+    return sum(
+        event.fields["shards"]
+        for member in world.members.values()
+        for event in member._timeline.list_events()
+        if event.name == "begin_move"
+    )
+
+
+async def make_zone(make_world, upstreams=("u", "v"), count=3, **options):
+    """Returns a world whose shards all have owners."""
+    checks_fences = options.pop("checks_fences", True)
+    zone_loss = options.pop("zone_loss", "hold")
+    world = make_world(**options)
+    world.control.add_contract("a", "shop", SHARDS, zone_loss)
+    for name in upstreams:
+        world.add_upstream(name, 1, checks_fences)
+    for number in range(count):
+        await world.add_member(f"i{number}")
+    await settle(world)
+    # A new leader waits before moves that are not needed.
+    await asyncio.sleep(4)
+    return world
+
+
+async def settle(world, limit_s=30.0):
+    return await world.wait(
+        lambda: all(world.all_local(m) for m in world.members.values()),
+        limit_s,
+    )
+
+
+async def settle_on(world, name):
+    """Waits until one upstream owns all shards, and returns when."""
+    return await world.wait(
+        lambda: all(
+            world.all_local(member)
+            and set(world.find_owners(member, "a").values()) == {name}
+            for member in world.members.values()
+        )
+    )
+
+
+def find_key(world, upstream, member):
+    """Returns a key that an upstream owns."""
+    return next(
+        f"key{number}"
+        for number in range(200)
+        if member.route("a", "shop", f"key{number}").upstream.id == upstream
+    )
+
+
+def get_upstream(world, name):
+    return next(u for u in world.upstreams.values() if u.id == name)
+
+
+async def leave(world, name):
+    get_upstream(world, name).state = "draining"
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_leaving_upstream_gets_no_new_work(make_world):
+    """Guards against work for an upstream that leaves, and cut requests."""
+    world = await make_zone(make_world)
+    entry = world.members["i1"]
+    key = find_key(world, "u", entry)
+    long = asyncio.create_task(world.request(entry, key, 6.0, 8.0))
+    await asyncio.sleep(0.2)
+    await leave(world, "u")
+    await asyncio.sleep(3)
+    for member in world.members.values():
+        owners = set(world.find_owners(member, "a").values())
+        assert owners == {"v"}, "new work reaches the leaving upstream"
+    assert entry.route("a", "shop", key).status == "moving"
+    assert await long == "done", "a request in flight was interrupted"
+    await settle(world)
+    world.check_single_owner()
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize("count", [1, 3])
+async def test_lost_upstream_is_replaced_within_3_s(make_world, count):
+    """Guards against keys that stay without an owner."""
+    world = await make_zone(make_world, count=count)
+    get_upstream(world, "u").die()
+    lost_s = world.now()
+    assert await settle_on(world, "v") - lost_s <= 3.0
+    await world.wait(lambda: get_state(world).upstreams.find("u") is None)
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_frozen_upstream_starts_anew(make_world):
+    """Guards against grants from before a freeze that still count."""
+    world = await make_zone(make_world)
+    upstream = get_upstream(world, "u")
+    before = dict(upstream.grants)
+    upstream.clock.pause()
+    await asyncio.sleep(4)
+    for keyspace, shard, _ in before:
+        value = get_state(world).assignments.find(
+            assignments.AssignmentKey(keyspace, shard)
+        )
+        assert value.owner.id == "v"
+        assert value.fence > before[(keyspace, shard, "")]
+    fences = list(before.items())
+    upstream.clock.resume()
+    (keyspace, shard, _), fence = fences[0]
+    assert not await upstream.run(keyspace, shard, fence, 0.0)
+    announced = upstream.announced
+    await world.wait(lambda: upstream.announced > announced)
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_entry_instance_that_lags_delays_the_move(make_world):
+    """Guards against an instance that dispatches by an old assignment."""
+    world = await make_zone(make_world, checks_fences=False)
+    entry = world.members["i2"]
+    key = find_key(world, "u", entry)
+    route = entry.route("a", "shop", key)
+    world.network.isolate("i2")
+    # Stops the beats through the instance that was cut off.
+    for upstream in world.upstreams.values():
+        upstream.members = ["i0", "i1"]
+    await leave(world, "u")
+    cut_s = world.now()
+    refused_s = await world.wait(
+        lambda: entry.begin_dispatch(route, 2.0) is None
+    )
+    assert refused_s - cut_s <= times.SERVE_LEASE_S
+    other = world.members["i0"]
+    assert other.route("a", "shop", key).status == "moving"
+    # Its last request may run for the longest deadline of 2 s.
+    await world.wait(lambda: other.route("a", "shop", key).status == "local")
+    assert world.now() - refused_s >= 2.0
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_new_leader_waits_for_leases_it_does_not_know(make_world):
+    """Guards against a move that ends before a predecessor's leases."""
+    world = await make_zone(make_world, checks_fences=False)
+    get_upstream(world, "u").die()
+    old = find_leader(world)
+    await world.kill_member(old)
+    for upstream in world.upstreams.values():
+        upstream.members = sorted(world.members)
+    await world.wait(lambda: find_leader(world) is not None)
+    node = world.members[find_leader(world)]._membership.node
+    elected_s = node.elected_at_s
+    await settle_on(world, "v")
+    wait_s = times.SERVE_LEASE_S + times.MARGIN_S + 2.0
+    assert world.now() - elected_s >= wait_s
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_unconfirmed_revocation_waits_for_the_grant(make_world):
+    """Guards against a move while the former owner's grant still holds."""
+    world = await make_zone(make_world)
+    upstream = get_upstream(world, "u")
+    upstream.confirms = False
+    grants = list(upstream.grants)
+    await leave(world, "u")
+    state = get_state(world)
+
+    def list_moved():
+        return [
+            place
+            for place in grants
+            if (value := state.assignments.find(place)) is not None
+            and value.owner.id == "v"
+        ]
+
+    await world.wait(list_moved)
+    for keyspace, shard, _ in list_moved():
+        held = upstream.grants.get((keyspace, shard, ""))
+        assert held is None or upstream.clock.monotonic() > upstream.until_s
+    # The heartbeats told it before its lease ended.
+    await settle(world)
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize("pause_s", [0.5, 1.2, 10.0])
+async def test_dispatch_is_refused_after_a_pause(make_world, pause_s):
+    """Guards against an instance that resumes with an old lease."""
+    world = await make_zone(make_world, count=1)
+    entry = world.members["i0"]
+    route = entry.route("a", "shop", "key1")
+    dispatch = entry.begin_dispatch(route, 2.0)
+    assert entry.check_dispatch(dispatch)
+    # The process does not run: its clock moves and nothing else does.
+    world.processes["i0"].clock.offset_s += pause_s
+    expected = pause_s < 0.7
+    assert entry.check_dispatch(dispatch) == expected
+    assert (entry.begin_dispatch(route, 2.0) is not None) == expected
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize(
+    ("zone_loss", "serves"), [("hold", True), ("lapse", False)]
+)
+async def test_zone_that_is_cut_off(make_world, zone_loss, serves):
+    """Guards against a lapse shard that is served by two zones."""
+    world = await make_zone(make_world, zone_loss=zone_loss)
+    entry = world.members["i1"]
+    assert await world.request(entry, "key1") == "done"
+    world.network.isolate("control")
+    cut_s = world.now()
+    route = entry.route("a", "shop", "key1")
+    upstream = get_upstream(world, route.upstream.id)
+    last_s = cut_s
+    while world.now() < cut_s + 4:
+        dispatch = entry.begin_dispatch(route, 2.0)
+        if dispatch is not None:
+            entry.end_dispatch(dispatch)
+            last_s = world.now()
+        if await upstream.run(route.keyspace, route.shard, route.fence, 0):
+            last_s = world.now()
+        await asyncio.sleep(0.02)
+    assert (last_s > cut_s + 3.9) == serves
+    if not serves:
+        assert last_s <= cut_s + 1.5
+        assert entry.route("a", "shop", "key1").status == "moving"
+    world.network.heal()
+    await settle(world)
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_silent_connection_moves_no_keys(make_world):
+    """Guards against a broken path that is taken for a dead upstream."""
+    world = await make_zone(make_world)
+    before = world.find_owners(world.members["i0"], "a")
+    moves = count_moves(world)
+    failing = messages.UpstreamView("u", 3, 0.0, 0, 0, 500)
+    member = world.members["i1"]
+    member.set_reporter(
+        lambda: type(member._renewal.reporter())(upstreams=(failing,))
+    )
+    other = next(n for n in ("i1", "i2") if n != find_leader(world))
+    world.network.isolate(other)
+    for upstream in world.upstreams.values():
+        upstream.members = sorted(set(world.members) - {other})
+    await asyncio.sleep(8)
+    assert count_moves(world) == moves
+    found = world.find_owners(world.members[find_leader(world)], "a")
+    assert found == before
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize("pause_s", [1.0, 3.0])
+async def test_paused_leader_declares_no_upstream_lost(make_world, pause_s):
+    """Guards against moves because the leader itself did not run."""
+    world = await make_zone(make_world, count=1)
+    moves = count_moves(world)
+    clock = world.processes["i0"].clock
+    clock.pause()
+    await asyncio.sleep(pause_s)
+    clock.resume()
+    await asyncio.sleep(2)
+    assert count_moves(world) == moves
+    assert get_state(world).upstreams.find("u") is not None
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_flapping_upstream_does_not_cause_endless_moves(make_world):
+    """Guards against shards that follow an upstream in and out."""
+    world = await make_zone(make_world, ("u", "v", "w"))
+    counts = []
+    for incarnation in range(2, 14):
+        before = count_moves(world)
+        get_upstream(world, "u").die()
+        await asyncio.sleep(2.5)
+        world.upstreams.pop(f"u/{incarnation - 1}")
+        world.add_upstream("u", incarnation)
+        await asyncio.sleep(2.5)
+        counts.append(count_moves(world) - before)
+    assert sum(counts[-6:]) == 0, counts
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_control_gets_shards_back(make_world):
+    """Guards against a shard released while an upstream still owns it."""
+    world = await make_zone(make_world)
+    keyspace = sharding.format_keyspace("shop", "hold", ())
+    entry = world.members["i0"]
+    long = asyncio.create_task(world.request(entry, "key1", 1.5, 2.0))
+    await asyncio.sleep(0.1)
+    shard = entry.route("a", "shop", "key1").shard
+    world.control.delegate(keyspace, SHARDS, releasing=True)
+    began_s = world.now()
+
+    def is_released():
+        return shard in {e.shard for e in world.control.beats[-1].released}
+
+    await world.wait(is_released)
+    assert world.now() - began_s > 1.3, "a request was in flight"
+    assert await long == "done"
+    await world.wait(lambda: len(world.control.beats[-1].released) == SHARDS)
+    assert not get_upstream(world, "u").grants or await world.wait(
+        lambda: not get_upstream(world, "u").grants
+    )
+    world.control.delegate(keyspace, SHARDS, epoch=2)
+    await settle(world)
+    assert entry.route("a", "shop", "key1").fence >> 40 == 2
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_hot_key_moves_alone(make_world):
+    """Guards against a hot key that has two owners while it moves."""
+    world = await make_zone(make_world)
+    entry = world.members["i1"]
+    key = find_key(world, "u", entry)
+    route = entry.route("a", "shop", key)
+    dispatch = entry.begin_dispatch(route, 2.0)
+    authority = world.members[find_leader(world)]._authority
+    hot = assignments.AssignmentKey(route.keyspace, route.shard, route.key)
+    authority._planner._chooser.choose = lambda *args: {tuple(hot): 1.0}
+    begin = messages.BeginMove(*hot[:1], (hot.shard,), "v", 1, "", hot.key)
+    result = await authority._commit(begin)
+    assert isinstance(result, Success)
+    await asyncio.sleep(1)
+    assert entry.route("a", "shop", key).status == "moving"
+    entry.end_dispatch(dispatch)
+    await world.wait(lambda: entry.route("a", "shop", key).status == "local")
+    assert entry.route("a", "shop", key).upstream.id == "v"
+    value = get_state(world).assignments.find(hot._replace(key=""))
+    assert value.owner.id == "u"
