Send the expiry of each request; hold back moves for abandoned requests

Ruled out: early end of the leader's waits; the requests had been written under a valid lease. Change: requests carry Bamboosill-Expires-Ms, checked by upstreams that accept deadlines; an abandoned request to an upstream that does not check fences stays in flight until its deadline.

--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -1,5 +1,6 @@
 """Sends one request to the upstream that owns its key."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
@@ -141,15 +142,41 @@
         if dispatch is None:
             pool.put_back(connection)
             return Failure(_not_run("moved", "the key is being moved"))
+        ended_for_certain = False
         try:
             if not self._member.check_dispatch(dispatch):
                 pool.put_back(connection)
+                ended_for_certain = True
                 return Failure(_not_run("moved", "the lease has ended"))
-            return await self._write(
+            result = await self._write(
                 inbound, route, upstream, attempt, (pool, connection)
             )
+            ended_for_certain = not _may_still_run(result)
+            return result
         finally:
+            self._end(dispatch, upstream, inbound, ended_for_certain)
+
+    def _end(
+        self,
+        dispatch: Any,
+        upstream: zone_messages.Upstream,
+        inbound: inbound_lib.Inbound,
+        ended_for_certain: bool,
+    ) -> None:
+        """Ends a dispatch once its request certainly runs no more.
+
+        An upstream that checks fences refuses what is late. Another one may
+        run an abandoned request until its deadline, and a move of the key
+        must wait for that.
+        """
+        if ended_for_certain or upstream.checks_fences:
             self._member.end_dispatch(dispatch)
+            return
+        asyncio.get_running_loop().call_later(
+            max(0.0, inbound.until - self._clock.monotonic()),
+            self._member.end_dispatch,
+            dispatch,
+        )
 
     async def _write(
         self,
@@ -167,7 +194,13 @@
             remaining_s * _SILENCE_FRACTION if give_up else 0.0,
             give_up or _never,
         )
-        request = _format(inbound, route, upstream.address, remaining_s)
+        request = _format(
+            inbound,
+            route,
+            upstream.address,
+            remaining_s,
+            self._clock.wall_ms(),
+        )
         self._crashes.begin(upstream, inbound.fingerprint)
         complete = False
         try:
@@ -306,18 +339,28 @@
     return _not_run(code, f"the upstream refused: {code}")
 
 
+def _may_still_run(result: Result[None, Ended]) -> bool:
+    if isinstance(result, Success):
+        return False
+    ended = result.failure()
+    return not isinstance(ended, Stopped) and ended.may_have_run
+
+
 def _format(
     inbound: inbound_lib.Inbound,
     route: interfaces.Route,
     address: str,
     remaining_s: float,
+    now_ms: int,
 ) -> bytes:
+    remaining_ms = max(1, int(remaining_s * 1000))
     lines = (
         *inbound.lines,
         (headers.KEYSPACE, route.keyspace),
         (headers.SHARD, str(route.shard)),
         (headers.FENCE, str(route.fence)),
-        (headers.DEADLINE, str(max(1, int(remaining_s * 1000)))),
+        (headers.DEADLINE, str(remaining_ms)),
+        (headers.EXPIRES, str(now_ms + remaining_ms)),
         (headers.REQUEST_ID, inbound.request_id),
         (headers.CUSTOMER, inbound.customer),
         (headers.KEY, inbound.key),
--- a/packages/daemon/src/bamboosilld/entry/headers.py
+++ b/packages/daemon/src/bamboosilld/entry/headers.py
@@ -3,6 +3,7 @@
 CUSTOMER = "Bamboosill-Customer"
 KEY = "Bamboosill-Key"
 DEADLINE = "Bamboosill-Deadline-Ms"
+EXPIRES = "Bamboosill-Expires-Ms"
 REQUEST_ID = "Bamboosill-Request-Id"
 OUTCOME = "Bamboosill-Outcome"
 REASON = "Bamboosill-Reason"
--- a/packages/dev/src/bamboosill_dev/faults/history.py
+++ b/packages/dev/src/bamboosill_dev/faults/history.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 from typing import Any
 from typing import NamedTuple
 
@@ -142,9 +143,7 @@
     for key, owned in by_key.items():
         owned.sort(key=lambda run: run.start_ns)
         owners = [(run.upstream, run.incarnation) for run in owned]
-        moves += sum(
-            one != other for one, other in zip(owners, owners[1:], strict=False)
-        )
+        moves += sum(one != other for one, other in itertools.pairwise(owners))
         latest: Run | None = None
         for run in owned:
             if latest is not None and _overlaps(latest, run):
--- a/packages/dev/src/bamboosill_dev/upstream/service.py
+++ b/packages/dev/src/bamboosill_dev/upstream/service.py
@@ -121,7 +121,7 @@
         if self.running >= self._options.slots or fault == "shed":
             raise Refusal(503, "shed")
         work = _parse_work(request)
-        self._check(work)
+        self._check(work, request)
         if fault == "stale":
             raise Refusal(409, "stale-fence")
         if fault == "close-before":
@@ -137,7 +137,7 @@
         try:
             self._crash_on_poison(body, request, work, start_ns)
             await self._serve(request)
-            self._check(work)
+            self._check(work, request)
             answer = self._apply(request, body, work, start_ns)
         except asyncio.CancelledError:
             if task in self._cancelled:
@@ -164,9 +164,13 @@
             self._faulted.add(name)
         return fault
 
-    def _check(self, work: grants_lib.Work) -> None:
+    def _check(self, work: grants_lib.Work, request: web.BaseRequest) -> None:
         if self._options.checks_fences and not self._grants.allows(work):
             raise Refusal(409, "stale-fence")
+        expires = request.headers.get("Bamboosill-Expires-Ms")
+        if self._options.accepts_deadlines and expires:
+            if time.time_ns() // 1_000_000 >= int(expires):
+                raise Refusal(503, "deadline")
 
     async def _serve(self, request: web.BaseRequest) -> None:
         """Takes as long as the request takes."""
