Test that the sender counts hops

Cause: with the check of the sender off, the receiver's check hid it. Change: the test counts the connections of the hops. Tested: fails with the check off, passes with it. Conclusion: a request is written twice at most.

--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -183,6 +183,8 @@
     bench.member.default = bench.make_route("remote", addresses=(address,))
     answer = await bench.send()
     assert summarize(answer) == (503, "not-run", "hop-limit")
+    # One connection for each hop.
+    assert bench.entry._forwarder.pools.get(address, 64).size == 2
 
 
 async def test_orders_are_recorded_where_they_are_dispatched(bench):
