--- /dev/null
+++ b/packages/daemon/tests/zone/test_authority.py
@@ -0,0 +1,151 @@
+"""Tests of what the zone leader accepts from instances and upstreams."""
+
+import asyncio
+import random
+
+import pytest
+
+from bamboosill_common import requestid
+from bamboosill_common.generated import zone as messages
+
+
+def find_leader(world):
+    for name, member in world.members.items():
+        node = member._membership.node
+        if node is not None and node.is_leader and node.has_leader_lease():
+            return name
+    return None
+
+
+async def make_zone(make_world):
+    world = make_world()
+    world.control.add_contract("a", "shop", 8)
+    for name in ("u", "v"):
+        world.add_upstream(name)
+    for number in range(3):
+        await world.add_member(f"i{number}")
+    await world.wait(
+        lambda: all(world.all_local(m) for m in world.members.values())
+    )
+    # All become voters, and the leader knows all leases.
+    await asyncio.sleep(4)
+    follower = next(n for n in world.members if n != find_leader(world))
+    return world, world.members[follower], world.processes[follower].clock
+
+
+def make_begin(clock, request_id, shift_ms=0):
+    return messages.BeginRequest(
+        id=request_id,
+        customer="a",
+        fingerprint=b"f",
+        keyspace="shop/hold/all",
+        shard=1,
+        instance="i1",
+        incarnation=1,
+        now_ms=clock.wall_ms() + shift_ms,
+    )
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_record_is_seen_by_all_instances(make_world):
+    """Guards against a second run through another instance."""
+    world, follower, clock = await make_zone(make_world)
+    request_id = requestid.make_request_id(clock.wall_ms(), random.Random(1))
+    begin = make_begin(clock, request_id)
+    statuses = [
+        (await member.propose(begin, 1.0)).unwrap().status
+        for member in (follower, *world.members.values())
+    ]
+    assert statuses == ["new", "in_progress", "in_progress", "in_progress"]
+    abandon = messages.AbandonRequest(request_id, "a", b"f")
+    assert (await follower.propose(abandon, 1.0)).unwrap().ok
+    leader = world.members[find_leader(world)]
+    assert (await leader.propose(begin, 1.0)).unwrap().status == "new"
+    # The record survives the loss of the leader.
+    await world.kill_member(leader.name)
+    found = (await follower.propose(begin, 5.0)).unwrap()
+    assert found.status == "in_progress"
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize(
+    ("shift_ms", "code"),
+    [(0, ""), (1_500, ""), (5_000, "clock"), (-5_000, "clock")],
+)
+async def test_wrong_clock_begins_no_request(make_world, shift_ms, code):
+    """Guards against one wrong clock that expires the records of others."""
+    _, follower, clock = await make_zone(make_world)
+    request_id = requestid.make_request_id(clock.wall_ms(), random.Random(1))
+    result = await follower.propose(make_begin(clock, request_id, shift_ms), 1)
+    if code:
+        assert result.failure().code == code
+        assert not result.failure().applied_unknown
+    else:
+        assert result.unwrap().status == "new"
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize(
+    "command",
+    [
+        messages.BeginMove("shop/hold/all", (1,), "u", 1),
+        messages.FinishMove("shop/hold/all", (1,), 1),
+        messages.ApplyFeed(99, True, ()),
+        messages.DropUpstream("u", 1),
+    ],
+)
+async def test_members_cannot_send_leader_commands(make_world, command):
+    """Guards against moves that skip the waits of the leader."""
+    world, follower, _ = await make_zone(make_world)
+    before = world.find_owners(follower, "a")
+    result = await follower.propose(command, 1.0)
+    assert result.failure().code == "forbidden"
+    assert world.find_owners(follower, "a") == before
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_drained_upstream_stays_drained(make_world):
+    """Guards against heartbeats or announcements that undo a drain."""
+    world, follower, _ = await make_zone(make_world)
+    assert (await follower.drain_upstream("u")).unwrap().ok
+    await asyncio.sleep(2)
+    upstream = next(u for u in world.upstreams.values() if u.id == "u")
+    await follower.announce_upstream(upstream.message)
+    await asyncio.sleep(2)
+    assert set(world.find_owners(follower, "a").values()) == {"v"}
+    states = {each.id: each.state for each in follower.upstreams()}
+    assert states == {"u": "draining", "v": "warm"}
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_quarantine_is_seen_by_all_instances(make_world):
+    """Guards against a crashing request that goes on at another instance."""
+    world, follower, clock = await make_zone(make_world)
+    for incarnation in (1, 2):
+        report = messages.ReportCrash(
+            "u", incarnation, (b"f",), clock.wall_ms()
+        )
+        await follower.propose(report, 1.0)
+    await asyncio.sleep(0.5)
+    for member in world.members.values():
+        found = member.find_quarantine(b"f")
+        assert [each[:2] for each in found.crashes] == [("u", 1), ("u", 2)]
+        assert member.find_quarantine(b"g") is None
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_explain_names_owner_and_waits(make_world):
+    """Guards against operators who cannot see why a key is not served."""
+    world, follower, _ = await make_zone(make_world)
+    owner = follower.route("a", "shop", "key1").upstream.id
+    document = (await follower.explain("a", "shop", "key1")).unwrap()
+    assert document["status"] == "owned"
+    assert document["owner"]["id"] == owner
+    long = asyncio.create_task(world.request(follower, "key1", 1.5))
+    await asyncio.sleep(0.1)
+    await follower.drain_upstream(owner)
+    await asyncio.sleep(0.8)
+    document = (await follower.explain("a", "shop", "key1")).unwrap()
+    assert document["status"] == "moving"
+    assert document["waits"] == [f"{follower.name} has not drained"]
+    await long
--- a/packages/daemon/tests/zone/test_joins.py
+++ b/packages/daemon/tests/zone/test_joins.py
@@ -72,3 +72,57 @@
     await world.wait(lambda: find_leader(world) is not None)
     await world.wait(lambda: world.all_local(survivor))
     assert world.find_owners(survivor, "a") == before
+
+
+@pytest.mark.looptime(noop_cycles=0)
+@pytest.mark.parametrize("paused", [True, False])
+async def test_member_that_was_removed_enters_again(make_world, paused):
+    """Guards against an instance that stays out after a partition."""
+    world = make_world()
+    world.control.add_contract("a", "shop", 16)
+    world.add_upstream("u")
+    await start_zone(world, 4)
+    await world.wait(lambda: count_voters(world, "i0") == 4)
+    name = next(n for n in world.members if n != find_leader(world))
+    if paused:
+        world.processes[name].clock.pause()
+    else:
+        world.network.isolate(name)
+    await asyncio.sleep(5)
+    survivor = next(n for n in world.members if n != name)
+    assert count_voters(world, survivor) == 3
+    assert not world.members[name].is_ready()[0]
+    world.network.heal()
+    world.processes[name].clock.resume()
+    await world.wait(lambda: world.members[name].is_ready()[0])
+    await world.wait(lambda: count_voters(world, survivor) == 4)
+    member = world.members[name]._membership.member
+    assert member.incarnation == 2, "an old identity could vote twice"
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_next_group_epoch(make_world):
+    """Guards against instances that stay in a group that was replaced."""
+    world = make_world()
+    keyspace = world.control.add_contract("a", "shop", 16)
+    world.add_upstream("u")
+    await start_zone(world, 3)
+    await world.wait(lambda: world.all_local(world.members["i1"]))
+    first = world.members["i1"].route("a", "shop", "key1").fence
+    seen = []
+    world.members["i0"].add_contract_listener(lambda *each: seen.append(each))
+    world.control.found(2, world.processes["i1"].identity)
+    world.control.delegate(keyspace, 16, epoch=2)
+
+    def is_moved():
+        assert world.members["i0"].find_contract("a") is not None
+        return all(
+            member.route("a", "shop", "key1").fence > first
+            for member in world.members.values()
+        )
+
+    await world.wait(is_moved)
+    groups = {m._membership.group for m in world.members.values()}
+    assert groups == {"zone/north/2"}
+    assert all(contract is not None for _, contract in seen)
+    assert world.members["i1"].route("a", "shop", "key1").fence >> 40 == 2
