--- a/packages/daemon/src/bamboosilld/control/founder.py
+++ b/packages/daemon/src/bamboosilld/control/founder.py
@@ -11,7 +11,6 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import control as messages
-
 from bamboosilld.control import state as state_lib
 from bamboosilld.control import tables as tables_lib
 from bamboosilld.control import timing
@@ -133,7 +132,7 @@
             if each.instance in self._leaderless
             and self._leaderless[each.instance].incarnation == each.incarnation
             # A member of the given-up group keeps its state of that group.
-            and members.get(each.instance) != each.incarnation
+            and members.get(each.instance, 0) < each.incarnation
             and not (zone.lost and each.revision < zone.revision)
         ]
 
--- a/packages/daemon/src/bamboosilld/control/service.py
+++ b/packages/daemon/src/bamboosilld/control/service.py
@@ -2,6 +2,10 @@
 
 from typing import Any
 
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import contract as contract_lib
 from bamboosill_common import errors
@@ -11,10 +15,7 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
 from bamboosill_common.generated import peer as peer_messages
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
+from bamboosilld.control import commands
 from bamboosilld.control import delegator as delegator_lib
 from bamboosilld.control import founder as founder_lib
 from bamboosilld.control import ports
@@ -124,6 +125,14 @@
                 )
         return result
 
+    def find_accept_refusal(
+        self, command: messages.AcceptContract
+    ) -> messages.CommandResult | None:
+        """Returns why a contract would be refused now, or None."""
+        return commands.find_accept_refusal(
+            self.state.tables, command
+        ) or self._settlement.find_refusal(command)
+
     def get_longest_deadline_s(self, service: str = "") -> float:
         """Returns the longest deadline that contracts allow a service."""
         return max(
@@ -223,7 +232,6 @@
         if problem:
             return self._refuse_instance(item, problem)
         known = self.state.tables.instances.get(item.instance)
-        fresh = known is None or known.incarnation < item.incarnation
         if known is None or item != known._replace(revision=0):
             command = messages.PutInstance(item=item)
             match await self._propose(command):
@@ -239,8 +247,8 @@
             )
         if not item.removed and item.zone not in self.state.tables.zones:
             await self._propose_own(founder_lib.make_founding(item, 1))
-        if fresh or message.leaderless:
-            self._founder.observe_leaderless(item)
+        # An instance registers only while it has no zone leader.
+        self._founder.observe_leaderless(item)
         return self._make_register_reply(item)
 
     def _find_identity_problem(self, item: messages.InstanceItem) -> str:
--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -1,17 +1,20 @@
 """Sends one request to the upstream that owns its key."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
 from typing import Any
 from typing import NamedTuple
 
-from bamboosill_common import clock as clock_lib
-from bamboosill_common.generated import zone as zone_messages
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import clock as clock_lib
+from bamboosill_common.generated import zone as zone_messages
+from bamboosilld.admission import queues as queues_lib
+from bamboosilld.admission import refusal as refusal_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import crashes as crashes_lib
@@ -21,6 +24,7 @@
 from bamboosilld.entry import inbound as inbound_lib
 from bamboosilld.entry import interfaces
 from bamboosilld.entry import pools as pools_lib
+from bamboosilld.entry import tally as tally_lib
 
 # Part of the remaining time after which a repeatable request that saw no
 # byte is sent again; the rest must suffice for the second attempt.
@@ -66,12 +70,16 @@
         member: interfaces.Member,
         queues: interfaces.Queues,
         crashes: crashes_lib.Crashes,
+        tally: tally_lib.Tally,
         clock: clock_lib.Clock,
+        instance_count: Callable[[], int],
         spawn: interfaces.Spawn,
     ) -> None:
         self._member = member
         self._queues = queues
         self._crashes = crashes
+        self._tally = tally
+        self._instance_count = instance_count
         self._clock = clock
         self._spawn = spawn
         self.pools = pools_lib.Pools()
@@ -91,19 +99,22 @@
         slot = await self._queues.get(upstream).acquire(
             inbound.customer,
             inbound.weight,
-            inbound.operation.class_,
+            inbound.operation.traffic_class,
             inbound.until,
         )
         if isinstance(slot, Failure):
-            return Failure(Stopped(answers.describe_refusal(slot.failure())))
+            return Failure(_describe_wait(slot.failure()))
         started_s = self._clock.monotonic()
-        outcome = "not_run"
+        self._tally.begin(upstream.id)
+        outcome = queues_lib.CANCELLED
         try:
             result = await self._run_with_slot(inbound, route, attempt)
             outcome = _judge(result)
             return result
         finally:
-            slot.unwrap().release(outcome, self._clock.monotonic() - started_s)
+            latency_s = self._clock.monotonic() - started_s
+            slot.unwrap().release(outcome, latency_s)
+            self._tally.end(upstream.id, outcome, latency_s)
 
     async def _run_with_slot(
         self,
@@ -113,7 +124,7 @@
     ) -> Result[None, Ended]:
         upstream = route.upstream
         assert upstream is not None
-        limit = upstream.connections // self._member.count_entry_instances()
+        limit = upstream.connections // max(1, self._instance_count())
         pool = self.pools.get(upstream.address, max(1, limit))
         acquired = await pool.acquire(
             inbound.until - self._clock.monotonic(), attempt.fresh
@@ -131,15 +142,41 @@
         if dispatch is None:
             pool.put_back(connection)
             return Failure(_not_run("moved", "the key is being moved"))
+        ended_for_certain = False
         try:
             if not self._member.check_dispatch(dispatch):
                 pool.put_back(connection)
+                ended_for_certain = True
                 return Failure(_not_run("moved", "the lease has ended"))
-            return await self._write(
+            result = await self._write(
                 inbound, route, upstream, attempt, (pool, connection)
             )
+            ended_for_certain = not _may_still_run(result)
+            return result
         finally:
+            self._end(dispatch, upstream, inbound, ended_for_certain)
+
+    def _end(
+        self,
+        dispatch: Any,
+        upstream: zone_messages.Upstream,
+        inbound: inbound_lib.Inbound,
+        ended_for_certain: bool,
+    ) -> None:
+        """Ends a dispatch once its request certainly runs no more.
+
+        An upstream that checks fences refuses what is late. Another one may
+        run an abandoned request until its deadline, and a move of the key
+        must wait for that.
+        """
+        if ended_for_certain or upstream.checks_fences:
             self._member.end_dispatch(dispatch)
+            return
+        asyncio.get_running_loop().call_later(
+            max(0.0, inbound.until - self._clock.monotonic()),
+            self._member.end_dispatch,
+            dispatch,
+        )
 
     async def _write(
         self,
@@ -157,7 +194,13 @@
             remaining_s * _SILENCE_FRACTION if give_up else 0.0,
             give_up or _never,
         )
-        request = _format(inbound, route, upstream.address, remaining_s)
+        request = _format(
+            inbound,
+            route,
+            upstream.address,
+            remaining_s,
+            self._clock.wall_ms(),
+        )
         self._crashes.begin(upstream, inbound.fingerprint)
         complete = False
         try:
@@ -257,24 +300,33 @@
     if not isinstance(ended, Failure):
         return False
     fault = ended.failure()
-    return isinstance(fault, faults.Fault) and fault.code in (
-        "deadline",
-        "silent",
-    )
+    # A silent exchange is repeated under the same id, so that a cancellation
+    # would end its successor.
+    return isinstance(fault, faults.Fault) and fault.code == "deadline"
 
 
 def _judge(result: Result[Any, Ended]) -> str:
     """Returns how an attempt counts for the upstream's concurrency limit."""
     if not isinstance(result, Failure):
-        return "ok"
+        return queues_lib.OK
     ended = result.failure()
     if isinstance(ended, Stopped):
-        return "not_run"
+        return queues_lib.CANCELLED
     if ended.code == "shed":
-        return "shed"
+        return queues_lib.SHED
+    if ended.code == "silent":
+        # The connection may be at fault; the upstream's heartbeats tell.
+        return queues_lib.CANCELLED
     if ended.may_have_run or ended.code in ("refused", "connect"):
-        return "failed"
-    return "not_run"
+        return queues_lib.FAILURE
+    return queues_lib.CANCELLED
+
+
+def _describe_wait(refusal: refusal_lib.Refusal) -> Ended:
+    if refusal.reason == refusal_lib.CLOSED:
+        # The upstream is gone; its keys get another owner.
+        return _not_run("moved", refusal.detail)
+    return Stopped(answers.describe_refusal(refusal))
 
 
 def _find_refusal(answer: exchange.Answer) -> faults.Fault | None:
@@ -287,18 +339,28 @@
     return _not_run(code, f"the upstream refused: {code}")
 
 
+def _may_still_run(result: Result[None, Ended]) -> bool:
+    if isinstance(result, Success):
+        return False
+    ended = result.failure()
+    return not isinstance(ended, Stopped) and ended.may_have_run
+
+
 def _format(
     inbound: inbound_lib.Inbound,
     route: interfaces.Route,
     address: str,
     remaining_s: float,
+    now_ms: int,
 ) -> bytes:
+    remaining_ms = max(1, int(remaining_s * 1000))
     lines = (
         *inbound.lines,
         (headers.KEYSPACE, route.keyspace),
         (headers.SHARD, str(route.shard)),
         (headers.FENCE, str(route.fence)),
-        (headers.DEADLINE, str(max(1, int(remaining_s * 1000)))),
+        (headers.DEADLINE, str(remaining_ms)),
+        (headers.EXPIRES, str(now_ms + remaining_ms)),
         (headers.REQUEST_ID, inbound.request_id),
         (headers.CUSTOMER, inbound.customer),
         (headers.KEY, inbound.key),
--- a/packages/daemon/src/bamboosilld/entry/forward.py
+++ b/packages/daemon/src/bamboosilld/entry/forward.py
@@ -4,12 +4,12 @@
 import random
 import ssl
 
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import dispatch
@@ -42,13 +42,14 @@
         clock: clock_lib.Clock,
         rng: random.Random,
         tls: ssl.SSLContext | None,
+        local_host: str = "",
     ) -> None:
         self._authenticator = authenticator
         self._clock = clock
         self._rng = rng
         self._token = ""
         self._token_until_s = float("-inf")
-        self.pools = pools_lib.Pools(tls)
+        self.pools = pools_lib.Pools(tls, local_host)
 
     async def run(
         self,
--- a/packages/daemon/src/bamboosilld/entry/inbound.py
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -6,14 +6,14 @@
 import urllib.parse
 
 from aiohttp import web
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
-from bamboosill_common import requestid
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 import xxhash
 
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import requestid
 from bamboosilld.entry import answers
 from bamboosilld.entry import headers
 from bamboosilld.entry import interfaces
@@ -22,6 +22,9 @@
 _MAX_KEY_BYTES = 512
 _MAX_DEADLINE_DIGITS = 9
 _BEARER = "bearer "
+# Paths of the protocol between entry instances and upstreams.
+_RESERVED = frozenset({"bamboosill"})
+_PREFIX = headers.PREFIX.encode()
 # Verified tokens are kept this long, so that a caller's requests do not each
 # cost a signature check. Expired or withdrawn tokens work that much longer.
 _TOKEN_CACHE_S = 1.0
@@ -65,6 +68,8 @@
 
 
 class _Target(NamedTuple):
+    """Service, and the path below it with its escapes."""
+
     service: str
     path: str
 
@@ -101,6 +106,7 @@
         return _refuse(400, "bad-path", "the path is not in canonical form")
     try:
         parts = urllib.parse.unquote(path, errors="strict").split("/")[1:]
+        raw_parts = path.split("/")[1:]
     except UnicodeDecodeError:
         return _refuse(400, "bad-path", "the path is not UTF-8")
     if any(
@@ -108,9 +114,11 @@
         for part in parts
     ):
         return _refuse(400, "bad-path", "the path is not in canonical form")
+    if parts[0] in _RESERVED:
+        return _refuse(404, "unknown-service", "this name is reserved")
     if not parts[0]:
         return _refuse(404, "unknown-service", "the path names no service")
-    return Success(_Target(parts[0], "/" + "/".join(parts[1:])))
+    return Success(_Target(parts[0], "/" + "/".join(raw_parts[1:])))
 
 
 class Parser:
@@ -134,6 +142,9 @@
     ) -> Result[Inbound, answers.Refused]:
         """Returns the request, or why it is refused."""
         started = self._clock.monotonic()
+        refused = _check_repeats(request)
+        if refused is not None:
+            return Failure(refused)
         caller = self._identify(request)
         if isinstance(caller, Failure):
             return caller
@@ -148,7 +159,7 @@
             return _refuse(
                 404, "unknown-customer", f"no contract for {customer!r}"
             )
-        service = contract.services.get(name)
+        service = contract.find_service(name)
         if service is None:
             detail = f"the contract of {customer!r} has no service {name!r}"
             return _refuse(404, "unknown-service", detail)
@@ -158,7 +169,7 @@
         key = self._read_key(request)
         if isinstance(key, Failure):
             return key
-        deadline = _read_deadline_ms(request, service.deadline_ms)
+        deadline = _read_deadline_ms(request, service.deadlines)
         if isinstance(deadline, Failure):
             return deadline
         until = started + deadline.unwrap() / 1000
@@ -305,6 +316,19 @@
         return Success(b"".join(chunks))
 
 
+def _check_repeats(request: web.BaseRequest) -> answers.Refused | None:
+    # Which of two values counts would depend on who reads them.
+    seen = set()
+    for name, _ in request.raw_headers:
+        lower = name.lower()
+        if lower.startswith(_PREFIX):
+            if lower in seen:
+                detail = f"the header {lower.decode()!r} occurs twice"
+                return answers.refuse(400, "repeated-header", detail)
+            seen.add(lower)
+    return None
+
+
 def _check_head_size(
     request: web.BaseRequest, limit: int
 ) -> answers.Refused | None:
--- a/packages/daemon/src/bamboosilld/entry/pools.py
+++ b/packages/daemon/src/bamboosilld/entry/pools.py
@@ -4,11 +4,11 @@
 import collections
 import ssl
 
-from bamboosill_common import settings
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import settings
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import faults
 
@@ -27,12 +27,17 @@
     """
 
     def __init__(
-        self, address: str, limit: int, tls: ssl.SSLContext | None = None
+        self,
+        address: str,
+        limit: int,
+        tls: ssl.SSLContext | None = None,
+        local_host: str = "",
     ) -> None:
         self.address = address
         self.limit = max(1, limit)
         self._host, self._port = settings.split_address(address)
         self._tls = tls
+        self._local_address = (local_host, 0) if local_host else None
         self._loop = asyncio.get_running_loop()
         self._idle: list[connection_lib.Connection] = []
         self._open: set[connection_lib.Connection] = set()
@@ -136,6 +141,7 @@
                     self._host,
                     self._port,
                     ssl=self._tls,
+                    local_addr=self._local_address,
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
@@ -152,16 +158,18 @@
     async def _wait(self, until: float) -> bool:
         waiter: asyncio.Future[None] = self._loop.create_future()
         self._waiters.append(waiter)
+        woken = False
         try:
             async with asyncio.timeout_at(until):
                 await waiter
+            woken = True
         except TimeoutError:
             return False
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-            elif waiter.cancelled() or self._loop.time() >= until:
-                # The wake-up is passed on to the next one.
+            elif not woken:
+                # Woken and cancelled at once: the next one is woken instead.
                 self._wake()
         return True
 
@@ -182,15 +190,26 @@
 class Pools:
     """Pools by address."""
 
-    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self, tls: ssl.SSLContext | None = None, local_host: str = ""
+    ) -> None:
+        """Makes no connection yet.
+
+        Args:
+            tls: TLS of all connections, if any.
+            local_host: IP number that connections come from, if stated.
+        """
         self._tls = tls
+        self._local_host = local_host
         self._pools: dict[str, Pool] = {}
 
     def get(self, address: str, limit: int) -> Pool:
         """Returns the pool of an address with the given limit."""
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = Pool(address, limit, self._tls)
+            pool = self._pools[address] = Pool(
+                address, limit, self._tls, self._local_host
+            )
         elif pool.limit != limit:
             pool.limit = max(1, limit)
         return pool
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -1,22 +1,24 @@
 """The entry role of one instance."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import random
 import ssl
 from typing import Any
 
 from aiohttp import web
+import prometheus_client
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common import requestid
-import prometheus_client
-from returns.result import Failure
-from returns.result import Success
-
+from bamboosill_common import settings as settings_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import crashes as crashes_lib
 from bamboosilld.entry import dispatch as dispatch_lib
@@ -29,7 +31,9 @@
 from bamboosilld.entry import records as records_lib
 from bamboosilld.entry import responder as responder_lib
 from bamboosilld.entry import router as router_lib
+from bamboosilld.entry import tally as tally_lib
 from bamboosilld.entry import upstreams as upstreams_lib
+from bamboosilld.entry import wiring
 
 READY_PATH = "/readyz"
 # Balancers check readiness about once a second; this lets each see that the
@@ -37,6 +41,8 @@
 DRAIN_NOTICE_S = 3.0
 _SWEEP_INTERVAL_S = 5.0
 _POLL_S = 0.02
+_FLUSH_S = 0.1
+_LONGEST_FLUSH_S = 5.0
 
 _log = logs.get_logger("entry")
 
@@ -69,7 +75,25 @@
         budget: interfaces.Budget | None = None,
         server_tls: ssl.SSLContext | None = None,
         client_tls: ssl.SSLContext | None = None,
+        instance_count: Callable[[], int] | None = None,
     ) -> None:
+        """Prepares the role; `start` begins to listen.
+
+        Args:
+            member: This instance's part in its zone group.
+            authenticator: Verifies and signs tokens.
+            clock: Source of time.
+            rng: Source of randomness.
+            timeline: Receives events.
+            instance: This instance.
+            gate: Applies contracts; by default everything is admitted.
+            queues: Queues of upstreams; by default nothing waits.
+            budget: Bounds retries; by default all are allowed.
+            server_tls: TLS of both addresses.
+            client_tls: TLS towards entry instances of other zones.
+            instance_count: Returns the number of entry instances of the
+                zone, which share the connections of each upstream.
+        """
         self._member = member
         self._authenticator = authenticator
         self._clock = clock
@@ -91,6 +115,8 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._in_flight = 0
         self._draining = False
+        self._instance_count = instance_count or (lambda: 1)
+        self._tally = tally_lib.Tally(clock, self._admission[0])
         self.caller_address = ""
         self.upstream_address = ""
 
@@ -112,11 +138,17 @@
             self._member,
             self._queues,
             self._crashes,
+            self._tally,
             self._clock,
+            self._instance_count,
             self._spawn,
         )
         self._forwarder = forward_lib.Forwarder(
-            self._authenticator, self._clock, self._rng, self._client_tls
+            self._authenticator,
+            self._clock,
+            self._rng,
+            self._client_tls,
+            settings_lib.split_address(caller_address)[0],
         )
         records = records_lib.Records(
             self._member,
@@ -131,9 +163,12 @@
             self._forwarder,
             records,
             self._crashes,
+            self._tally,
             self._clock,
             self._rng,
         )
+        wiring.connect_gate(self._member, self._admission[0])
+        self._member.set_reporter(self._tally.report)
         self._sweeper = asyncio.create_task(self._sweep())
         self.caller_address = await self._callers.start(caller_address)
         self.upstream_address = await self._upstreams.start(upstream_address)
@@ -157,8 +192,11 @@
             await self._clock.sleep(_POLL_S)
         if self._busy():
             _log.warning("Stopped with %d requests in flight.", self._in_flight)
-        await self._callers.close()
-        await self._upstreams.close()
+        # Answers that were handed over may still be on their way out.
+        remaining_s = until - self._clock.monotonic()
+        flush_s = max(_FLUSH_S, min(_LONGEST_FLUSH_S, remaining_s))
+        await self._callers.close(flush_s)
+        await self._upstreams.close(_FLUSH_S)
         await self._close_rest()
         self._timeline.record("entry", "stopped", in_flight=self._in_flight)
 
@@ -188,6 +226,9 @@
             await self._clock.sleep(_SWEEP_INTERVAL_S)
             for pools in self._list_pools():
                 pools.sweep()
+            present = frozenset(each.id for each in self._member.upstreams())
+            for upstream_id in self._tally.drop_missing(present):
+                self._queues.drop(upstream_id)
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
@@ -220,7 +261,11 @@
                 parsed.failure(), given if isinstance(valid, Success) else ""
             )
         inbound = parsed.unwrap()
-        responder = responder_lib.Responder(request, inbound.request_id)
+        responder = responder_lib.Responder(
+            request,
+            inbound.request_id,
+            inbound.until - self._clock.monotonic(),
+        )
         flight = router_lib.Flight(inbound, responder)
         if inbound.operation.repeatable:
             await self._router.serve(flight)
--- a/packages/daemon/src/bamboosilld/entry/upstreams.py
+++ b/packages/daemon/src/bamboosilld/entry/upstreams.py
@@ -6,13 +6,13 @@
 from typing import NamedTuple
 
 from aiohttp import web
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import auth
 from bamboosill_common import logs
 from bamboosill_common import settings
 from bamboosill_common.generated import zone as zone_messages
-from returns.result import Failure
-from returns.result import Success
-
 from bamboosilld.entry import interfaces
 
 MAX_BODY_BYTES = 16 * 1024
@@ -62,12 +62,11 @@
 # be reached or does not know.
 _REFUSAL_STATUSES = {
     "duplicate_identity": 409,
-    "duplicate": 409,
     "unknown_incarnation": 409,
-    "unknown_upstream": 409,
-    "unknown": 409,
+    "announce": 409,
+    "stale": 409,
+    "lost": 409,
     "old_incarnation": 409,
-    "stale_incarnation": 409,
     "wrong_zone": 400,
     "invalid": 400,
 }
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -1,14 +1,16 @@
 """Assembles one instance from its settings and runs it."""
 
 import asyncio
+import pathlib
 import random
 import secrets
 import time
 from typing import Any
 
 import aiohttp
-import aiomisc
 from aiohttp import web
+import aiomisc
+
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
@@ -19,8 +21,11 @@
 from bamboosill_common.generated import consensus as consensus_messages
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
-
-from bamboosilld import wiring
+from bamboosilld.admin import app
+from bamboosilld.admin import ports
+from bamboosilld.admission import gate as gate_lib
+from bamboosilld.admission import queues as queues_lib
+from bamboosilld.admission import retry
 from bamboosilld.consensus import groups as groups_lib
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.control import service as control_service
@@ -56,7 +61,10 @@
                 CONTROL_GROUP, own, consensus_messages.Membership(members)
             ),
             disk.DiskStorage(
-                settings.data_dir, CONTROL_GROUP, settings.instance_id
+                pathlib.Path(settings.data_dir),
+                consensus_messages.StorageIdentity(
+                    CONTROL_GROUP, settings.instance_id
+                ),
             ),
             groups_lib.PeerTransport(shared.directory),
             self.state,
@@ -177,7 +185,7 @@
         if self._control is not None:
             await self._control.start()
         await self._member.start()
-        self._entry = None
+        self._entry: entry_server.EntryServer | None = None
         if "entry" in settings.roles:
             await self._start_entry()
         await self._start_admin()
@@ -207,34 +215,50 @@
 
     async def _start_entry(self) -> None:
         shared = self._shared
-        admission = wiring.Admission(self._member, shared.clock, shared.rng)
+        count = self._member.count_entry_instances
+        queues = queues_lib.Queues(shared.clock, shared.rng, count)
+        gate = gate_lib.Gate(shared.clock, shared.rng, count)
+        gate.watch_queues(queues.get_longest_wait_s)
         self._entry = entry_server.EntryServer(
-            member=admission.member,
+            member=self._member,
             authenticator=shared.authenticator,
             clock=shared.clock,
             rng=shared.rng,
             timeline=shared.timeline,
             instance=shared.identity,
-            gate=admission.gate,
-            queues=admission.queues,
-            budget=admission.budget,
+            gate=gate,
+            queues=queues,
+            budget=retry.Budget(shared.clock),
+            instance_count=count,
         )
         await self._entry.start(
             self._settings.caller_listen, self._settings.upstream_listen
         )
 
     async def _start_admin(self) -> None:
-        application = web.Application()
-        application.router.add_get("/readyz", self._answer_ready)
-        self._admin = web.AppRunner(application)
+        shared, control = self._shared, self._control
+        application = app.make_app(
+            ports.Parts(
+                instance=self._settings.instance_id,
+                clock=shared.clock,
+                timeline=shared.timeline,
+                authenticator=shared.authenticator,
+                check_readiness=self._check_readiness,
+                member=self._member,
+                control=control.service if control else None,
+                session=self._session,
+            )
+        )
+        self._admin = web.AppRunner(application, access_log=None)
         await self._admin.setup()
         host, port = settings_lib.split_address(self._settings.admin_listen)
         await web.TCPSite(self._admin, host, port).start()
 
-    async def _answer_ready(self, request: web.Request) -> web.Response:
-        del request
+    def _check_readiness(self) -> tuple[str, ...]:
+        """Returns the reasons why this instance is not ready."""
         part = self._entry or self._member
         ready, reason = part.is_ready()
-        return web.json_response(
-            {"ready": ready, "reason": reason}, status=200 if ready else 503
-        )
+        reasons = [] if ready else [reason]
+        if self._control is not None and self._control.node.failure:
+            reasons.append(f"control: {self._control.node.failure}")
+        return tuple(reasons)
--- a/packages/dev/src/bamboosill_dev/caller.py
+++ b/packages/dev/src/bamboosill_dev/caller.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import aiohttp
+
 from bamboosill_common import requestid
 
 ANSWER = "answer"
@@ -138,7 +139,12 @@
 
     async def _exchange(self, request: Request, request_id: str) -> Told:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0)
+            )
+            # A request that aiohttp repeats by itself would be missing in the
+            # record. There is no public setting for it.
+            self._session._retry_connection = False
         fields = {
             "Bamboosill-Customer": request.customer,
             "Bamboosill-Key": request.key,
@@ -188,6 +194,7 @@
             "outcome": told.outcome,
             "reason": told.reason,
             "sendings": told.sendings,
+            "body": _parse_body(told.body),
             "start_ns": begun_ns,
             "end_ns": time.clock_gettime_ns(time.CLOCK_MONOTONIC),
             **more,
@@ -198,6 +205,13 @@
             self.lines.append(line)
 
 
+def _parse_body(body: bytes) -> Any:
+    try:
+        return json.loads(body)
+    except ValueError:
+        return None
+
+
 def _is_settled(request: Request, told: Told) -> bool:
     if told.outcome == ANSWER or told.reason in _FINAL_REASONS:
         return True
