Split the zone authority and keep what contracts say per revision

Deadlines and limits were computed from all contracts at each check of a move and at each renewal. They are now kept for one revision, and unchanged shares are sent once a second.

--- a/packages/daemon/src/bamboosilld/zone/authority.py
+++ b/packages/daemon/src/bamboosilld/zone/authority.py
@@ -16,18 +16,18 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
-from bamboosilld.admission import shares as split_lib
-from bamboosilld.placement import policy as policy_lib
 from bamboosilld.zone import assignments
 from bamboosilld.zone import beats as beats_lib
 from bamboosilld.zone import contracts as contracts_lib
 from bamboosilld.zone import explain as explain_lib
+from bamboosilld.zone import facts as facts_lib
 from bamboosilld.zone import grants as grants_lib
 from bamboosilld.zone import group as group_lib
 from bamboosilld.zone import joins as joins_lib
 from bamboosilld.zone import leases as leases_lib
 from bamboosilld.zone import moves as moves_lib
 from bamboosilld.zone import planner as planner_lib
+from bamboosilld.zone import registry as registry_lib
 from bamboosilld.zone import shares as shares_lib
 from bamboosilld.zone import state as state_lib
 from bamboosilld.zone import summary
@@ -94,6 +94,7 @@
         self._link = beats_lib.ControlLink(
             parts.directory, parts.clock, parts.list_control_addresses
         )
+        self._facts = facts_lib.ContractFacts(parts.state, parts.contracts)
         self._mover = moves_lib.Mover(
             parts.state,
             self._serve_leases,
@@ -102,7 +103,14 @@
             parts.client,
             parts.clock,
             parts.timeline,
-            self.get_longest_deadline_s,
+            self._facts.get_longest_deadline_s,
+        )
+        self._registry = registry_lib.Registry(
+            parts.state,
+            self._upstream_leases,
+            self._commit,
+            self._mover.spawn,
+            parts.clock,
         )
         self._planner = planner_lib.Planner(
             parts.state,
@@ -221,7 +229,7 @@
             return messages.UpstreamBeatReply("announce")
         now_s = self._clock.monotonic()
         lease = self._upstream_leases.record_beat(owner, message, now_s)
-        self._follow_state(owner, message.state)
+        self._registry.follow_state(owner, message.state)
         self._upstream_leases.grant(lease, now_s)
         current = self._upstream_leases.list_grants(owner)
         unchanged = current.version == message.grants_version
@@ -248,7 +256,7 @@
         if not self.is_open:
             return Failure(_refuse("not_leader", "the leader is not ready"))
         if isinstance(message, messages.PutUpstream):
-            return await self._put_upstream(message)
+            return await self._registry.put(message)
         if isinstance(message, messages.BeginRequest | messages.ReportCrash):
             offset_ms = abs(message.now_ms - self._clock.wall_ms())
             if offset_ms > _MAX_CLOCK_DIFFERENCE_MS:
@@ -270,45 +278,6 @@
 
     # Duties.
 
-    async def _put_upstream(
-        self, message: messages.PutUpstream
-    ) -> Result[Any, errors.ProposeError]:
-        upstream = message.upstream
-        owner = upstreams_lib.get_owner(upstream)
-        present = self._state.upstreams.find(owner.id)
-        if present is not None and present.incarnation == owner.incarnation:
-            if self._upstream_leases.is_lost(owner):
-                # It may announce itself again when its shards have moved.
-                return Success(messages.CommandStatus(code="lost"))
-            if present.state == policy_lib.DRAINING:
-                message = messages.PutUpstream(
-                    upstream._replace(state=policy_lib.DRAINING)
-                )
-            if message.upstream == present:
-                return Success(messages.CommandStatus(True, "ok"))
-        result = await self._commit(message)
-        now_s = self._clock.monotonic()
-        if present is not None and present.incarnation < owner.incarnation:
-            former = upstreams_lib.get_owner(present)
-            lease = self._upstream_leases.find(former, now_s)
-            if not lease.is_lost and self._state.upstreams.is_current(owner):
-                lease.is_lost = True
-                self._upstream_leases.note_loss(owner.id, now_s)
-        if self._state.upstreams.is_current(owner):
-            self._upstream_leases.find(owner, now_s)
-        return result
-
-    def _follow_state(self, owner: assignments.Owner, state: str) -> None:
-        """Replicates a changed state; draining is final for an incarnation."""
-        present = self._state.upstreams.find_owner(owner)
-        if present is None or not state or present.state == state:
-            return
-        if present.state == policy_lib.DRAINING:
-            return
-        self._spawn(
-            self._commit(messages.PutUpstream(present._replace(state=state)))
-        )
-
     async def _advance(self) -> None:
         now_s = self._clock.monotonic()
         paused = now_s - self._last_tick_s > times.PAUSE_S
@@ -347,22 +316,7 @@
         self._mover.begin(plan.moves)
         for release in plan.releases:
             await self._commit(release)
-        await self._drop_upstreams()
-
-    async def _drop_upstreams(self) -> None:
-        """Removes lost upstreams that own nothing any more."""
-        for upstream in [
-            *self._state.upstreams.list_former(),
-            *self._state.upstreams.list_current(),
-        ]:
-            owner = upstreams_lib.get_owner(upstream)
-            if not self._upstream_leases.is_lost(owner):
-                continue
-            if self._state.assignments.list_of(owner):
-                continue
-            await self._commit(messages.DropUpstream(*owner, "lost"))
-            if self._state.upstreams.find_owner(owner) is None:
-                self._upstream_leases.forget(owner)
+        await self._registry.drop_lost()
 
     async def _beat(self) -> None:
         beat = summary.make_beat(
@@ -374,26 +328,12 @@
                 for key in self._serve_leases.list_live(self._clock.monotonic())
             ],
             self._planner,
-            self.get_longest_deadline_s,
+            self._facts.get_longest_deadline_s,
         )
         reply = await self._link.send(beat)
         if reply is not None:
             await beats_lib.apply_feed(self._state, reply, self._commit)
 
-    def get_longest_deadline_s(self, keyspace: str) -> float:
-        """Returns the longest deadline of requests to a keyspace's service."""
-        item = self._state.feed.keyspaces.get(keyspace)
-        longest_ms = [
-            service.deadlines.longest
-            for _, service in self._parts.contracts.list_services(
-                self._state.feed
-            )
-            if item is not None and service.name == item.service
-        ]
-        if not longest_ms:
-            return times.DEFAULT_LONGEST_DEADLINE_S
-        return max(longest_ms) / 1000
-
     def _may_disturb(
         self, key: assignments.AssignmentKey, owner: assignments.Owner
     ) -> bool:
@@ -406,22 +346,12 @@
         if upstream is not None and upstream.checks_fences and not key.key:
             return True
         known_s = self._elected_at_s + times.SERVE_LEASE_S + times.MARGIN_S
-        longest_s = self.get_longest_deadline_s(key.keyspace)
+        longest_s = self._facts.get_longest_deadline_s(key.keyspace)
         return self._clock.monotonic() > known_s + longest_s
 
     def _give_shares(
         self, instance: str, now_s: float
     ) -> tuple[messages.Share, ...]:
-        limits = {
-            (customer, service.name): split_lib.Limits(
-                service.limits.rate_per_s,
-                service.limits.burst,
-                service.limits.concurrency,
-            )
-            for customer, service in self._parts.contracts.list_services(
-                self._state.feed
-            )
-        }
         entry = {
             item.instance
             for item in self._state.feed.list_entry_instances(self._state.zone)
@@ -431,7 +361,9 @@
             for key, holder in self._serve_leases.list_live(now_s).items()
             if key.instance in entry
         }
-        return self._shares.give(instance, limits, demands, now_s)
+        return self._shares.give(
+            instance, self._facts.get_limits(), demands, now_s
+        )
 
     def _get_leader_address(self) -> str:
         leader = self._node.leader
@@ -440,9 +372,6 @@
     async def _commit(self, message: Any) -> Result[Any, errors.ProposeError]:
         return await group_lib.propose(self._node, message, _PROPOSE_S)
 
-    def _spawn(self, work: Any) -> None:
-        self._mover.spawn(work)
-
 
 def _refuse(code: str, detail: str) -> errors.ProposeError:
     return errors.ProposeError(code, detail, False)
--- a/packages/daemon/src/bamboosilld/zone/contracts.py
+++ b/packages/daemon/src/bamboosilld/zone/contracts.py
@@ -44,3 +44,50 @@
             if (contract := self.find(feed, customer)) is not None
             for service in contract.services
         ]
+
+
+class ContractView:
+    """Contracts as this instance shows them, over changes of the group.
+
+    Attributes:
+        feed: The control state in use.
+    """
+
+    def __init__(self, book: ContractBook) -> None:
+        self._book = book
+        self._listeners: list[Callable[[str, Any], None]] = []
+        self.feed = feed_lib.FeedState()
+
+    def find(self, customer: str) -> Any | None:
+        """Returns a customer's contract in force."""
+        return self._book.find(self.feed, customer)
+
+    def list_all(self) -> dict[str, Any]:
+        """Returns all contracts in force by customer."""
+        found = {name: self.find(name) for name in sorted(self.feed.contracts)}
+        return {name: each for name, each in found.items() if each is not None}
+
+    def add_listener(self, listener: Callable[[str, Any], None]) -> None:
+        """Calls `listener(customer, contract or None)` at each change."""
+        self._listeners.append(listener)
+
+    def enter(self, feed: feed_lib.FeedState) -> None:
+        """Uses a new group's feed at once if nothing was shown before."""
+        if self.feed.revision == 0:
+            self.feed = feed
+
+    def follow(
+        self, feed: feed_lib.FeedState, customers: frozenset[str]
+    ) -> None:
+        """Shows a feed in which contracts of some customers changed."""
+        if self.feed is not feed:
+            # A group joined just now must not show an older state than the
+            # one that was left.
+            if feed.revision < self.feed.revision:
+                return
+            customers |= {*self.feed.contracts, *feed.contracts}
+            self.feed = feed
+        for customer in sorted(customers):
+            contract = self.find(customer)
+            for listener in self._listeners:
+                listener(customer, contract)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/zone/facts.py
@@ -0,0 +1,53 @@
+"""What the zone leader derives from contracts, kept for one revision."""
+
+from bamboosilld.admission import shares as split_lib
+from bamboosilld.zone import contracts as contracts_lib
+from bamboosilld.zone import state as state_lib
+from bamboosilld.zone import times
+
+
+class ContractFacts:
+    """Longest deadlines and limits of the contracts in force."""
+
+    def __init__(
+        self, state: state_lib.ZoneState, contracts: contracts_lib.ContractBook
+    ) -> None:
+        self._state = state
+        self._contracts = contracts
+        self._revision = -1
+        self._longest_ms: dict[str, int] = {}
+        self._limits: dict[split_lib.LimitId, split_lib.Limits] = {}
+
+    def get_longest_deadline_s(self, keyspace: str) -> float:
+        """Returns the longest deadline of requests to a keyspace's service.
+
+        It does not shrink during one leadership: a request may have been
+        dispatched under a former contract.
+        """
+        self._refresh()
+        item = self._state.feed.keyspaces.get(keyspace)
+        longest_ms = self._longest_ms.get(item.service) if item else None
+        if longest_ms is None:
+            return times.DEFAULT_LONGEST_DEADLINE_S
+        return longest_ms / 1000
+
+    def get_limits(self) -> dict[split_lib.LimitId, split_lib.Limits]:
+        """Returns the limits of all contracts by customer and service."""
+        self._refresh()
+        return self._limits
+
+    def _refresh(self) -> None:
+        feed = self._state.feed
+        if feed.revision == self._revision:
+            return
+        self._revision = feed.revision
+        self._limits = {}
+        for customer, service in self._contracts.list_services(feed):
+            limits = service.limits
+            self._limits[(customer, service.name)] = split_lib.Limits(
+                limits.rate_per_s, limits.burst, limits.concurrency
+            )
+            known_ms = self._longest_ms.get(service.name, 0)
+            self._longest_ms[service.name] = max(
+                known_ms, service.deadlines.longest
+            )
--- a/packages/daemon/src/bamboosilld/zone/holder.py
+++ b/packages/daemon/src/bamboosilld/zone/holder.py
@@ -5,6 +5,9 @@
 
 from bamboosill_common.generated import zone as messages
 
+# Renewals of about 16 s; all older ones have ended.
+_MAX_PENDING = 64
+
 
 class _Pending(NamedTuple):
     """A lease that counts once the log is applied up to an index."""
@@ -18,7 +21,9 @@
     """Serve leases, counted from when the renewal was sent."""
 
     def __init__(self) -> None:
-        self._pending: collections.deque[_Pending] = collections.deque()
+        self._pending: collections.deque[_Pending] = collections.deque(
+            maxlen=_MAX_PENDING
+        )
         self._until_s = float("-inf")
         self._lapse_until_s = float("-inf")
 
--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -63,12 +63,12 @@
         parse_contract: contracts_lib.Parse = contract_lib.read_stored,
         make_node: membership_lib.MakeNode | None = None,
     ) -> None:
-        """Prepares the member; `start` begins its work.
+        """Prepares the member.
 
         Args:
             identity: This instance.
             instance_item: What it registers with the control group.
-            control_addresses: Peer addresses of the control instances.
+            control_addresses: Peer addresses of control instances.
             directory: Connections to other instances.
             handlers: Where its message handlers are registered.
             groups: Passes consensus messages to nodes.
@@ -90,9 +90,8 @@
         self._timeline = timeline
         self._changed = signals.Signal()
         self._in_flight = inflight.InFlightTable()
-        self._contract_listeners: list[Callable[[str, Any], None]] = []
         self._share_listeners: list[Callable[[Any], None]] = []
-        self._feed = feed_lib.FeedState()
+        self._view = contracts_lib.ContractView(self._contracts)
         self._authority: authority_lib.Authority | None = None
         self._authority_task: asyncio.Task[None] | None = None
         self._task: asyncio.Task[None] | None = None
@@ -152,21 +151,17 @@
 
     def find_contract(self, customer: str) -> Any | None:
         """Returns a customer's contract in force."""
-        return self._contracts.find(self._feed, customer)
+        return self._view.find(customer)
 
     def contracts(self) -> dict[str, Any]:
         """Returns all contracts in force by customer."""
-        found = {
-            name: self.find_contract(name)
-            for name in sorted(self._feed.contracts)
-        }
-        return {name: each for name, each in found.items() if each is not None}
+        return self._view.list_all()
 
     def add_contract_listener(
         self, listener: Callable[[str, Any], None]
     ) -> None:
         """Calls `listener(customer, contract or None)` at each change."""
-        self._contract_listeners.append(listener)
+        self._view.add_listener(listener)
 
     # Routing.
 
@@ -176,7 +171,7 @@
         contract = self.find_contract(customer)
         if contract is None:
             return routes.Route(routes.UNKNOWN_CUSTOMER)
-        if state is None or self._feed is not state.feed:
+        if state is None or self._view.feed is not state.feed:
             return routes.Route(routes.MOVING, zone=self._identity.zone)
         route = routes.find_route(state, contract, service, key)
         if route.status == routes.LOCAL and not self._has_lease(route):
@@ -220,7 +215,7 @@
 
     def _find_dispatchable(self, route: routes.Route) -> Any | None:
         state = self._membership.state
-        if state is None or self._feed is not state.feed:
+        if state is None or self._view.feed is not state.feed:
             return None
         key = routes.find_current(state, route)
         return key if key is not None and self._has_lease(route) else None
@@ -288,7 +283,7 @@
                 item.zone == self._identity.zone
                 and "entry" in item.roles
                 and not item.removed
-                for item in self._feed.instances.values()
+                for item in self._view.feed.instances.values()
             ),
         )
 
@@ -315,7 +310,7 @@
             return False, "no zone group joined"
         if not self._renewal.has_lease(False):
             return False, "no serve lease"
-        if self._feed.revision == 0:
+        if self._view.feed.revision == 0:
             return False, "no control state received"
         if abs(self.clock_skew_ms) > MAX_CLOCK_SKEW_MS:
             return False, f"wall clock is off by {self.clock_skew_ms} ms"
@@ -327,8 +322,7 @@
         """Begins to follow a group that this instance enters."""
         self._renewal.reset()
         state.add_listener(self._note_applied)
-        if self._feed.revision == 0:
-            self._feed = state.feed
+        self._view.enter(state.feed)
         node.add_leadership_listener(self._note_leadership)
 
     def _note_applied(self, command: Any, result: Any) -> None:
@@ -342,17 +336,7 @@
             customers = result
         elif isinstance(result, feed_lib.FeedChange):
             customers = result.customers
-        if self._feed is not state.feed:
-            # A group joined just now must not show an older state than the
-            # one that was left.
-            if state.feed.revision < self._feed.revision:
-                return
-            customers |= {*self._feed.contracts, *state.feed.contracts}
-            self._feed = state.feed
-        for customer in sorted(customers):
-            contract = self.find_contract(customer)
-            for listener in self._contract_listeners:
-                listener(customer, contract)
+        self._view.follow(state.feed, customers)
         if isinstance(command, messages.BeginMove | messages.FinishMove):
             self._renewal.renew_now()
         if not isinstance(command, proposals_lib.RECORD_COMMANDS):
@@ -390,7 +374,7 @@
     def _list_control_addresses(self) -> tuple[str, ...]:
         known = [
             item.peer_address
-            for _, item in sorted(self._feed.instances.items())
+            for _, item in sorted(self._view.feed.instances.items())
             if feed_lib.CONTROL_ROLE in item.roles
         ]
         return tuple(dict.fromkeys((*self._control_addresses, *known)))
--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -52,6 +52,9 @@
         self._rates = load_lib.ShardRates()
         self._loads: dict[str, load_lib.Loads] = {}
         self._chooser = hotkeys.Chooser()
+        self._hot_by_shard: dict[
+            tuple[str, int], dict[hotkeys.KeyId, float]
+        ] = {}
         self.effective: dict[str, load_lib.Effective] = {}
 
     def plan(self, now_s: float) -> Plan:
@@ -96,9 +99,13 @@
         holders = self._serve_leases.list_live(now_s).values()
         reports = [holder.report.shard_load for holder in holders]
         self._rates.update(now_s, reports)
-        return self._chooser.choose(
+        hot = self._chooser.choose(
             now_s, hotkeys.merge_reports(reports), self._rates.compute_mean()
         )
+        self._hot_by_shard = {}
+        for key, rate in hot.items():
+            self._hot_by_shard.setdefault(key[:2], {})[key] = rate
+        return hot
 
     def _plan_service(
         self,
@@ -155,7 +162,7 @@
         if key.key:
             rate = hot.get((key.keyspace, key.shard, key.key), 0.0)
         else:
-            inner = {k: v for k, v in hot.items() if k[:2] == key[:2]}
+            inner = self._hot_by_shard.get(key[:2], {})
             rate = self._rates.get_rate(key.keyspace, key.shard, inner)
         owner, moving = self._find_live_owner(value)
         return policy_lib.ShardView(*key, owner, rate, moving)
--- a/packages/daemon/src/bamboosilld/zone/shares.py
+++ b/packages/daemon/src/bamboosilld/zone/shares.py
@@ -10,6 +10,8 @@
 from bamboosilld.admission import shares as split_lib
 from bamboosilld.zone import times
 
+_RESEND_S = 1.0
+
 Split = Callable[
     [
         Mapping[split_lib.LimitId, split_lib.Limits],
@@ -34,6 +36,8 @@
         self._split = split
         # Shares that a former leader gave may be in force until then.
         self._begin_s = now_s + times.SHARE_S
+        self._wanted: dict[str, tuple[messages.Share, ...]] = {}
+        self._wanted_s = float("-inf")
         self._given: dict[split_lib.LimitId, dict[str, _Given]] = {}
 
     def give(
@@ -45,6 +49,8 @@
     ) -> tuple[messages.Share, ...]:
         """Returns the shares of an instance, which then are in force.
 
+        A share that did not change is sent again after a second only.
+
         Args:
             instance: The instance that renews its lease.
             limits: Limits by customer and service.
@@ -53,10 +59,18 @@
         """
         if now_s < self._begin_s:
             return ()
-        wanted = self._split(limits, demands, sorted(demands))
+        if (
+            instance not in self._wanted
+            or now_s - self._wanted_s >= times.SERVE_RENEWAL_S
+        ):
+            # Once for all instances that renew in the same interval.
+            self._wanted = self._split(limits, demands, sorted(demands))
+            self._wanted_s = now_s
         given = []
-        for share in wanted.get(instance, ()):
+        for share in self._wanted.get(instance, ()):
             place = (share.customer, share.service)
+            if place not in limits:
+                continue
             book = self._given.setdefault(place, {})
             for other in [o for o in book if book[o].until_s <= now_s]:
                 del book[other]
@@ -64,6 +78,10 @@
                 each.share for other, each in book.items() if other != instance
             ]
             share = _bound(share, limits[place], rest)
+            former = book.get(instance)
+            resend_s = now_s + times.SHARE_S - _RESEND_S
+            if former and former.share == share and former.until_s > resend_s:
+                continue
             book[instance] = _Given(share, now_s + times.SHARE_S)
             given.append(share)
         return tuple(given)
--- a/packages/daemon/tests/zone/test_shares.py
+++ b/packages/daemon/tests/zone/test_shares.py
@@ -36,7 +36,8 @@
             for name in live | {instance}
         }
         shares = book.give(instance, LIMITS, demands, now_s)
-        in_force[instance] = (shares, now_s + 3.0)
+        if shares:
+            in_force[instance] = (shares, now_s + 3.0)
         present = [
             share
             for shares, until_s in in_force.values()
