--- a/packages/daemon/src/bamboosilld/admission/gate.py
+++ b/packages/daemon/src/bamboosilld/admission/gate.py
@@ -234,6 +234,25 @@
         entry.lane.release(now_s, now_s - begun_s)
         self._arm(entry)
 
+    def get_ramp_part(self, customer: str) -> float:
+        """Returns the part of its contract that a customer may use now."""
+        growing = self._ramps.get(customer)
+        return growing.part if growing is not None else 1.0
+
+    def compute_wake_s(self, customer: str, service: str) -> float | None:
+        """Returns when `pump` should run next, if any request waits."""
+        entry = self._entries.get((customer, service))
+        if entry is None:
+            return None
+        return entry.lane.compute_wake_s(self._clock.monotonic())
+
+    def pump(self, customer: str, service: str) -> None:
+        """Decides about waiting requests, for callers without a loop."""
+        self.step()
+        entry = self._entries.get((customer, service))
+        if entry is not None:
+            entry.lane.pump(self._clock.monotonic())
+
     def report_demand(self) -> tuple[zone.Demand, ...]:
         """Returns the recent demand of each customer and service."""
         now_s = self._clock.monotonic()
--- a/packages/daemon/src/bamboosilld/admission/queues.py
+++ b/packages/daemon/src/bamboosilld/admission/queues.py
@@ -107,12 +107,12 @@
         now_s = self._clock.monotonic()
         self.pump()
         waiter = fairness.Waiter(customer, class_, now_s, deadline_s, decided)
-        answer = self._find_refusal(now_s, waiter, weight)
-        if answer is not None:
-            return answer
         if not self._waiting and self._has_room(now_s):
             self._dispatch(waiter, now_s)
             return waiter
+        answer = self._find_refusal(now_s, waiter, weight)
+        if answer is not None:
+            return answer
         self._waiting.push(waiter, weight)
         if len(self._waiting) > self._compute_bound():
             dropped = self._waiting.drop_excess()
--- a/packages/daemon/src/bamboosilld/placement/load.py
+++ b/packages/daemon/src/bamboosilld/placement/load.py
@@ -148,18 +148,15 @@
             new = keep * old + (1 - keep) * sums.get(place, 0.0)
             self._rates[place] = new
 
-    def get_rate(
-        self,
-        keyspace: str,
-        shard: int,
-        hot: Mapping[hotkeys.KeyId, float] | None = None,
-    ) -> float:
-        """Returns a shard's requests per second without its hot keys."""
-        rate = self._rates.get((keyspace, shard), 0.0)
-        for key, hot_rate in (hot or {}).items():
-            if key[:2] == (keyspace, shard):
-                rate -= hot_rate
-        return max(0.0, rate)
+    def compute_rates(
+        self, hot: Mapping[hotkeys.KeyId, float]
+    ) -> dict[tuple[str, int], float]:
+        """Returns requests per second by shard, without those of hot keys."""
+        rates = dict(self._rates)
+        for (keyspace, shard, _), rate in hot.items():
+            place = (keyspace, shard)
+            rates[place] = max(0.0, rates.get(place, 0.0) - rate)
+        return rates
 
     def compute_mean(self) -> float:
         """Returns the mean rate of the shards seen so far."""
@@ -171,7 +168,6 @@
 
     def __init__(self) -> None:
         self.in_flight = _Average()
-        self.rate = _Average()
         self.reported = _Average()
         self.disagrees_since_s: float | None = None
         self.agrees_since_s: float | None = None
@@ -196,7 +192,8 @@
         Args:
             now_s: Monotonic time of the leader.
             views: Sums of what the instances observed, by upstream.
-            rates: Requests per second that the instances sent, by upstream.
+            rates: Sum of the rates of the shards that each upstream owns now.
+                A rate measured at the upstream would lag behind its moves.
             reports: Last report of each upstream.
         """
         self._targets = {
@@ -228,12 +225,11 @@
         slow: bool,
     ) -> Effective:
         own = target.in_flight.add(view.in_flight, now_s)
-        load = target.rate.add(rate, now_s)
         if report is None:
-            return Effective(load, own, -1.0, NONE)
+            return Effective(rate, own, -1.0, NONE)
         said = float(report.in_flight + report.queue)
         if now_s - report.received_s > STALE_AFTER_S:
-            return Effective(load, own, said, STALE)
+            return Effective(rate, own, said, STALE)
         reported = target.reported.add(said, now_s)
         agrees = (
             abs(reported - own) <= _TOLERANCE
@@ -241,11 +237,11 @@
         )
         _note_agreement(target, now_s, agrees or (slow and reported > own))
         if target.distrusted:
-            return Effective(load, own, reported, DISTRUSTED)
+            return Effective(rate, own, reported, DISTRUSTED)
         if own <= 0 or agrees:
-            return Effective(load, own, reported, AGREES)
+            return Effective(rate, own, reported, AGREES)
         believed = max(own, min(reported, LARGEST_RATIO * own))
-        return Effective(load * believed / own, own, reported, BOUNDED)
+        return Effective(rate * believed / own, own, reported, BOUNDED)
 
 
 def _note_agreement(target: _Target, now_s: float, agrees: bool) -> None:
