--- a/packages/dev/src/bamboosill_dev/bench/__main__.py
+++ b/packages/dev/src/bamboosill_dev/bench/__main__.py
@@ -5,12 +5,11 @@
 import json
 from typing import Any
 
-import bamboosilld.placement.policy as policy
-
 from bamboosill_dev.bench import deployments
 from bamboosill_dev.bench import runs
 from bamboosill_dev.bench import scenarios
 from bamboosill_dev.bench import text
+import bamboosilld.placement.policy as policy
 
 
 def _parse() -> argparse.Namespace:
--- a/packages/dev/src/bamboosill_dev/bench/engine.py
+++ b/packages/dev/src/bamboosill_dev/bench/engine.py
@@ -3,15 +3,6 @@
 import dataclasses
 import random
 
-from bamboosilld.admission import bucket
-from bamboosilld.admission import fairness
-from bamboosilld.admission import gate
-from bamboosilld.admission import lane
-from bamboosilld.admission import queues
-from bamboosilld.admission import refusal
-from bamboosilld.admission import retry
-from bamboosilld.admission import shares
-from bamboosilld.placement import load
 import numpy as np
 
 from bamboosill_dev.bench import deployments
@@ -21,6 +12,15 @@
 from bamboosill_dev.bench import places
 from bamboosill_dev.bench import targets
 from bamboosill_dev.bench import trace as trace_module
+from bamboosilld.admission import bucket
+from bamboosilld.admission import fairness
+from bamboosilld.admission import gate
+from bamboosilld.admission import lane
+from bamboosilld.admission import queues
+from bamboosilld.admission import refusal
+from bamboosilld.admission import retry
+from bamboosilld.admission import shares
+from bamboosilld.placement import load
 
 PLAN_EVERY_S = 0.5
 SHARE_EVERY_S = 0.5
--- a/packages/dev/src/bamboosill_dev/bench/leader.py
+++ b/packages/dev/src/bamboosill_dev/bench/leader.py
@@ -3,14 +3,13 @@
 import random
 
 from bamboosill_common.generated import zone
-from bamboosilld.placement import hotkeys
-from bamboosilld.placement import load
-from bamboosilld.placement import policy
-
 from bamboosill_dev.bench import deployments
 from bamboosill_dev.bench import events
 from bamboosill_dev.bench import places
 from bamboosill_dev.bench import targets
+from bamboosilld.placement import hotkeys
+from bamboosilld.placement import load
+from bamboosilld.placement import policy
 
 # Time from BeginMove to FinishMove: one lease renewal (250 ms) in which the
 # instances report that they have drained, and two commits.
--- a/packages/dev/src/bamboosill_dev/bench/places.py
+++ b/packages/dev/src/bamboosill_dev/bench/places.py
@@ -4,12 +4,12 @@
 from collections.abc import Collection
 import math
 
-from bamboosilld.placement import bounded
 import numpy as np
 
 from bamboosill_dev.bench import deployments
 from bamboosill_dev.bench import targets
 from bamboosill_dev.bench import trace
+from bamboosilld.placement import bounded
 
 BOUND = bounded.IMBALANCE_BOUND
 
--- a/packages/dev/src/bamboosill_dev/bench/targets.py
+++ b/packages/dev/src/bamboosill_dev/bench/targets.py
@@ -4,11 +4,10 @@
 from collections.abc import Callable
 
 from bamboosill_common.generated import zone
-from bamboosilld.placement import load
-from bamboosilld.placement import policy
-
 from bamboosill_dev.bench import deployments
 from bamboosill_dev.bench import events
+from bamboosilld.placement import load
+from bamboosilld.placement import policy
 
 # A cold target is this much slower at first, and as fast as others after.
 _COLD_FACTOR = 3.0
--- a/packages/dev/src/bamboosill_dev/bench/trace.py
+++ b/packages/dev/src/bamboosill_dev/bench/trace.py
@@ -3,9 +3,9 @@
 from typing import Any
 from typing import NamedTuple
 
-from bamboosill_common import sharding
 import numpy as np
 
+from bamboosill_common import sharding
 from bamboosill_dev.bench import deployments
 
 EVENT_S = 35.0
