--- a/packages/daemon/src/bamboosilld/consensus/election.py
+++ b/packages/daemon/src/bamboosilld/consensus/election.py
@@ -45,7 +45,7 @@
             if self._is_only_voter() and not core.is_leader:
                 timeout_s = 0.0
             await self._wait_silence(timeout_s)
-            if memberships.is_voter(core.log.membership, core.key):
+            if self._may_campaign():
                 await self._campaign()
                 if not core.is_leader:
                     await self._context.clock.sleep(self._config.heartbeat_s)
@@ -91,6 +91,18 @@
         silence_s = self._context.clock.monotonic() - core.heard_leader_s
         return silence_s < self._config.election_min_s
 
+    def _may_campaign(self) -> bool:
+        """Returns whether this member is a voter, or was one just before.
+
+        While its removal is not committed, a removed member may be the only
+        one whose log is recent enough to win (Ongaro 2014, section 4.2.2).
+        """
+        core = self._core
+        committed = core.log.get_membership(core.commit_index)
+        return memberships.is_voter(
+            core.log.membership, core.key
+        ) or memberships.is_voter(committed, core.key)
+
     def _is_only_voter(self) -> bool:
         voters = memberships.list_voters(self._core.log.membership)
         return [memberships.get_key(each) for each in voters] == [
@@ -141,7 +153,7 @@
         if core.holds_founding_only:
             # See `Core.is_unused`.
             needed = len(voters)
-        granted = 1
+        granted = int(memberships.is_voter(core.log.membership, core.key))
         pending = {
             asyncio.create_task(self._ask(each, term, pre_vote))
             for each in voters
--- a/packages/daemon/src/bamboosilld/consensus/node.py
+++ b/packages/daemon/src/bamboosilld/consensus/node.py
@@ -306,6 +306,12 @@
         membership = change(core.log.membership)
         if not memberships.list_voters(membership):
             return core_lib.fail_propose("unavailable", "no voter would remain")
+        # The change itself is committed by the new majority; without one the
+        # group could neither commit nor undo it.
+        if not self._replication.can_reach_majority(membership):
+            return core_lib.fail_propose(
+                "unavailable", "no majority of the changed group answers"
+            )
         return await self._propose(
             "membership", wire.encode(membership), deadline_s
         )
--- a/packages/daemon/src/bamboosilld/consensus/replication.py
+++ b/packages/daemon/src/bamboosilld/consensus/replication.py
@@ -278,6 +278,12 @@
         """Returns what is known of a member."""
         return self._peers.get(key)
 
+    def can_reach_majority(self, membership: messages.Membership) -> bool:
+        """Returns whether a majority of a new membership answers lately."""
+        now_s = self._core.context.clock.monotonic()
+        sent_s = memberships.find_majority_value(membership, self._get_sent_s)
+        return now_s - sent_s < self._core.config.election_min_s
+
     def has_quorum_contact(self) -> bool:
         """Returns whether a majority answered lately (check-quorum)."""
         sent_s = max(self._find_majority_sent_s(), self._core.elected_at_s)
@@ -315,18 +321,16 @@
         )
 
     def _find_majority_sent_s(self) -> float:
-        now_s = self._core.context.clock.monotonic()
-
-        def get_sent_s(key: memberships.Key) -> float:
-            if key == self._core.key:
-                return now_s
-            peer = self._peers.get(key)
-            return peer.acked_sent_s if peer else _NEVER_S
-
         return memberships.find_majority_value(
-            self._core.log.membership, get_sent_s
+            self._core.log.membership, self._get_sent_s
         )
 
+    def _get_sent_s(self, key: memberships.Key) -> float:
+        if key == self._core.key:
+            return self._core.context.clock.monotonic()
+        peer = self._peers.get(key)
+        return peer.acked_sent_s if peer else _NEVER_S
+
     def _find_majority_round(self) -> float:
         def get_round(key: memberships.Key) -> float:
             if key == self._core.key:
--- a/packages/daemon/tests/consensus/test_faults.py
+++ b/packages/daemon/tests/consensus/test_faults.py
@@ -540,3 +540,41 @@
     # Virtual time: one round trip takes 20 ms.
     assert max(taken) <= 0.021
     await cluster.stop_all()
+
+
+@pytest.mark.looptime
+async def test_removal_that_leaves_no_majority(make_cluster):
+    """Guards against a removal that leaves the group without a majority."""
+    cluster = make_cluster(NAMES)
+    leader = await cluster.start_all()
+    lost, live = other_names(leader)
+    await cluster.stop(lost)
+    await asyncio.sleep(0.5)
+    node = cluster.nodes[leader]
+    result = await node.remove(cluster.make_member(live), 1)
+    assert result.failure().code == "unavailable"
+    assert isinstance(await node.remove(cluster.make_member(lost), 1), Success)
+    assert isinstance(await cluster.propose("x"), Success)
+    await cluster.stop_all()
+
+
+@pytest.mark.looptime
+async def test_election_during_removal_of_leader(make_cluster):
+    """Guards against a group stuck on a leader's uncommitted removal.
+
+    The leader's log is the only one recent enough to win, although its own
+    latest membership does not have it.
+    """
+    cluster = make_cluster("abcd")
+    leader = await cluster.start_all()
+    await cluster.stop(other_names(leader, "abcd")[0])
+    cluster.network.isolate(leader, "abcd")
+    node = cluster.nodes[leader]
+    result = await node.remove(cluster.make_member(leader), 3)
+    assert isinstance(result, Failure)
+    cluster.network.heal()
+    # The removal is committed by the leader itself, which then steps down.
+    await cluster.wait_leader(among=other_names(leader, "abcd"))
+    assert isinstance(await cluster.propose("x"), Success)
+    assert leader not in {each.instance for each in node.membership.members}
+    await cluster.stop_all()
