Test the expiry of requests and the hold of moves for abandoned ones

Cause: both had no test. Change: rows for an expired request at the stand-in, and for requests whose end is not certain with and without fences; a lint finding. Tested: the hold fails its row when it is off; passes with it. Conclusion: an abandoned request counts as in flight to its deadline.

--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -186,6 +186,31 @@
     assert bench.member.in_flight == 0
 
 
+@pytest.mark.parametrize(
+    ("checks_fences", "fault", "held"),
+    [
+        (False, "close-after", 1),
+        (False, "shed", 0),
+        (False, "", 0),
+        (True, "close-after", 0),
+    ],
+)
+async def test_abandoned_request_holds_back_moves_until_its_deadline(
+    bench, checks_fences, fault, held
+):
+    """Guards against a move while an upstream may still run a request."""
+    await bench.start(budget=_NoRetries())
+    await bench.start_upstream(checks_fences=checks_fences)
+    bench.member.upstream = bench.member.upstream._replace(
+        checks_fences=checks_fences
+    )
+    await bench.send(
+        headers={"X-Test-Fault": fault, "Bamboosill-Deadline-Ms": "1500"}
+    )
+    assert bench.member.in_flight == held
+    await bench.wait_until(lambda: bench.member.in_flight == 0)
+
+
 async def test_upstream_that_is_gone_gives_not_run(bench):
     """Guards against "unknown" where nothing was written."""
     await bench.start()
--- a/packages/daemon/tests/entry/test_inbound.py
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -214,6 +214,8 @@
     assert answer[0] == 200
     assert 2000 < int(seen["Bamboosill-Deadline-Ms"]) <= 3000
     assert seen["Bamboosill-Fence"] == "5"
+    left_ms = int(seen["Bamboosill-Expires-Ms"]) - bench.clock.wall_ms()
+    assert left_ms <= 3000
     assert seen["X-Kept"] == "1"
     assert "X-Hop" not in seen
     assert "Authorization" not in seen
--- a/packages/dev/src/bamboosill_dev/upstream/service.py
+++ b/packages/dev/src/bamboosill_dev/upstream/service.py
@@ -168,9 +168,12 @@
         if self._options.checks_fences and not self._grants.allows(work):
             raise Refusal(409, "stale-fence")
         expires = request.headers.get("Bamboosill-Expires-Ms")
-        if self._options.accepts_deadlines and expires:
-            if time.time_ns() // 1_000_000 >= int(expires):
-                raise Refusal(503, "deadline")
+        if (
+            self._options.accepts_deadlines
+            and expires
+            and time.time_ns() // 1_000_000 >= int(expires)
+        ):
+            raise Refusal(503, "deadline")
 
     async def _serve(self, request: web.BaseRequest) -> None:
         """Takes as long as the request takes."""
--- a/packages/dev/tests/upstream/test_process.py
+++ b/packages/dev/tests/upstream/test_process.py
@@ -156,6 +156,7 @@
         ({"Bamboosill-Fence": "4"}, 409, "stale-fence"),
         ({"Bamboosill-Fence": ""}, 409, "no-fence"),
         ({"X-Test-Fault": "shed"}, 503, "shed"),
+        ({"Bamboosill-Expires-Ms": "1700000000000"}, 503, "deadline"),
         (
             {"Bamboosill-Deadline-Ms": "20", "X-Test-Service-Ms": "500"},
             503,
