--- a/packages/daemon/tests/zone/test_moves.py
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -179,6 +179,34 @@
     assert world.now() - elected_s >= wait_s
 
 
+@pytest.mark.looptime(noop_cycles=0)
+async def test_new_leader_waits_for_grants_it_does_not_know(make_world):
+    """Guards against a new owner beside one whose grant still holds."""
+    world = await make_zone(make_world)
+    old = get_upstream(world, "u")
+    await world.wait(lambda: old.until_s - world.now() > 1.45)
+    # It still runs, but nothing hears of it.
+    old.task.cancel()
+    await world.kill_member(find_leader(world))
+    await world.wait(lambda: find_leader(world) is not None)
+    for upstream in world.upstreams.values():
+        upstream.members = sorted(world.members)
+    world.add_upstream("u", 2)
+    states = [member._membership.state for member in world.members.values()]
+    await world.wait(lambda: states[0].upstreams.find("u").incarnation == 2)
+    assert world.now() < old.until_s, "too late to show anything"
+    places = [key[:2] for key in old.grants]
+
+    def has_new_owner():
+        found = (
+            states[0].assignments.resolve(*place, "")[1] for place in places
+        )
+        return any(each.owner != ("u", 1) for each in found)
+
+    await world.wait(has_new_owner)
+    assert world.now() >= old.until_s
+
+
 @pytest.mark.looptime(noop_cycles=0)
 async def test_unconfirmed_revocation_waits_for_the_grant(make_world):
     """Guards against a move while the former owner's grant still holds."""
