--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -52,9 +52,7 @@
         self._rates = load_lib.ShardRates()
         self._loads: dict[str, load_lib.Loads] = {}
         self._chooser = hotkeys.Chooser()
-        self._hot_by_shard: dict[
-            tuple[str, int], dict[hotkeys.KeyId, float]
-        ] = {}
+        self._shard_rates: dict[tuple[str, int], float] = {}
         self.effective: dict[str, load_lib.Effective] = {}
 
     def plan(self, now_s: float) -> Plan:
@@ -102,9 +100,7 @@
         hot = self._chooser.choose(
             now_s, hotkeys.merge_reports(reports), self._rates.compute_mean()
         )
-        self._hot_by_shard = {}
-        for key, rate in hot.items():
-            self._hot_by_shard.setdefault(key[:2], {})[key] = rate
+        self._shard_rates = self._rates.compute_rates(hot)
         return hot
 
     def _plan_service(
@@ -162,8 +158,7 @@
         if key.key:
             rate = hot.get((key.keyspace, key.shard, key.key), 0.0)
         else:
-            inner = self._hot_by_shard.get(key[:2], {})
-            rate = self._rates.get_rate(key.keyspace, key.shard, inner)
+            rate = self._shard_rates.get((key.keyspace, key.shard), 0.0)
         owner, moving = self._find_live_owner(value)
         return policy_lib.ShardView(*key, owner, rate, moving)
 
