--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -158,7 +158,7 @@
         if key.key:
             rate = hot.get((key.keyspace, key.shard, key.key), 0.0)
         else:
-            rate = self._shard_rates.get(key[:2], 0.0)
+            rate = self._shard_rates.get((key.keyspace, key.shard), 0.0)
         owner, moving = self._find_live_owner(value)
         return policy_lib.ShardView(*key, owner, rate, moving)
 
--- a/packages/daemon/tests/consensus/test_schedules.py
+++ b/packages/daemon/tests/consensus/test_schedules.py
@@ -4,15 +4,16 @@
 import pathlib
 import random
 
-from bamboosill_common.generated import consensus as messages
-from bamboosill_dev import memory_files
-from bamboosilld.storage import disk
 import hypothesis
 from hypothesis import strategies
 import looptime
 import pytest
 from returns.result import Success
 
+from bamboosill_common.generated import consensus as messages
+from bamboosill_dev import memory_files
+from bamboosilld.storage import disk
+
 NAMES = "abc"
 SPARES = "de"
 
