Show keys of the upstreams that go in the demonstration

Cause: the keys shown were not those that move. Change: two keys of the stopped, the killed and a staying upstream are shown.

--- a/packages/dev/src/bamboosill_dev/demo.py
+++ b/packages/dev/src/bamboosill_dev/demo.py
@@ -31,6 +31,9 @@
 CUSTOMERS = ("grand-bois", "salon-norte")
 EXAMPLES = pathlib.Path(__file__).parents[4] / "examples"
 UPSTREAMS_PER_ZONE = 2
+LEAVING = f"{SERVICES[0]}-{ZONES[0]}-1"
+KILLED = f"{SERVICES[0]}-{ZONES[1]}-1"
+STAYING = f"{SERVICES[0]}-{ZONES[2]}-1"
 READY_TIMEOUT_S = 20.0
 ROUTED_TIMEOUT_S = 15.0
 PHASE_S = 3.0
@@ -56,6 +59,7 @@
         self._sent: list[Sent] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._begun_s = time.monotonic()
+        self._owners: dict[tuple[str, str], str] = {}
         self._callers: dict[str, caller_lib.Caller] = {}
 
     def _say(self, text: str) -> None:
@@ -128,6 +132,8 @@
                     told = await self._callers[customer].send(request)
                     if told.outcome != caller_lib.ANSWER:
                         raise RuntimeError(f"{customer} is not served: {told}")
+                    owner = json.loads(told.body)["upstream"]
+                    self._owners[customer, request.key] = owner
 
     async def _send_for(self, seconds: float) -> None:
         """Sends requests at a steady rate."""
@@ -150,22 +156,19 @@
         self._sent.append(Sent(request, told, order))
 
     async def _lose_upstreams(self) -> None:
-        leaving = f"{SERVICES[0]}-{ZONES[0]}-1"
-        killed = f"{SERVICES[0]}-{ZONES[1]}-1"
-        self._say(f"Stopping upstream {leaving} gracefully.")
-        self._cluster.processes[leaving].send(signal.SIGTERM)
+        self._say(f"Stopping upstream {LEAVING} gracefully.")
+        self._cluster.processes[LEAVING].send(signal.SIGTERM)
         await self._send_for(PHASE_S)
-        self._say(f"Killing upstream {killed}.")
-        self._cluster.processes[killed].send(signal.SIGKILL)
+        self._say(f"Killing upstream {KILLED}.")
+        self._cluster.processes[KILLED].send(signal.SIGKILL)
         await self._send_for(PHASE_S)
         await asyncio.gather(*self._tasks)
 
     async def _show_owners(self, title: str) -> None:
         rows = await asyncio.gather(
             *(
-                self._explain(customer, f"key-{number}")
-                for customer in CUSTOMERS
-                for number in range(3)
+                self._explain(customer, key)
+                for customer, key in self._choose_keys()
             )
         )
         self._say(f"{title}:")
@@ -175,6 +178,18 @@
             )
         )
 
+    def _choose_keys(self) -> list[tuple[str, str]]:
+        """Returns two keys of each upstream that goes, and two others."""
+        chosen: list[tuple[str, str]] = []
+        for upstream in (LEAVING, KILLED, STAYING):
+            owned = [
+                place
+                for place, owner in sorted(self._owners.items())
+                if owner == upstream
+            ]
+            chosen += owned[:2]
+        return chosen
+
     async def _explain(self, customer: str, key: str) -> tuple[str, ...]:
         found = await self._cluster.run_operator_json(
             "key", "explain", customer, SERVICES[0], key
