--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: install generate format lint test demo
+.PHONY: install generate format lint test demo faults bench report
 
 $(VENV)/installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -40,3 +40,9 @@
 
 demo: install
 	$(BIN)/python -m bamboosill_dev.demo
+
+faults: install
+	$(BIN)/python -m bamboosill_dev.faults --seed $(SEED)
+
+bench: install
+	$(BIN)/python -m bamboosill_dev.bench --seed $(SEED)
