--- a/packages/dev/src/bamboosill_dev/faults/run.py
+++ b/packages/dev/src/bamboosill_dev/faults/run.py
@@ -66,6 +66,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._faults: list[dict[str, Any]] = []
         self._sent = 0
+        self._begun_ms = 0
 
     async def run(self) -> Result:
         """Returns the verdict on the run."""
@@ -172,6 +173,7 @@
     async def _inject(self) -> None:
         scene = actions.Scene(self._cluster, self._relays)
         begun_s = time.monotonic()
+        self._begun_ms = time.time_ns() // 1_000_000
         running = []
         for fault in self._plan.faults:
             wait_s = begun_s + fault.begin_s - time.monotonic()
@@ -217,7 +219,15 @@
             "".join(json.dumps(line) + "\n" for line in lines)
         )
         (self._cluster.folder / "faults.json").write_text(
-            json.dumps(self._faults, indent=1)
+            json.dumps(
+                {
+                    "begun_ms": self._begun_ms,
+                    "offset_ms": (time.time_ns() - time.monotonic_ns())
+                    // 1_000_000,
+                    "faults": self._faults,
+                },
+                indent=1,
+            )
         )
         runs = []
         for name in self._cluster.upstreams:
