Turn hangs of entry tests into failures

Cause: with the abort of truncated long answers off, its test hung instead of failing. Change: a limit of 60 s on the test's client. Tested: the test fails with the abort off. Conclusion: a hang is reported.

--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -21,6 +21,8 @@
 from bamboosill_dev.upstream import process
 from bamboosilld.entry import server
 
+# Turns a hang into a failure; no test waits for it.
+_HANG_GUARD = aiohttp.ClientTimeout(total=60)
 KEYSPACE = "shopfront/hold/all"
 FENCE = 5
 
@@ -194,7 +196,7 @@
     async def start(self, authenticator=None, **parts):
         self.entry = await self.start_entry(self.member, authenticator, **parts)
         self.session = await self._stack.enter_async_context(
-            aiohttp.ClientSession()
+            aiohttp.ClientSession(timeout=_HANG_GUARD)
         )
         # Requests that aiohttp repeats by itself would hide faults.
         self.session._retry_connection = False
