--- a/packages/daemon/tests/zone/test_moves.py
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -316,17 +316,27 @@
 
 
 @pytest.mark.looptime(noop_cycles=0)
-async def test_flapping_upstream_does_not_cause_endless_moves(make_world):
+@pytest.mark.parametrize("fault", ["restart", "freeze"])
+async def test_flapping_upstream_does_not_cause_endless_moves(
+    make_world, fault
+):
     """Guards against shards that follow an upstream in and out."""
     world = await make_zone(make_world, ("u", "v", "w"))
     counts = []
     for incarnation in range(2, 14):
         before = count_moves(world)
-        get_upstream(world, "u").die()
-        await asyncio.sleep(2.5)
-        world.upstreams.pop(f"u/{incarnation - 1}")
-        world.add_upstream("u", incarnation)
+        upstream = get_upstream(world, "u")
+        if fault == "freeze":
+            upstream.clock.pause()
+        else:
+            upstream.die()
         await asyncio.sleep(2.5)
+        if fault == "freeze":
+            upstream.clock.resume()
+        else:
+            world.upstreams.pop(f"u/{incarnation - 1}")
+            world.add_upstream("u", incarnation)
+        await asyncio.sleep(3.5)
         counts.append(count_moves(world) - before)
     assert sum(counts[-6:]) == 0, counts
 
