--- a/packages/daemon/tests/zone/test_moves.py
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -389,3 +389,28 @@
     assert entry.route("a", "shop", key).upstream.id == "v"
     value = get_state(world).assignments.find(hot._replace(key=""))
     assert value.owner.id == "u"
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_hot_key_waits_for_lost_instance(make_world):
+    """Guards against a request that the grant of the whole shard admits."""
+    world = await make_zone(make_world)
+    lost = next(n for n in world.members if n != find_leader(world))
+    entry = world.members[lost]
+    key = find_key(world, "u", entry)
+    route = entry.route("a", "shop", key)
+    world.network.isolate(lost)
+    for upstream in world.upstreams.values():
+        upstream.members = sorted(set(world.members) - {lost})
+    refused_s = await world.wait(
+        lambda: entry.begin_dispatch(route, 2.0) is None
+    )
+    authority = world.members[find_leader(world)]._authority
+    hot = assignments.AssignmentKey(route.keyspace, route.shard, route.key)
+    authority._planner._chooser.choose = lambda *args: {tuple(hot): 1.0}
+    begin = messages.BeginMove(*hot[:1], (hot.shard,), "v", 1, "", hot.key)
+    await authority._commit(begin)
+    other = world.members[find_leader(world)]
+    assert other.route("a", "shop", key).status == "moving"
+    await world.wait(lambda: other.route("a", "shop", key).status == "local")
+    assert world.now() - refused_s >= 2.0
