--- a/packages/daemon/tests/zone/test_moves.py
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -316,17 +316,27 @@
 
 
 @pytest.mark.looptime(noop_cycles=0)
-async def test_flapping_upstream_does_not_cause_endless_moves(make_world):
+@pytest.mark.parametrize("fault", ["restart", "freeze"])
+async def test_flapping_upstream_does_not_cause_endless_moves(
+    make_world, fault
+):
     """Guards against shards that follow an upstream in and out."""
     world = await make_zone(make_world, ("u", "v", "w"))
     counts = []
     for incarnation in range(2, 14):
         before = count_moves(world)
-        get_upstream(world, "u").die()
-        await asyncio.sleep(2.5)
-        world.upstreams.pop(f"u/{incarnation - 1}")
-        world.add_upstream("u", incarnation)
+        upstream = get_upstream(world, "u")
+        if fault == "freeze":
+            upstream.clock.pause()
+        else:
+            upstream.die()
         await asyncio.sleep(2.5)
+        if fault == "freeze":
+            upstream.clock.resume()
+        else:
+            world.upstreams.pop(f"u/{incarnation - 1}")
+            world.add_upstream("u", incarnation)
+        await asyncio.sleep(3.5)
         counts.append(count_moves(world) - before)
     assert sum(counts[-6:]) == 0, counts
 
@@ -379,3 +389,28 @@
     assert entry.route("a", "shop", key).upstream.id == "v"
     value = get_state(world).assignments.find(hot._replace(key=""))
     assert value.owner.id == "u"
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_hot_key_waits_for_lost_instance(make_world):
+    """Guards against a request that the grant of the whole shard admits."""
+    world = await make_zone(make_world)
+    lost = next(n for n in world.members if n != find_leader(world))
+    entry = world.members[lost]
+    key = find_key(world, "u", entry)
+    route = entry.route("a", "shop", key)
+    world.network.isolate(lost)
+    for upstream in world.upstreams.values():
+        upstream.members = sorted(set(world.members) - {lost})
+    refused_s = await world.wait(
+        lambda: entry.begin_dispatch(route, 2.0) is None
+    )
+    authority = world.members[find_leader(world)]._authority
+    hot = assignments.AssignmentKey(route.keyspace, route.shard, route.key)
+    authority._planner._chooser.choose = lambda *args: {tuple(hot): 1.0}
+    begin = messages.BeginMove(*hot[:1], (hot.shard,), "v", 1, "", hot.key)
+    await authority._commit(begin)
+    other = world.members[find_leader(world)]
+    assert other.route("a", "shop", key).status == "moving"
+    await world.wait(lambda: other.route("a", "shop", key).status == "local")
+    assert world.now() - refused_s >= 2.0
