Refuse with not-ready before contracts have arrived

Change: 503 not-ready while the zone member is not ready. Tested: the new test fails with 404 without the change.

--- a/packages/daemon/src/bamboosilld/entry/inbound.py
+++ b/packages/daemon/src/bamboosilld/entry/inbound.py
@@ -156,6 +156,10 @@
         name, path = target.unwrap()
         contract = self._member.find_contract(customer)
         if contract is None:
+            ready, reason = self._member.is_ready()
+            if not ready:
+                # Contracts may only be missing here, not in force elsewhere.
+                return _refuse(503, "not-ready", reason)
             return _refuse(
                 404, "unknown-customer", f"no contract for {customer!r}"
             )
--- a/packages/daemon/tests/entry/test_inbound.py
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -88,6 +88,16 @@
 ]
 
 
+async def test_customer_is_not_unknown_before_contracts_arrive(bench):
+    """Guards against 404 from an instance that has just started."""
+    await bench.start()
+    bench.member.ready = (False, "no control state received")
+    answer = await bench.send(headers={"Bamboosill-Customer": "bolt"})
+    assert answer[0] == 503
+    assert answer[1]["Bamboosill-Reason"] == "not-ready"
+    assert answer[1]["Bamboosill-Outcome"] == "not-run"
+
+
 @pytest.mark.parametrize(("request_", "status", "reason"), BAD_REQUESTS)
 async def test_bad_requests_are_refused(bench, request_, status, reason):
     """Guards against bad input that is dispatched or not explained."""
