Name the setting of a wrong start, and stop in a fixed order

Cause: a port in use, a foreign address, a damaged or shared data folder and an unusable key file ended a start with a traceback, or only showed later. A stop that used up the grace was cancelled by the entrypoint, which had the same limit, and an instance without the entry role stayed ready while it stopped.

Change: a start that fails prints one line with the setting and exits with 1 (2 for what the settings alone show) after it has freed what it took. Parts are started admin port first and stopped in the reverse order, readiness first. /readyz names a storage failure and ended leader's duties.

--- a/packages/common/src/bamboosill_common/settings.py
+++ b/packages/common/src/bamboosill_common/settings.py
@@ -1,6 +1,7 @@
 """Reads settings from flags and environment variables."""
 
 import argparse
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import ipaddress
@@ -8,7 +9,12 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Failure
+from returns.result import Success
+
+from bamboosill_common import auth
 from bamboosill_common import findings
+from bamboosill_common import tls
 from bamboosill_common.generated import settings as generated
 
 _MAX_PORT = 65535
@@ -156,20 +162,48 @@
         require("upstream_listen", "is required for the entry role")
     if "control" in roles:
         require("data_dir", "is required for the control role")
-    if bool(values.get("tls_cert")) != bool(values.get("tls_key")):
-        require("tls_cert", "is required together with --tls-key")
-        require("tls_key", "is required together with --tls-cert")
-    for name in ("key_file", "tls_cert", "tls_key", "tls_ca"):
+    _check_files(loaded, require)
+    _check_control_peers(loaded)
+    if not values.get("key_file"):
+        _check_loopback(loaded)
+
+
+def _check_files(loaded: Loaded, require: Callable[[str, str], None]) -> None:
+    values = loaded.values
+    tls_names = ("tls_cert", "tls_key", "tls_ca")
+    given = [name for name in tls_names if values.get(name)]
+    if given:
+        for name in tls_names:
+            require(name, f"is required together with {get_flag(given[0])}")
+    missing = False
+    for name in ("key_file", *tls_names):
         path = values.get(name)
         if path and not pathlib.Path(path).is_file():
+            missing = True
             loaded.findings.append(
                 findings.Finding(
                     loaded.sources[name].place, f"{path}: no such file"
                 )
             )
-    _check_control_peers(loaded)
-    if not values.get("key_file"):
-        _check_loopback(loaded)
+    if missing:
+        return
+    if values.get("key_file"):
+        _check_key_file(loaded, values["key_file"])
+    if len(given) == len(tls_names):
+        problem = tls.check_files(*(values[name] for name in tls_names))
+        if problem:
+            place = loaded.sources["tls_cert"].place
+            loaded.findings.append(findings.Finding(place, problem))
+
+
+def _check_key_file(loaded: Loaded, path: str) -> None:
+    place = loaded.sources["key_file"].place
+    match auth.load_keys(pathlib.Path(path)):
+        case Failure(detail):
+            loaded.findings.append(findings.Finding(place, detail))
+        case Success(keys) if not any("instance" in k.roles for k in keys):
+            detail = f"{path}: has no key of role instance"
+            loaded.findings.append(findings.Finding(place, detail))
 
 
 def _check_control_peers(loaded: Loaded) -> None:
--- a/packages/common/tests/test_settings.py
+++ b/packages/common/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of settings."""
 
+import json
+
 import pytest
 
 from bamboosill_common import settings as settings_lib
@@ -46,6 +48,8 @@
         ({"control_peers": "c"}, "--control-peers", "name=IP:port"),
         ({"key_file": "missing.json"}, "--key-file", "no such file"),
         ({"tls_cert": "missing.pem"}, "--tls-key", "together"),
+        ({"tls_cert": "missing.pem"}, "--tls-ca", "together"),
+        ({"tls_ca": "missing.pem"}, "--tls-cert", "together"),
     ],
 )
 def test_bad_setting_is_found_with_its_place(flags, place, text):
@@ -69,3 +73,23 @@
     assert loaded.values["zone"] == "z1"
     assert loaded.values["seed"] == 7
     assert "BAMBOOSILL_SEED" in settings_lib.format_settings(loaded)
+
+
+def test_unusable_files_are_found(tmp_path):
+    """Guards against a key or certificate file that fails only when used."""
+    keys, empty = tmp_path / "keys.json", tmp_path / "empty.pem"
+    secret = "s" * 32
+    keys.write_text(
+        json.dumps({"keys": [{"id": "a", "secret": secret, "roles": []}]})
+    )
+    empty.write_text("")
+    loaded = load(
+        key_file=str(keys),
+        tls_cert=str(empty),
+        tls_key=str(empty),
+        tls_ca=str(empty),
+    )
+    found = {each.place.source: each.message for each in loaded.findings}
+    assert "no key of role instance" in found["--key-file"]
+    assert "cannot be loaded" in found["--tls-cert"]
+    assert secret not in str(loaded.findings)
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -1,6 +1,7 @@
 """Assembles one instance from its settings and runs it."""
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import secrets
@@ -21,6 +22,7 @@
 from bamboosill_common.generated import consensus as consensus_messages
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
+from bamboosilld import startup
 from bamboosilld.admin import app
 from bamboosilld.admin import ports
 from bamboosilld.admission import gate as gate_lib
@@ -50,6 +52,7 @@
         shared: "Shared",
     ) -> None:
         self._shared = shared
+        self._data_dir = settings.data_dir
         members = tuple(
             consensus_messages.Member(name, 0, address, True)
             for name, address in list_control_peers(settings)
@@ -83,11 +86,24 @@
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        """Starts the consensus node and the leader's duties."""
-        await self.node.start()
+        """Starts the consensus node and the leader's duties.
+
+        Raises:
+            startup.StartError: The data folder cannot be used.
+        """
+        startup.make_data_folder(self._data_dir)
+        await startup.open_storage(self._data_dir, self.node.start())
         self._shared.groups.add(CONTROL_GROUP, self.node)
         self._task = asyncio.create_task(self.service.run())
 
+    def find_fault(self) -> str:
+        """Returns why this role does no work, or an empty text."""
+        if self.node.failure:
+            return self.node.failure
+        if self._task is not None and self._task.done():
+            return "the leader's duties have ended"
+        return ""
+
     async def stop(self) -> None:
         """Stops both."""
         if self._task is not None:
@@ -106,6 +122,7 @@
         self.authenticator = auth.Authenticator(
             settings.key_file, self.clock, settings.instance_id
         )
+        self.tls = tls.make_contexts(settings)
         # Grows with each start as long as the wall clock does not go back
         # further than the time between two starts.
         self.identity = peer.Identity(
@@ -117,8 +134,8 @@
             self.authenticator,
             self.clock,
             self.timeline,
-            tls.make_client_context(settings),
-            tls.make_server_context(settings),
+            self.tls.client,
+            self.tls.peer_server,
             host,
         )
         self.directory = peer.Directory(self.context)
@@ -155,18 +172,85 @@
     def __init__(self, settings: generated.DaemonSettings) -> None:
         super().__init__()
         self._settings = settings
-        self.exit_code = 0
+        self._parts = contextlib.AsyncExitStack()
+        self._control: ControlRole | None = None
+        self._entry: entry_server.EntryServer | None = None
+        # Why the instance as a whole is not ready, or empty.
+        self._state = "starting"
 
     async def start(self) -> None:
-        """Starts all parts of the instance."""
+        """Starts all parts of the instance.
+
+        Raises:
+            startup.StartError: An address or the data folder cannot be used.
+        """
+        try:
+            await self._start_parts()
+        except BaseException:
+            await self._parts.aclose()
+            raise
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stops gracefully.
+
+        Readiness ends first. The entry role then gives balancers time to
+        notice it and finishes the requests in flight, and only after that
+        the instance leaves its groups and closes its connections.
+        """
+        _log.info("Stopping.")
+        self._state = "stopping"
+        self._shared.timeline.record("instance", "stopping")
+        await self._parts.aclose()
+        self._shared.timeline.record("instance", "stopped")
+        _log.info("Stopped.")
+
+    async def _start_parts(self) -> None:
+        # What is started first is stopped last.
         settings = self._settings
+        for path in tls.find_exposed((settings.key_file, settings.tls_key)):
+            _log.warning("%s can be read by all users of the machine.", path)
         self._shared = shared = Shared(settings)
         self._server = peer.Server(shared.context, shared.handlers)
-        self._session = aiohttp.ClientSession()
-        self._control: ControlRole | None = None
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(ssl=shared.tls.client or True)
+        )
+        self._parts.push_async_callback(self._session.close)
+        self._parts.push_async_callback(shared.directory.close)
+        self._reloading = asyncio.create_task(self._reload_files())
+        self._parts.callback(self._reloading.cancel)
         if "control" in settings.roles:
             self._control = ControlRole(settings, shared)
-        self._member = member_lib.ZoneMember(
+        self._member = self._make_member()
+        await self._start_admin()
+        await startup.listen(
+            "--peer-listen",
+            settings.peer_listen,
+            self._server.start(
+                *settings_lib.split_address(settings.peer_listen)
+            ),
+        )
+        self._parts.push_async_callback(self._server.stop)
+        if self._control is not None:
+            self._parts.push_async_callback(self._control.stop)
+            await self._control.start()
+        await self._member.start()
+        self._parts.push_async_callback(self._member.stop)
+        if "entry" in settings.roles:
+            await self._start_entry()
+        self._state = ""
+        shared.timeline.record(
+            "instance", "started", incarnation=shared.identity.incarnation
+        )
+        _log.info("Started. Roles: %s.", ", ".join(settings.roles))
+
+    async def _reload_files(self) -> None:
+        while True:
+            await self._shared.clock.sleep(tls.RELOAD_INTERVAL_S)
+            self._shared.tls.reload()
+
+    def _make_member(self) -> member_lib.ZoneMember:
+        settings, shared = self._settings, self._shared
+        return member_lib.ZoneMember(
             shared.identity,
             make_instance_item(settings, shared.identity),
             tuple(address for _, address in list_control_peers(settings)),
@@ -179,34 +263,6 @@
             self._make_policy,
             upstream_client.HttpUpstreamClient(self._session),
         )
-        await self._server.start(
-            *settings_lib.split_address(settings.peer_listen)
-        )
-        if self._control is not None:
-            await self._control.start()
-        await self._member.start()
-        self._entry: entry_server.EntryServer | None = None
-        if "entry" in settings.roles:
-            await self._start_entry()
-        await self._start_admin()
-        shared.timeline.record(
-            "instance", "started", incarnation=shared.identity.incarnation
-        )
-        _log.info("Started. Roles: %s.", ", ".join(settings.roles))
-
-    async def stop(self, exception: Exception | None = None) -> None:
-        """Stops gracefully: readiness goes first, connections last."""
-        _log.info("Stopping.")
-        if self._entry is not None:
-            await self._entry.stop(self._settings.shutdown_grace_s)
-        await self._member.stop()
-        if self._control is not None:
-            await self._control.stop()
-        await self._server.stop()
-        await self._shared.directory.close()
-        await self._session.close()
-        await self._admin.cleanup()
-        _log.info("Stopped.")
 
     def _make_policy(self, *arguments: Any) -> policy.Policy:
         return policy.make_policy(
@@ -214,12 +270,12 @@
         )
 
     async def _start_entry(self) -> None:
-        shared = self._shared
+        settings, shared = self._settings, self._shared
         count = self._member.count_entry_instances
         queues = queues_lib.Queues(shared.clock, shared.rng, count)
         gate = gate_lib.Gate(shared.clock, shared.rng, count)
         gate.watch_queues(queues.get_longest_wait_s)
-        self._entry = entry_server.EntryServer(
+        entry = entry_server.EntryServer(
             member=self._member,
             authenticator=shared.authenticator,
             clock=shared.clock,
@@ -229,11 +285,23 @@
             gate=gate,
             queues=queues,
             budget=retry.Budget(shared.clock),
+            server_tls=shared.tls.server,
+            client_tls=shared.tls.client,
             instance_count=count,
         )
-        await self._entry.start(
-            self._settings.caller_listen, self._settings.upstream_listen
+        self._parts.push_async_callback(self._stop_entry, entry)
+        await startup.listen(
+            "--caller-listen or --upstream-listen",
+            f"{settings.caller_listen} or {settings.upstream_listen}",
+            entry.start(settings.caller_listen, settings.upstream_listen),
         )
+        self._entry = entry
+
+    async def _stop_entry(self, entry: entry_server.EntryServer) -> None:
+        if self._entry is None:
+            await entry.stop(0.0)
+        else:
+            await entry.stop(self._settings.shutdown_grace_s)
 
     async def _start_admin(self) -> None:
         shared, control = self._shared, self._control
@@ -247,18 +315,28 @@
                 member=self._member,
                 control=control.service if control else None,
                 session=self._session,
+                scheme="https" if shared.tls.server else "http",
             )
         )
         self._admin = web.AppRunner(application, access_log=None)
         await self._admin.setup()
         host, port = settings_lib.split_address(self._settings.admin_listen)
-        await web.TCPSite(self._admin, host, port).start()
+        self._parts.push_async_callback(self._admin.cleanup)
+        site = web.TCPSite(
+            self._admin, host, port, ssl_context=shared.tls.server
+        )
+        await startup.listen(
+            "--admin-listen", self._settings.admin_listen, site.start()
+        )
 
     def _check_readiness(self) -> tuple[str, ...]:
         """Returns the reasons why this instance is not ready."""
+        reasons = [self._state] if self._state else []
         part = self._entry or self._member
         ready, reason = part.is_ready()
-        reasons = [] if ready else [reason]
-        if self._control is not None and self._control.node.failure:
-            reasons.append(f"control: {self._control.node.failure}")
+        if not ready:
+            reasons.append(reason)
+        fault = self._control.find_fault() if self._control else ""
+        if fault and not self._state:
+            reasons.append(f"control: {fault}")
         return tuple(reasons)
--- a/packages/daemon/src/bamboosilld/main.py
+++ b/packages/daemon/src/bamboosilld/main.py
@@ -2,7 +2,6 @@
 
 import argparse
 import os
-import pathlib
 import sys
 
 import aiomisc
@@ -12,9 +11,14 @@
 from bamboosill_common import settings as settings_lib
 from bamboosill_common.generated import settings as generated
 from bamboosilld import instance
+from bamboosilld import startup
 from bamboosilld import version
 
+EXIT_FAILED = 1
 EXIT_FINDINGS = 2
+# Time after the grace for what does not depend on callers, such as closing
+# files and leaving groups.
+_CLEANUP_S = 15.0
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -57,14 +61,28 @@
     logs.setup_logging(
         settings.log_level, instance=settings.instance_id, zone=settings.zone
     )
-    if settings.data_dir:
-        pathlib.Path(settings.data_dir).mkdir(parents=True, exist_ok=True)
+    return run(settings)
+
+
+def run(settings: generated.DaemonSettings) -> int:
+    """Runs an instance until it is told to stop, and returns the exit code."""
     service = instance.InstanceService(settings)
-    with aiomisc.entrypoint(
-        service, log_config=False, shutdown_timeout=settings.shutdown_grace_s
-    ) as loop:
-        loop.run_forever()
-    return service.exit_code
+    # The entrypoint handles the first SIGTERM or SIGINT only; a second one
+    # ends the process at once.
+    entrypoint = aiomisc.entrypoint(
+        service,
+        log_config=False,
+        shutdown_timeout=settings.shutdown_grace_s + _CLEANUP_S,
+    )
+    try:
+        with entrypoint as loop:
+            loop.run_forever()
+    except startup.StartError as error:
+        print(error.finding.format(), file=sys.stderr)
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_FAILED
+    return 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/daemon/tests/test_instance.py
@@ -0,0 +1,169 @@
+"""Tests of an instance that runs in the process of the test."""
+
+import asyncio
+import errno
+import itertools
+import ssl
+
+import aiohttp
+import pytest
+import trustme
+
+from bamboosill_common import settings as settings_lib
+from bamboosill_common.generated import settings as generated
+from bamboosilld import instance as instance_lib
+from bamboosilld.storage import files
+
+_HANG_S = 120
+
+
+def load(flags):
+    loaded = settings_lib.load_settings(generated.DAEMON_SETTINGS, flags, {})
+    settings_lib.check_daemon(loaded)
+    assert not loaded.findings
+    return generated.DaemonSettings(**loaded.values)
+
+
+@pytest.fixture
+def settings(make_flags):
+    return load(make_flags(shutdown_grace_s="0.2"))
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(_HANG_S):
+        done = False
+        while not done:
+            await asyncio.sleep(0.02)
+            done = await condition()
+
+
+async def get_readiness(session, settings):
+    async with session.get(f"http://{settings.admin_listen}/readyz") as answer:
+        return answer.status, (await answer.json())["reasons"]
+
+
+async def start_ready(settings, session):
+    service = instance_lib.InstanceService(settings)
+    await service.start()
+
+    async def is_ready():
+        return (await get_readiness(session, settings))[0] == 200
+
+    await wait_until(is_ready)
+    return service
+
+
+@pytest.fixture
+async def session():
+    async with aiohttp.ClientSession() as opened:
+        yield opened
+
+
+async def test_full_disk_ends_readiness_but_not_the_entry_role(
+    settings, session, monkeypatch
+):
+    """Guards against callers who lose an instance because a disk is full."""
+    service = await start_ready(settings, session)
+
+    def fail(*_):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(files.SystemFiles, "write_at", fail)
+    numbers = itertools.count(1)
+
+    async def is_reported():
+        # Anything that control has to store meets the full disk.
+        await service._control.node.propose(str(next(numbers)).encode(), 0.05)
+        status, reasons = await get_readiness(session, settings)
+        return status == 503 and any("No space" in each for each in reasons)
+
+    await wait_until(is_reported)
+    url = f"http://{settings.caller_listen}/shopfront/x"
+    async with session.get(
+        url, headers={"Bamboosill-Customer": "a", "Bamboosill-Key": "k"}
+    ) as answer:
+        assert answer.status == 404
+        assert answer.headers["Bamboosill-Reason"] == "unknown-customer"
+    await service.stop()
+
+
+async def test_stop_leaves_the_zone_group_after_the_entry_role(
+    settings, session
+):
+    """Guards against requests in flight that lose their routes."""
+    service = await start_ready(settings, session)
+    await service.stop()
+    names = [
+        (each.part, each.name)
+        for each in service._shared.timeline.list_events()
+    ]
+    order = [
+        ("instance", "stopping"),
+        ("entry", "draining"),
+        ("entry", "stopped"),
+        ("consensus", "stepped_down"),
+        ("instance", "stopped"),
+    ]
+    places = [names.index(each) for each in order]
+    assert places == sorted(places)
+
+
+async def test_failed_start_frees_what_it_took(settings, session):
+    """Guards against a failed start that keeps ports and the data folder."""
+    host, _, port = settings.upstream_listen.rpartition(":")
+    taken = await asyncio.start_server(lambda *_: None, host, int(port))
+    with pytest.raises(Exception, match="--upstream-listen"):
+        await instance_lib.InstanceService(settings).start()
+    taken.close()
+    await taken.wait_closed()
+    service = await start_ready(settings, session)
+    await service.stop()
+
+
+async def test_all_ports_use_tls(tmp_path, make_flags, session):
+    """Guards against a port that stays plain when TLS is set."""
+    flags = make_flags(shutdown_grace_s="0.2")
+    authority = trustme.CA()
+    host = flags["peer_listen"].rpartition(":")[0]
+    issued = authority.issue_cert(host)
+    paths = [tmp_path / name for name in ("cert", "key", "ca")]
+    issued.cert_chain_pems[0].write_to_path(paths[0])
+    issued.private_key_pem.write_to_path(paths[1])
+    authority.cert_pem.write_to_path(paths[2])
+    settings = load(
+        {
+            **flags,
+            **dict(
+                zip(
+                    ("tls_cert", "tls_key", "tls_ca"),
+                    map(str, paths),
+                    strict=True,
+                )
+            ),
+        }
+    )
+    service = instance_lib.InstanceService(settings)
+    await service.start()
+    context = ssl.create_default_context(cafile=str(paths[2]))
+
+    async def is_ready():
+        url = f"https://{settings.admin_listen}/readyz"
+        async with session.get(url, ssl=context) as answer:
+            return answer.status == 200
+
+    # Its own peer connections, to the control role, use TLS as well.
+    await wait_until(is_ready)
+    for address in (settings.caller_listen, settings.upstream_listen):
+        async with session.get(f"https://{address}/x", ssl=context) as answer:
+            assert answer.status < 500
+    for address in (
+        settings.admin_listen,
+        settings.caller_listen,
+        settings.upstream_listen,
+        settings.peer_listen,
+    ):
+        with pytest.raises(aiohttp.ClientError):
+            async with session.get(f"http://{address}/readyz"):
+                pass
+    assert await is_ready()
+    await service.stop()
