Answer heartbeats while a slow sync runs

A heartbeat waited for all queued writes, so a sync slower than the election timeout made the leader lose its majority. Heartbeats now carry the position known to be stored and are answered at once.

--- a/packages/daemon/src/bamboosilld/consensus/core.py
+++ b/packages/daemon/src/bamboosilld/consensus/core.py
@@ -56,6 +56,8 @@
         max_in_flight: Most unanswered messages to one member.
         max_uncommitted: Most entries of a leader that are not yet committed.
         snapshot_chunk_bytes: Size of a chunk of a snapshot.
+        snapshot_timeout_s: Longest time for a member to take a chunk; the
+            last one includes storing the snapshot.
     """
 
     group: str
@@ -72,6 +74,7 @@
     max_in_flight: int = 8
     max_uncommitted: int = 10_000
     snapshot_chunk_bytes: int = 256 * 1024
+    snapshot_timeout_s: float = 2.0
 
     @property
     def lease_s(self) -> float:
--- a/packages/daemon/src/bamboosilld/consensus/following.py
+++ b/packages/daemon/src/bamboosilld/consensus/following.py
@@ -99,7 +99,7 @@
     def _install(self, snapshot: interfaces.Snapshot) -> None:
         core = self._core
         core.log.install(snapshot)
-        core.journal.put([snapshot])
+        core.journal.put_installed(snapshot)
         core.context.machine.restore(snapshot.data)
         core.applied_index = snapshot.last_index
         core.drop_proposals(snapshot.last_index)
@@ -111,7 +111,10 @@
         self, term: int, match_index: int
     ) -> messages.AppendReply:
         core = self._core
-        await core.journal.flush()
+        # A heartbeat is answered at once also while a slow sync runs;
+        # otherwise a slow disk would look like a lost member.
+        if core.journal.durable_index < match_index:
+            await core.journal.flush()
         return messages.AppendReply(
             term=core.term,
             success=core.term == term,
--- a/packages/daemon/src/bamboosilld/consensus/journal.py
+++ b/packages/daemon/src/bamboosilld/consensus/journal.py
@@ -46,6 +46,11 @@
         self.durable_index = _limit_to_replaced(self.durable_index, records)
         self._wake.set()
 
+    def put_installed(self, snapshot: interfaces.Snapshot) -> None:
+        """Queues a snapshot that may replace the whole log."""
+        self.durable_index = 0
+        self.put([snapshot])
+
     async def flush(self) -> None:
         """Waits until everything queued so far is durable.
 
--- a/packages/daemon/src/bamboosilld/consensus/replication.py
+++ b/packages/daemon/src/bamboosilld/consensus/replication.py
@@ -34,7 +34,9 @@
         self.acked_round = 0
         self.acked_sent_s = _NEVER_S
         self.heard_s = core.context.clock.monotonic()
-        self._next_index = core.log.last_index + 1
+        # The last entry is always sent, because only entries show from where
+        # on the member's log differs.
+        self._next_index = core.log.last_index
         # Until the member's log is known to match, one message with entries
         # is sent at a time; after that they are pipelined.
         self._probing = True
@@ -101,13 +103,10 @@
         self._send_append(previous, entries)
 
     def _send_heartbeat(self) -> None:
-        log = self._core.log
-        # The position known to match never fails, so a heartbeat carries the
-        # commit position also while entries are on their way.
+        # The member has stored all up to the position known to match, so it
+        # answers at once, also while it stores entries on their way.
         previous = self.match_index
-        if self._probing and not self._installing:
-            previous = self._next_index - 1
-        if log.get_term(previous) is None:
+        if self._core.log.get_term(previous) is None:
             previous = 0
         self._send_append(previous, ())
 
@@ -147,13 +146,13 @@
             )
 
     async def _append(self, request: messages.AppendEntries) -> None:
-        reply = await self._call(request)
+        reply = await self._call(request, self._config.election_min_s)
         if reply is None:
             if request.entries:
                 self._restart_probing(self.match_index)
             return
         if reply.success:
-            self._probing = False
+            self._probing = self._probing and not request.entries
             self._take_match(reply.match_index)
         else:
             self._restart_probing(reply.match_index)
@@ -168,7 +167,8 @@
             size = self._config.snapshot_chunk_bytes
             for offset in range(0, max(len(snapshot.data), 1), size):
                 reply = await self._call(
-                    self._make_chunk(snapshot, offset, size)
+                    self._make_chunk(snapshot, offset, size),
+                    self._config.snapshot_timeout_s,
                 )
                 if reply is None or not reply.success:
                     return
@@ -193,7 +193,9 @@
             target=self.member,
         )
 
-    async def _call(self, request: Any) -> messages.AppendReply | None:
+    async def _call(
+        self, request: Any, deadline_s: float
+    ) -> messages.AppendReply | None:
         """Returns the member's reply in this term, or None."""
         core = self._core
         clock = self._context.clock
@@ -203,7 +205,7 @@
             self.member,
             request,
             messages.AppendReply,
-            self._config.election_min_s,
+            deadline_s,
         )
         match result:
             case Success(reply):
