--- a/packages/daemon/src/bamboosilld/storage/recovery.py
+++ b/packages/daemon/src/bamboosilld/storage/recovery.py
@@ -82,9 +82,10 @@
     Raises:
         frames.DamageError: The identity file is damaged.
     """
-    if IDENTITY not in files.list_names(folder):
+    try:
+        data = files.read(folder / IDENTITY)
+    except FileNotFoundError:
         return None
-    data = files.read(folder / IDENTITY)
     frame = frames.read(data, 0)
     if frame is None or frame.end != len(data):
         raise frames.DamageError(f"{IDENTITY}: offset 0: damaged")
--- a/packages/daemon/tests/consensus/test_faults.py
+++ b/packages/daemon/tests/consensus/test_faults.py
@@ -600,3 +600,57 @@
     assert cluster.nodes[leader].term == term
     cluster.check()
     await cluster.stop_all()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("restart", [False, True])
+async def test_one_vote_in_a_term(make_cluster, restart):
+    """Guards against two votes in a term, also across a crash."""
+    disks = Disks(NAMES)
+    cluster = make_cluster(NAMES, storages=disks.get_makers())
+    await cluster.start("a")
+    granted = []
+    for candidate in ["b", "c", "b"]:
+        request = messages.RequestVote(
+            group="g",
+            term=5,
+            candidate=cluster.make_member(candidate),
+            last_index=1,
+            last_term=1,
+            target=cluster.make_member("a"),
+        )
+        reply = await cluster.nodes["a"].handle(request)
+        granted.append(reply.granted)
+        if restart:
+            await crash(cluster, disks, "a")
+            await cluster.start("a")
+            await asyncio.sleep(0.5)
+    assert granted == [True, False, True]
+    await cluster.stop_all()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("last", [(1, 1), (1, 4), (30, 1)])
+async def test_no_vote_for_older_log(make_cluster, last):
+    """Guards against a leader whose log lacks committed entries."""
+    disks = Disks(NAMES)
+    cluster = make_cluster(NAMES, storages=disks.get_makers())
+    leader = await cluster.start_all()
+    await cluster.propose_many("x", 5)
+    await cluster.settle()
+    name = other_names(leader)[0]
+    node = cluster.nodes[name]
+    cluster.network.isolate(name, NAMES)
+    await asyncio.sleep(1)
+    request = messages.RequestVote(
+        group="g",
+        term=node.term + 1,
+        candidate=cluster.make_member("d"),
+        last_index=last[0],
+        last_term=1 if last[1] == 1 else node.term,
+        target=cluster.make_member(name),
+    )
+    for pre_vote in (True, False):
+        reply = await node.handle(request._replace(pre_vote=pre_vote))
+        assert not reply.granted
+    await cluster.stop_all()
--- a/packages/dev/src/bamboosill_dev/memory_files.py
+++ b/packages/dev/src/bamboosill_dev/memory_files.py
@@ -75,6 +75,8 @@
 
     def read(self, path: pathlib.Path) -> bytes:
         """Returns the content of a file."""
+        if path not in self._names:
+            raise FileNotFoundError(path)
         return self._names[path].data
 
     def create(self, path: pathlib.Path, data: bytes) -> None:
