--- a/packages/daemon/src/bamboosilld/placement/ledger.py
+++ b/packages/daemon/src/bamboosilld/placement/ledger.py
@@ -13,6 +13,8 @@
 # difference is believed; measured loads vary by less.
 _EXPLAINED_RATIO = 1.25
 _LARGEST_FACTOR = 2.0
+# A shard holds many keys, a hot key is one; keys that move are what counts.
+_SHARD_COST = 20.0
 # Shards below this part of the excess are not worth a move.
 _WORTHWHILE_PART = 0.05
 
@@ -183,7 +185,7 @@
             if relief < _WORTHWHILE_PART * excess:
                 continue
             useful = min(relief, excess)
-            cost = self._compute_cost(shard.keyspace)
+            cost = self._compute_cost(shard)
             rank = (-useful / cost, relief, key)
             if best is None or rank < best:
                 best = rank
@@ -191,6 +193,7 @@
             return None
         return self._owned[source][best[2]], target
 
-    def _compute_cost(self, keyspace: str) -> float:
-        weights = self._weights.get(keyspace, policy.Weights())
-        return max(0.1, weights.churn + weights.unavailability)
+    def _compute_cost(self, shard: policy.ShardView) -> float:
+        weights = self._weights.get(shard.keyspace, policy.Weights())
+        cost = max(0.1, weights.churn + weights.unavailability)
+        return cost if shard.key else cost * _SHARD_COST
