--- a/packages/dev/src/bamboosill_dev/bench/__main__.py
+++ b/packages/dev/src/bamboosill_dev/bench/__main__.py
@@ -27,6 +27,11 @@
         action="append",
         choices=sorted(deployments.DEPLOYMENTS),
     )
+    parser.add_argument(
+        "--placement-only",
+        action="store_true",
+        help="count load, but run no requests: quick, without latencies",
+    )
     parser.add_argument("--processes", type=int, default=6)
     return parser.parse_args()
 
@@ -35,7 +40,7 @@
     """Runs what the flags name and prints figures and one JSON line."""
     flags = _parse()
     jobs = [
-        runs.Job(deployment, scenario, name, flags.seed)
+        runs.Job(deployment, scenario, name, flags.seed, flags.placement_only)
         for scenario in flags.scenario or scenarios.SCENARIOS
         for deployment in flags.deployment or deployments.DEPLOYMENTS
         for name in flags.policy or policy.list_policies()
--- a/packages/dev/src/bamboosill_dev/bench/engine.py
+++ b/packages/dev/src/bamboosill_dev/bench/engine.py
@@ -78,8 +78,10 @@
         recorded: trace_module.Trace,
         policy_name: str,
         seed: int,
+        placement_only: bool = False,
     ) -> None:
         self.deployment = deployment
+        self._placement_only = placement_only
         self.heap = events.Heap()
         self.trace = recorded
         self.cut_zone: str | None = None
@@ -269,6 +271,9 @@
             entry=self.entries[recorded.instances[row]],
             conforming=self._ideal[customer, name].try_take(now_s),
         )
+        if self._placement_only:
+            self._measure_only(request)
+            return
         request.entry.budget.record_request(customer)
 
         def decide(ticket: lane.Ticket) -> None:
@@ -287,6 +292,14 @@
         else:
             self._wake_gate(request.entry, customer, name)
 
+    def _measure_only(self, request: Request) -> None:
+        """Counts a request that the contract allows, and runs nothing."""
+        gate_ = self.entries[0].gate
+        gate_.step()
+        part = gate_.get_ramp_part(request.customer)
+        if request.conforming and request.entry.rng.random() < part:
+            self._record_load(request)
+
     def _wake_gate(self, entry: Entry, customer: str, name: str) -> None:
         """Pumps a gate when the next waiting request may be admitted."""
         wake_s = entry.gate.compute_wake_s(customer, name)
@@ -301,6 +314,10 @@
         self._wake_gate(entry, customer, name)
 
     def _enter(self, request: Request) -> None:
+        self._record_load(request)
+        self._route(request)
+
+    def _record_load(self, request: Request) -> None:
         place = self.places[request.service].find(request.key)
         service = request.service
         keys = self.trace.keyspaces[service]
@@ -309,7 +326,6 @@
             place.shard,
             keys.names[request.key],
         )
-        self._route(request)
 
     def _route(self, request: Request) -> None:
         now_s = self.heap.now_s
--- a/packages/dev/src/bamboosill_dev/bench/runs.py
+++ b/packages/dev/src/bamboosill_dev/bench/runs.py
@@ -18,6 +18,7 @@
     scenario: str
     policy: str
     seed: int
+    placement_only: bool
 
 
 def run(job: Job) -> dict[str, Any]:
@@ -26,7 +27,9 @@
     gc.disable()
     deployment = deployments.DEPLOYMENTS[job.deployment]
     recorded = trace.make_trace(deployment, job.scenario, job.seed)
-    driven = engine.Engine(deployment, recorded, job.policy, job.seed)
+    driven = engine.Engine(
+        deployment, recorded, job.policy, job.seed, job.placement_only
+    )
     ended: list[float] = []
 
     def begin() -> None:
