--- a/packages/common/src/bamboosill_common/schema/consensus.capnp
+++ b/packages/common/src/bamboosill_common/schema/consensus.capnp
@@ -42,6 +42,7 @@
   lastIndex @3 :UInt64;
   lastTerm @4 :UInt64;
   preVote @5 :Bool;
+  target @6 :Member;
 }
 
 struct VoteReply {
@@ -59,6 +60,7 @@
   prevTerm @4 :UInt64;
   commit @5 :UInt64;
   entries @6 :List(LogEntry);
+  target @7 :Member;
 }
 
 struct AppendReply {
@@ -79,4 +81,37 @@
   offset @6 :UInt64;
   data @7 :Data;
   done @8 :Bool;
+  target @9 :Member;
+}
+
+struct StorageIdentity {
+  # Whose data folder this is.
+  group @0 :Text;
+  instance @1 :Text;
+  incarnation @2 :UInt64;
+}
+
+struct SegmentHeader {
+  # First record of a segment of the write-ahead log.
+  number @0 :UInt64;
+  sizeBytes @1 :UInt64;
+  firstSequence @2 :UInt64;
+  fresh @3 :Bool;
+  baseIndex @4 :UInt64;
+  baseTerm @5 :UInt64;
+}
+
+struct LogRecord {
+  # Records that were synced together.
+  hardState @0 :HardState;
+  entries @1 :List(LogEntry);
+}
+
+struct SnapshotHeader {
+  # First record of a snapshot file; the state follows it.
+  lastIndex @0 :UInt64;
+  lastTerm @1 :UInt64;
+  membership @2 :Membership;
+  sizeBytes @3 :UInt64;
+  checksum @4 :UInt64;
 }
