--- a/packages/daemon/src/bamboosilld/placement/hotkeys.py
+++ b/packages/daemon/src/bamboosilld/placement/hotkeys.py
@@ -40,6 +40,9 @@
     def __init__(self, capacity: int = COUNTERS) -> None:
         self._capacity = capacity
         self._counts: dict[KeyId, float] = {}
+        # What each counter took over from the key it replaced; a key's true
+        # count lies between its counter less this and its counter.
+        self._errors: dict[KeyId, float] = {}
         # Lazy heap: an entry is stale when its count is not the present one.
         self._heap: list[tuple[float, KeyId]] = []
         self._decayed_s: float | None = None
@@ -54,7 +57,9 @@
             counts[key] += count
             return
         if len(counts) >= self._capacity:
-            count += self._evict()
+            smallest = self._evict()
+            self._errors[key] = smallest
+            count += smallest
         counts[key] = count
         heapq.heappush(self._heap, (count, key))
 
@@ -66,6 +71,7 @@
             if present == count:
                 heapq.heappop(self._heap)
                 del self._counts[key]
+                self._errors.pop(key, None)
                 return count
             heapq.heapreplace(self._heap, (present, key))
 
@@ -80,19 +86,30 @@
             for key, count in self._counts.items()
             if count * factor > 1e-3
         }
+        self._errors = {
+            key: error * factor
+            for key, error in self._errors.items()
+            if key in self._counts
+        }
         self._heap = [(count, key) for key, count in self._counts.items()]
         heapq.heapify(self._heap)
 
     def report(self, now_s: float) -> tuple[zone.ShardLoad, ...]:
-        """Returns the rates of the hottest keys, the hottest first."""
+        """Returns the rates of the hottest keys, the hottest first.
+
+        The rates are those that certainly belong to the keys: with many cold
+        keys a counter consists mostly of what it took over.
+        """
         self.decay(now_s)
         per_s = math.log(2) / HALF_LIFE_S
-        top = heapq.nlargest(
-            _REPORTED, self._counts.items(), key=lambda item: item[1]
-        )
+        errors = self._errors
+        certain = [
+            (count - errors.get(key, 0.0), key)
+            for key, count in self._counts.items()
+        ]
         return tuple(
             zone.ShardLoad(key[0], key[1], count * per_s, key[2])
-            for key, count in top
+            for count, key in heapq.nlargest(_REPORTED, certain)
         )
 
 
