--- a/packages/daemon/src/bamboosilld/placement/load.py
+++ b/packages/daemon/src/bamboosilld/placement/load.py
@@ -6,15 +6,22 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import zone
+
 from bamboosilld.placement import hotkeys
 
 # Reports older than three heartbeats are not used.
 STALE_AFTER_S = 1.5
 # A report counts for at most this multiple of the instances' own view.
 LARGEST_RATIO = 2.0
-# Loads halve in weight in this time: long enough to smooth the randomness of
-# arrivals, short enough to return to balance within 60 s.
+# Requests in flight are averaged over about this time.
 HALF_LIFE_S = 10.0
+# Rates of shards are averaged for long, since the randomness of arrivals
+# looks like imbalance; a change is taken over from the short average.
+SLOW_HALF_LIFE_S = 30.0
+FAST_HALF_LIFE_S = 5.0
+# Standard deviations of Poisson arrivals that count as a change.
+_CHANGE_DEVIATIONS = 3.5
+_LEAST_RATE = 0.1
 # Requests in flight that a report may differ by and still agree.
 _TOLERANCE = 2.0
 _TOLERANCE_RATIO = 1.5
@@ -120,11 +127,38 @@
         return shards + self._sketch.report(now_s)
 
 
+class _Rate:
+    """A rate averaged for long, but for a short time after it changed."""
+
+    __slots__ = ("age_s", "fast", "slow")
+
+    def __init__(self) -> None:
+        self.age_s = 0.0
+        self.fast = 0.0
+        self.slow = 0.0
+
+    def add(self, rate: float, elapsed_s: float) -> None:
+        """Adds the rate measured over the given time."""
+        self.age_s += elapsed_s
+        # A young average is the plain mean, which converges faster.
+        least = elapsed_s / self.age_s
+        fast = max(least, 1.0 - 0.5 ** (elapsed_s / FAST_HALF_LIFE_S))
+        slow = max(least, 1.0 - 0.5 ** (elapsed_s / SLOW_HALF_LIFE_S))
+        self.fast += fast * (rate - self.fast)
+        self.slow += slow * (rate - self.slow)
+        deviation = math.sqrt(
+            (self.slow + _LEAST_RATE) * math.log(2) / (2 * FAST_HALF_LIFE_S)
+        )
+        if abs(self.fast - self.slow) > _CHANGE_DEVIATIONS * deviation:
+            self.slow = self.fast
+            self.age_s = FAST_HALF_LIFE_S
+
+
 class ShardRates:
-    """Smoothed rates of shards on the leader, without their hot keys."""
+    """Smoothed rates of shards on the leader."""
 
     def __init__(self) -> None:
-        self._rates: dict[tuple[str, int], float] = {}
+        self._rates: dict[tuple[str, int], _Rate] = {}
         self._updated_s: float | None = None
 
     def update(
@@ -139,19 +173,17 @@
                     sums[place] = sums.get(place, 0.0) + item.rate_per_s
         since_s = self._updated_s
         self._updated_s = now_s
-        keep = (
-            0.0 if since_s is None else 0.5 ** ((now_s - since_s) / HALF_LIFE_S)
-        )
-        for place in self._rates.keys() | sums.keys():
-            old = self._rates.get(place, 0.0)
-            new = keep * old + (1 - keep) * sums.get(place, 0.0)
-            self._rates[place] = new
+        elapsed_s = 1.0 if since_s is None else max(1e-3, now_s - since_s)
+        for place in sums:
+            self._rates.setdefault(place, _Rate())
+        for place, rate in self._rates.items():
+            rate.add(sums.get(place, 0.0), elapsed_s)
 
     def compute_rates(
         self, hot: Mapping[hotkeys.KeyId, float]
     ) -> dict[tuple[str, int], float]:
         """Returns requests per second by shard, without those of hot keys."""
-        rates = dict(self._rates)
+        rates = {place: rate.slow for place, rate in self._rates.items()}
         for (keyspace, shard, _), rate in hot.items():
             place = (keyspace, shard)
             rates[place] = max(0.0, rates.get(place, 0.0) - rate)
@@ -159,7 +191,8 @@
 
     def compute_mean(self) -> float:
         """Returns the mean rate of the shards seen so far."""
-        return math.fsum(self._rates.values()) / max(1, len(self._rates))
+        total = math.fsum(rate.slow for rate in self._rates.values())
+        return total / max(1, len(self._rates))
 
 
 class _Target:
