--- a/packages/daemon/src/bamboosilld/placement/hotkeys.py
+++ b/packages/daemon/src/bamboosilld/placement/hotkeys.py
@@ -30,6 +30,9 @@
 _ENTER_PART = 0.5
 _LEAVE_PART = 0.25
 _SHORTEST_STAY_S = 30.0
+# Age that a counter is taken to have at least, so that one request for a key
+# does not make it look hot.
+_LEAST_AGE_S = 5.0
 
 KeyId = tuple[str, int, str]
 
@@ -43,6 +46,8 @@
         # What each counter took over from the key it replaced; a key's true
         # count lies between its counter less this and its counter.
         self._errors: dict[KeyId, float] = {}
+        # When each counter began to count its key.
+        self._began_s: dict[KeyId, float] = {}
         # Lazy heap: an entry is stale when its count is not the present one.
         self._heap: list[tuple[float, KeyId]] = []
         self._decayed_s: float | None = None
@@ -61,6 +66,7 @@
             self._errors[key] = smallest
             count += smallest
         counts[key] = count
+        self._began_s[key] = self._decayed_s or 0.0
         heapq.heappush(self._heap, (count, key))
 
     def _evict(self) -> float:
@@ -72,6 +78,7 @@
                 heapq.heappop(self._heap)
                 del self._counts[key]
                 self._errors.pop(key, None)
+                del self._began_s[key]
                 return count
             heapq.heapreplace(self._heap, (present, key))
 
@@ -91,6 +98,7 @@
             for key, error in self._errors.items()
             if key in self._counts
         }
+        self._began_s = {key: self._began_s[key] for key in self._counts}
         self._heap = [(count, key) for key, count in self._counts.items()]
         heapq.heapify(self._heap)
 
@@ -101,18 +109,30 @@
         keys a counter consists mostly of what it took over.
         """
         self.decay(now_s)
-        per_s = math.log(2) / HALF_LIFE_S
         errors = self._errors
-        certain = [
-            (count - errors.get(key, 0.0), key)
+        rates = [
+            (
+                (count - errors.get(key, 0.0))
+                * _compute_per_s(now_s - self._began_s[key]),
+                key,
+            )
             for key, count in self._counts.items()
         ]
         return tuple(
-            zone.ShardLoad(key[0], key[1], count * per_s, key[2])
-            for count, key in heapq.nlargest(_REPORTED, certain)
+            zone.ShardLoad(key[0], key[1], rate, key[2])
+            for rate, key in heapq.nlargest(_REPORTED, rates)
         )
 
 
+def _compute_per_s(age_s: float) -> float:
+    """Returns the rate that a decayed count of one stands for.
+
+    A young counter has not yet seen the requests that an old one has.
+    """
+    age_s = max(age_s, _LEAST_AGE_S)
+    return math.log(2) / HALF_LIFE_S / (1.0 - 0.5 ** (age_s / HALF_LIFE_S))
+
+
 def merge_reports(
     reports: Iterable[Iterable[zone.ShardLoad]],
 ) -> dict[KeyId, float]:
