--- a/packages/daemon/src/bamboosilld/placement/hotkeys.py
+++ b/packages/daemon/src/bamboosilld/placement/hotkeys.py
@@ -27,12 +27,12 @@
 _LEAVE_RANK = HOT_KEYS
 # A key enters at this multiple of the mean shard load, and leaves below half
 # of that, after the shortest stay.
-_ENTER_PART = 0.5
-_LEAVE_PART = 0.25
+_ENTER_PART = 1.0
+_LEAVE_PART = 0.5
 _SHORTEST_STAY_S = 30.0
 # Age that a counter is taken to have at least, so that one request for a key
 # does not make it look hot.
-_LEAST_AGE_S = 5.0
+_LEAST_AGE_S = 10.0
 
 KeyId = tuple[str, int, str]
 
