Add metrics of all parts, and the page about them

Cause: only three counters existed, without durations, consensus, zone or control state.

Change: all metrics are defined in one module and read in three ways: lines beside the code that they count, events of the timeline, and gauges that look at the parts when they are collected. Labels have values that the code defines; customers and keys are in none. docs/metrics.md says of each what it means and what to do.

Tested: the page and the registry name the same metrics, types and labels; names carry units; events are counted; a running instance shows the state of its parts. Seen failing without the call of the listeners.

--- a/packages/common/src/bamboosill_common/events.py
+++ b/packages/common/src/bamboosill_common/events.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
 from typing import TypedDict
@@ -59,6 +60,7 @@
         self._clock = clock
         self._instance = instance
         self._stamp = 0
+        self._listeners: list[Callable[[Event], None]] = []
         self._events: collections.deque[Event] = collections.deque(
             maxlen=max_events
         )
@@ -78,9 +80,14 @@
         self, part: str, name: str, **fields: str | int | float | bool
     ) -> None:
         """Records an event now."""
-        self._events.append(
-            Event(self.tick(), self._instance, part, name, fields)
-        )
+        event = Event(self.tick(), self._instance, part, name, fields)
+        self._events.append(event)
+        for listener in self._listeners:
+            listener(event)
+
+    def add_listener(self, listener: Callable[[Event], None]) -> None:
+        """Calls `listener(event)` for each event recorded from now on."""
+        self._listeners.append(listener)
 
     def list_events(self, after: int = 0) -> list[Event]:
         """Returns the events with stamps above `after`, oldest first."""
--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -16,7 +16,6 @@
 from typing import NamedTuple
 from typing import TypeVar
 
-import prometheus_client
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -26,6 +25,7 @@
 from bamboosill_common import errors
 from bamboosill_common import events as events_lib
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common import wire
 from bamboosill_common.generated import catalog
 from bamboosill_common.generated import peer as messages
@@ -43,15 +43,6 @@
 
 _log = logs.get_logger("peer")
 
-bad_frames = prometheus_client.Counter(
-    "bamboosill_peer_bad_frames_total",
-    "Peer connections closed because of bad bytes or a refused hello.",
-)
-connections_replaced = prometheus_client.Counter(
-    "bamboosill_peer_silent_connections_total",
-    "Peer connections replaced because they went silent.",
-)
-
 Reply = TypeVar("Reply", bound=NamedTuple)
 Handler = Callable[[Any, messages.Hello], Awaitable[Any]]
 
@@ -234,7 +225,7 @@
                 else:
                     raise _ProtocolError(f"unexpected frame {frame.kind}")
         except _ProtocolError as fault:
-            bad_frames.inc()
+            metrics.peer_bad_frames.inc()
             _log.warning("Connection closed. Reason: %s.", fault)
         except (OSError, EOFError, TimeoutError):
             pass
@@ -363,6 +354,7 @@
             except BaseException:
                 writer.close()
                 raise
+            metrics.peer_connections_opened.inc()
             self._failed_s = float("-inf")
             self._connection = connection
             self._task = asyncio.create_task(self._run(connection))
@@ -379,10 +371,10 @@
                 if frame.kind != "pong" and future and not future.done():
                     future.set_result(frame)
         except TimeoutError:
-            connections_replaced.inc()
+            metrics.peer_silent_connections.inc()
             _log.info("Connection to %s went silent.", self.address)
         except _ProtocolError as fault:
-            bad_frames.inc()
+            metrics.peer_bad_frames.inc()
             _log.warning("Connection closed. Reason: %s.", fault)
         except (OSError, EOFError) as caught:
             error = caught
--- a/packages/common/tests/test_peer.py
+++ b/packages/common/tests/test_peer.py
@@ -9,6 +9,7 @@
 from bamboosill_common import auth
 from bamboosill_common import clock
 from bamboosill_common import events
+from bamboosill_common import metrics
 from bamboosill_common import peer
 from bamboosill_common.generated import control
 
@@ -67,14 +68,14 @@
     """Guards against bad bytes on one connection that disturb another."""
     server, port = await start_server(make_handlers())
     client = peer.Client(make_context("client"), f"127.0.0.1:{port}")
-    before = peer.bad_frames._value.get()
+    before = metrics.peer_bad_frames._value.get()
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(data)
     while await reader.read(4096):
         pass
     reply = await client.call(control.ZoneBeat(), control.ZoneBeatReply, 5)
     assert isinstance(reply, Success)
-    assert peer.bad_frames._value.get() == before + 1
+    assert metrics.peer_bad_frames._value.get() == before + 1
     writer.close()
     await client.close()
     await server.stop()
--- a/packages/daemon/src/bamboosilld/consensus/groups.py
+++ b/packages/daemon/src/bamboosilld/consensus/groups.py
@@ -33,6 +33,10 @@
         """Returns the node of a group, or None."""
         return self._nodes.get(group)
 
+    def list_nodes(self) -> list[tuple[str, node_lib.Node]]:
+        """Returns the groups and their nodes."""
+        return list(self._nodes.items())
+
     async def _handle_vote(
         self, request: messages.RequestVote, hello: peer_messages.Hello
     ) -> Any:
--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import metrics
 from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.admission import refusal as refusal_lib
@@ -96,6 +97,7 @@
         """Makes one attempt; success means that the answer was delivered."""
         upstream = route.upstream
         assert upstream is not None
+        arrived_s = self._clock.monotonic()
         slot = await self._queues.get(upstream).acquire(
             inbound.customer,
             inbound.weight,
@@ -103,8 +105,12 @@
             inbound.until,
         )
         if isinstance(slot, Failure):
+            metrics.admission_refusals.labels(
+                "upstream", slot.failure().reason
+            ).inc()
             return Failure(_describe_wait(slot.failure()))
         started_s = self._clock.monotonic()
+        metrics.queue_wait.labels("upstream").observe(started_s - arrived_s)
         self._tally.begin(upstream.id)
         outcome = queues_lib.CANCELLED
         try:
--- a/packages/daemon/src/bamboosilld/entry/pools.py
+++ b/packages/daemon/src/bamboosilld/entry/pools.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from bamboosill_common import metrics
 from bamboosill_common import settings
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import faults
@@ -153,6 +154,7 @@
             self._wake()
         if connection.usable:
             self._open.add(connection)
+            metrics.pool_connections.inc()
         return Success(connection)
 
     async def _wait(self, until: float) -> bool:
@@ -174,6 +176,8 @@
         return True
 
     def _forget(self, connection: connection_lib.Connection) -> None:
+        if connection in self._open:
+            metrics.pool_connections.dec()
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
--- a/packages/daemon/src/bamboosilld/entry/router.py
+++ b/packages/daemon/src/bamboosilld/entry/router.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import metrics
 from bamboosilld.admission import retry as retry_lib
 from bamboosilld.entry import answers
 from bamboosilld.entry import crashes as crashes_lib
@@ -98,6 +99,7 @@
             # Admitted by the instance that the caller is connected to.
             await self._serve_admitted(flight)
             return
+        arrived_s = self._clock.monotonic()
         permit = await self._gate.admit(
             inbound.customer,
             inbound.service,
@@ -105,8 +107,14 @@
             inbound.until,
         )
         if isinstance(permit, Failure):
+            metrics.admission_refusals.labels(
+                "contract", permit.failure().reason
+            ).inc()
             flight.responder.refuse(answers.describe_refusal(permit.failure()))
             return
+        metrics.queue_wait.labels("contract").observe(
+            self._clock.monotonic() - arrived_s
+        )
         try:
             self._budget.record_request(inbound.customer)
             await self._serve_admitted(flight)
@@ -184,6 +192,7 @@
                 await self._records.abandon(flight.inbound)
                 flight.recorded = False
             flight.attempts += 1
+            metrics.forwards.inc()
             return await self._forwarder.run(
                 flight.inbound,
                 route,
@@ -259,6 +268,7 @@
             await self._member.wait_change(
                 max(0.0, min(_REROUTE_WAIT_S, remaining_s))
             )
+        metrics.retries.labels(fault.code).inc()
         return True
 
     async def _hold(
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from aiohttp import web
-import prometheus_client
 from returns.result import Failure
 from returns.result import Success
 
@@ -16,6 +15,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common import peer
 from bamboosill_common import requestid
 from bamboosill_common import settings as settings_lib
@@ -36,6 +36,8 @@
 from bamboosilld.entry import wiring
 
 READY_PATH = "/readyz"
+# Where the class of a request is kept for its metrics.
+_CLASS = web.RequestKey("traffic_class", str)
 # Balancers check readiness about once a second; this lets each see that the
 # instance is leaving before connections are refused.
 DRAIN_NOTICE_S = 3.0
@@ -46,12 +48,6 @@
 
 _log = logs.get_logger("entry")
 
-_answers_sent = prometheus_client.Counter(
-    "bamboosill_entry_answers_total",
-    "Answers to callers by outcome and reason.",
-    ["outcome", "reason"],
-)
-
 
 class EntryServer:
     """Serves callers and upstreams on their two addresses.
@@ -240,14 +236,21 @@
         if request.raw_path == READY_PATH:
             return self._answer_readiness()
         self._in_flight += 1
+        begun_s = self._clock.monotonic()
         try:
             response = await self._serve(request)
         finally:
             self._in_flight -= 1
         if self._draining:
             response.force_close()
-        _answers_sent.labels(
-            response.headers[headers.OUTCOME], response.headers[headers.REASON]
+        traffic_class = request.get(_CLASS, "none")
+        metrics.request_duration.labels(traffic_class).observe(
+            self._clock.monotonic() - begun_s
+        )
+        metrics.answers.labels(
+            response.headers[headers.OUTCOME],
+            response.headers[headers.REASON],
+            traffic_class,
         ).inc()
         return response
 
@@ -261,6 +264,7 @@
                 parsed.failure(), given if isinstance(valid, Success) else ""
             )
         inbound = parsed.unwrap()
+        request[_CLASS] = inbound.operation.traffic_class
         responder = responder_lib.Responder(
             request,
             inbound.request_id,
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -22,6 +22,7 @@
 from bamboosill_common.generated import consensus as consensus_messages
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
+from bamboosilld import gauges
 from bamboosilld import startup
 from bamboosilld.admin import app
 from bamboosilld.admin import ports
@@ -68,6 +69,7 @@
                 consensus_messages.StorageIdentity(
                     CONTROL_GROUP, settings.instance_id
                 ),
+                gauges.TimedFiles(),
             ),
             groups_lib.PeerTransport(shared.directory),
             self.state,
@@ -221,6 +223,7 @@
         if "control" in settings.roles:
             self._control = ControlRole(settings, shared)
         self._member = self._make_member()
+        self._connect_metrics()
         await self._start_admin()
         await startup.listen(
             "--peer-listen",
@@ -243,6 +246,20 @@
         )
         _log.info("Started. Roles: %s.", ", ".join(settings.roles))
 
+    def _connect_metrics(self) -> None:
+        shared = self._shared
+        shared.timeline.add_listener(gauges.count_event)
+        gauges.connect(
+            gauges.Sources(
+                shared.groups,
+                self._member,
+                self._control.service if self._control else None,
+                shared.clock,
+                self._check_readiness,
+                lambda: self._entry.in_flight if self._entry else 0,
+            )
+        )
+
     async def _reload_files(self) -> None:
         while True:
             await self._shared.clock.sleep(tls.RELOAD_INTERVAL_S)
--- a/packages/daemon/src/bamboosilld/zone/renewal.py
+++ b/packages/daemon/src/bamboosilld/zone/renewal.py
@@ -12,6 +12,7 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
+from bamboosill_common import metrics
 from bamboosill_common import peer
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import holder as holder_lib
@@ -68,6 +69,7 @@
         self.reporter: Callable[[], Report] = Report
         self.on_lease: Callable[[Any, bool], None] = lambda shares, new: None
         self.clock_skew_ms = 0
+        metrics.zone_serve_lease.set_function(lambda: self.has_lease(False))
 
     def reset(self) -> None:
         """Forgets the lease of a group that was left."""
@@ -140,6 +142,8 @@
         drained, in_flight = self._in_flight.make_reports(
             state.assignments, now_s
         )
+        metrics.zone_records.set(len(state.records))
+        metrics.zone_quarantined.set(len(state.quarantine))
         report = self.reporter()
         return messages.RenewLease(
             group=self._membership.group,
--- a/packages/daemon/tests/test_instance.py
+++ b/packages/daemon/tests/test_instance.py
@@ -167,3 +167,52 @@
                 pass
     assert await is_ready()
     await service.stop()
+
+
+async def test_metrics_show_the_state_of_the_parts(settings, session):
+    """Guards against gauges that are connected to nothing."""
+    service = await start_ready(settings, session)
+    url = f"http://{settings.caller_listen}/shopfront/x"
+    caller = {"Bamboosill-Customer": "a", "Bamboosill-Key": "k"}
+    async with session.get(url, headers=caller) as answer:
+        assert answer.status == 404
+    async with session.get(f"http://{settings.admin_listen}/metrics") as answer:
+        text = await answer.text()
+    await service.stop()
+    values = {
+        name: float(value)
+        for name, _, value in (
+            line.rpartition(" ")
+            for line in text.splitlines()
+            if not line.startswith("#")
+        )
+    }
+    prefix = "bamboosill_"
+    for name in (
+        "instance_ready",
+        "zone_serve_lease_valid",
+        'consensus_leader{group="control"}',
+        'consensus_leader{group="zone"}',
+    ):
+        assert values[prefix + name] == 1, name
+    for name in (
+        'consensus_term{group="zone"}',
+        'consensus_commit_index{group="control"}',
+        'consensus_applied_index{group="control"}',
+        'consensus_elections_won_total{group="control"}',
+        "control_revision",
+        "storage_sync_duration_seconds_count",
+        "peer_connections_opened_total",
+        'entry_answers_total{class="none",outcome="not-run",'
+        'reason="unknown-customer"}',
+        'entry_request_duration_seconds_count{class="none"}',
+    ):
+        assert values[prefix + name] > 0, name
+    for name in (
+        "control_contracts",
+        "control_zones_silent",
+        "zone_records",
+        "zone_quarantined_requests",
+        "entry_requests_in_flight",
+    ):
+        assert values[prefix + name] == 0, name
