Let an instance join a control group that runs

One that was to be added to a running group thereby looked like a founding member that had lost its storage, refused all entries, and stayed a learner: `instance add` never succeeded over real processes.

A joining member without a log refuses requests that count on its vote, so that the flag does not let a member vote that lost its folder.

Tested: a second instance becomes a voter; a vote is refused without a log.

--- a/packages/common/src/bamboosill_common/settings.py
+++ b/packages/common/src/bamboosill_common/settings.py
@@ -220,6 +220,7 @@
         names.add(name)
     if (
         "control" in loaded.values.get("roles", ())
+        and loaded.values.get("control_start") != "join"
         and loaded.values.get("instance_id") not in names
     ):
         place = loaded.sources["control_peers"].place
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -14,6 +14,7 @@
 
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common import peer
@@ -29,6 +30,7 @@
 from bamboosilld.admission import gate as gate_lib
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.admission import retry
+from bamboosilld.consensus import election
 from bamboosilld.consensus import groups as groups_lib
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.control import service as control_service
@@ -44,6 +46,21 @@
 _log = logs.get_logger("instance")
 
 
+class JoiningNode(node_lib.Node):
+    """A member that is added to a group that runs."""
+
+    async def handle(self, request: Any) -> Any:
+        """Answers other members.
+
+        Raises:
+            errors.HandlerError: The group counts on the vote of this member,
+                which has nothing stored: it lost its data folder.
+        """
+        if request.target.voter and not self.membership.members:
+            raise errors.HandlerError("storage", election.LOST_STORAGE)
+        return await super().handle(request)
+
+
 class ControlRole:
     """The control role of one instance."""
 
@@ -58,11 +75,20 @@
             consensus_messages.Member(name, 0, address, True)
             for name, address in list_control_peers(settings)
         )
-        own = next(m for m in members if m.instance == settings.instance_id)
+        joins = settings.control_start == "join"
+        joining = consensus_messages.Member(
+            settings.instance_id, 0, get_peer_address(settings), False
+        )
+        own = next(
+            (m for m in members if m.instance == settings.instance_id), joining
+        )
+        make_node = JoiningNode if joins else node_lib.Node
         self.state = control_state.ControlState()
-        self.node = node_lib.Node(
+        self.node = make_node(
             node_lib.GroupConfig(
-                CONTROL_GROUP, own, consensus_messages.Membership(members)
+                CONTROL_GROUP,
+                joining if joins else own,
+                None if joins else consensus_messages.Membership(members),
             ),
             disk.DiskStorage(
                 pathlib.Path(settings.data_dir),
@@ -153,6 +179,11 @@
     return [(name, address) for name, _, address in pairs]
 
 
+def get_peer_address(settings: generated.DaemonSettings) -> str:
+    """Returns the address at which other instances reach this one."""
+    return settings.peer_advertise or settings.peer_listen
+
+
 def make_instance_item(
     settings: generated.DaemonSettings, identity: peer.Identity
 ) -> control_messages.InstanceItem:
@@ -162,7 +193,7 @@
         incarnation=identity.incarnation,
         zone=identity.zone,
         roles=settings.roles,
-        peer_address=settings.peer_advertise or settings.peer_listen,
+        peer_address=get_peer_address(settings),
         caller_address=settings.caller_advertise or settings.caller_listen,
         admin_address=settings.admin_listen,
     )
--- a/packages/daemon/tests/test_instance.py
+++ b/packages/daemon/tests/test_instance.py
@@ -9,7 +9,9 @@
 import pytest
 import trustme
 
+from bamboosill_common import errors
 from bamboosill_common import settings as settings_lib
+from bamboosill_common.generated import consensus
 from bamboosill_common.generated import settings as generated
 from bamboosilld import instance as instance_lib
 from bamboosilld.storage import files
@@ -216,3 +218,55 @@
         "entry_requests_in_flight",
     ):
         assert values[prefix + name] == 0, name
+
+
+async def test_joining_instance_becomes_a_voter(make_flags, session):
+    """Guards against a control group that cannot grow."""
+    first = load(make_flags(shutdown_grace_s="0"))
+    service = await start_ready(first, session)
+    flags = make_flags(
+        "second",
+        instance_id="c2",
+        roles="control",
+        control_start="join",
+        control_peers=f"c1={first.peer_listen}",
+    )
+    joining = instance_lib.InstanceService(load(flags))
+    await joining.start()
+    body = {"instance": "c2", "address": flags["peer_listen"]}
+
+    async def is_voter():
+        url = f"http://{first.admin_listen}/v1/instances"
+        async with session.post(url, json=body) as answer:
+            return answer.status == 200
+
+    await wait_until(is_voter)
+    members = service._control.node.membership.members
+    assert {each.instance: each.voter for each in members} == {
+        "c1": True,
+        "c2": True,
+    }
+    await joining.stop()
+    await service.stop()
+
+
+async def test_joining_instance_does_not_vote_without_its_log(make_flags):
+    """Guards against a member that votes after it lost its data folder."""
+    flags = make_flags(control_start="join", control_peers="c0=127.0.0.1:1")
+    settings = load(flags)
+    service = instance_lib.InstanceService(settings)
+    await service.start()
+    node = service._control.node
+    own = consensus.Member("c1", 0, settings.peer_listen, True)
+    request = consensus.RequestVote(
+        group="control",
+        term=9,
+        candidate=consensus.Member("c0", 0, "127.0.0.1:1", True),
+        last_index=5,
+        last_term=8,
+        target=own,
+    )
+    with pytest.raises(errors.HandlerError, match="storage"):
+        await node.handle(request)
+    assert node.term == 0
+    await service.stop()
