--- a/packages/common/src/bamboosill_common/logs.py
+++ b/packages/common/src/bamboosill_common/logs.py
@@ -5,6 +5,7 @@
 import sys
 from typing import Any
 
+from aiohttp import http_exceptions
 from pythonjsonlogger.json import JsonFormatter
 
 
@@ -23,9 +24,31 @@
     return PartLogger(logging.getLogger(f"bamboosill.{part}"), {"part": part})
 
 
+class _RequestTextFilter(logging.Filter):
+    """Drops tracebacks that quote a malformed request.
+
+    The HTTP library puts the offending line into its exception, and that
+    line can be an `Authorization` header.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Returns true; changes the record where needed."""
+        error = record.exc_info[1] if record.exc_info else None
+        while error is not None:
+            if isinstance(error, http_exceptions.HttpProcessingError):
+                record.msg = f"{record.getMessage()}: {type(error).__name__}"
+                record.args = None
+                record.exc_info = None
+                record.exc_text = None
+                break
+            error = error.__cause__ or error.__context__
+        return True
+
+
 def setup_logging(level: str, **fields: str) -> None:
     """Writes JSON lines with the given fields to standard error."""
     handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(_RequestTextFilter())
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s",
--- /dev/null
+++ b/packages/daemon/tests/test_pages.py
@@ -0,0 +1,75 @@
+"""Tests that pages for operators explain what instances say."""
+
+import pathlib
+import re
+
+import pytest
+
+from bamboosilld.entry import answers
+
+DOCS = pathlib.Path(__file__).parents[3] / "docs"
+SOURCES = pathlib.Path(__file__).parents[1] / "src" / "bamboosilld"
+
+
+def read_section(title):
+    text = (DOCS / "operations.md").read_text()
+    return text.partition(f"\n## {title}\n")[2].partition("\n## ")[0]
+
+
+def list_reasons():
+    """Returns the reasons that the code gives to callers."""
+    reasons = {case.reason for case in answers._NOT_RUN_CASES.values()}
+    reasons |= {case.reason for case in answers._UNKNOWN_CASES.values()}
+    reasons |= {case.reason for case in answers._REFUSAL_CASES.values()}
+    reasons |= {case[2] for case in answers._RECORD_CASES.values()}
+    for path in (SOURCES / "entry").glob("*.py"):
+        reasons |= set(
+            re.findall(r'refuse\(\s*\d{3}, "([a-z-]+)"', path.read_text())
+        )
+    return sorted(reasons)
+
+
+def test_refusal_reasons_are_explained():
+    """Guards against refusals that operators find on no page."""
+    rows = re.findall(r"^\| (`.*?) \|", read_section("Refusal reasons"), re.M)
+    explained = {name for row in rows for name in re.findall("`(.*?)`", row)}
+    reasons = list_reasons()
+    assert len(reasons) > 20
+    assert set(reasons) <= explained
+    # Callers' reasons that are no faults of exchanges are in both pages.
+    callers = (DOCS / "callers.md").read_text()
+    assert {name for name in explained if f"`{name}`" not in callers} == set()
+
+
+@pytest.mark.parametrize("path", ["zone/member.py", "instance.py"])
+def test_readiness_reasons_are_explained(path):
+    """Guards against readiness reasons that operators find on no page."""
+    text = (SOURCES / path).read_text()
+    reasons = re.findall(r'return False, f?"([^"{]+)', text)
+    reasons += re.findall(r'self\._state = "(\w+)"', text)
+    reasons += re.findall(r'reasons\.append\(f"(\w+: )', text)
+    assert reasons
+    section = read_section("Readiness")
+    for reason in reasons:
+        assert reason in section
+
+
+def test_warnings_are_explained():
+    """Guards against warnings and errors that operators find on no page."""
+    section = " ".join(read_section("Log lines").split())
+    common = SOURCES.parents[2] / "common" / "src" / "bamboosill_common"
+    messages = [
+        message
+        for path in (*SOURCES.rglob("*.py"), *common.rglob("*.py"))
+        for message in re.findall(
+            r'\b_?log\.(?:warning|error|exception)\(\s*"([^"]+)"',
+            path.read_text(),
+        )
+    ]
+    assert len(messages) > 10
+    # The longest part of the first sentence that is not filled in.
+    fixed = {
+        max(re.split(r"%[sd]", each.partition(". ")[0]), key=len).strip(" .:")
+        for each in messages
+    }
+    assert {each for each in fixed if each not in section} == set()
