Show the own token only to proved peers; test version skew

Cause: the accepting side of a peer connection sent its hello at once, so that anyone who connected without TLS got a token of role instance, valid for an hour, with which requests can be forwarded for any customer.

Change: the accepting side reads and verifies the hello of the opener first. The order on the wire stays valid for both versions. A hello refused by the opener is counted as well.

Tested with hand-made frames: the minimum and later versions are served, an older one is refused on either side; an unknown type is refused with an error and the connection goes on; unknown fields are ignored; an unproved opener gets no bytes. Seen failing with the order as it was.

--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -144,7 +144,7 @@
         self.context.timeline.observe(frame.clock)
         return frame
 
-    async def exchange_hello(self) -> messages.Hello:
+    def send_hello(self) -> None:
         identity = self.context.identity
         hello = messages.Hello(
             protocol=PROTOCOL_VERSION,
@@ -154,6 +154,8 @@
             token=self.context.authenticator.sign("instance"),
         )
         self.send("hello", 0, "", wire.encode(hello))
+
+    async def receive_hello(self) -> messages.Hello:
         frame = await asyncio.wait_for(self.receive(), _HELLO_TIMEOUT_S)
         if frame.kind != "hello":
             raise _ProtocolError("first frame is no hello")
@@ -209,7 +211,9 @@
     async def _serve(self, connection: _Connection) -> None:
         requests: set[asyncio.Task[None]] = set()
         try:
-            hello = await connection.exchange_hello()
+            # The own token is shown only to those who have shown theirs.
+            hello = await connection.receive_hello()
+            connection.send_hello()
             while True:
                 frame = await connection.receive()
                 if frame.kind == "ping":
@@ -350,8 +354,11 @@
                 )
             connection = _Connection(self._context, reader, writer)
             try:
-                await connection.exchange_hello()
-            except BaseException:
+                connection.send_hello()
+                await connection.receive_hello()
+            except BaseException as error:
+                if isinstance(error, _ProtocolError):
+                    metrics.peer_bad_frames.inc()
                 writer.close()
                 raise
             metrics.peer_connections_opened.inc()
