End a stop that meets the hello of a peer; test forwards over TLS

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that arrives together with the result. A zone member that was stopped while it opened a connection then went on, and the stop waited for it for ever. Since the accepting side sends its hello second, a start that fails early met this each time.

Change: a timeout context, which passes the cancellation on.

--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -156,7 +156,10 @@
         self.send("hello", 0, "", wire.encode(hello))
 
     async def receive_hello(self) -> messages.Hello:
-        frame = await asyncio.wait_for(self.receive(), _HELLO_TIMEOUT_S)
+        # `asyncio.wait_for` can lose a cancellation that comes together with
+        # the frame (fixed in Python 3.12), and a stop then never ends.
+        async with asyncio.timeout(_HELLO_TIMEOUT_S):
+            frame = await self.receive()
         if frame.kind != "hello":
             raise _ProtocolError("first frame is no hello")
         try:
--- /dev/null
+++ b/packages/daemon/tests/entry/test_tls.py
@@ -0,0 +1,54 @@
+"""Tests of forwards between entry instances over TLS."""
+
+import pytest
+import trustme
+
+from bamboosill_common import tls
+
+
+@pytest.fixture
+def make_contexts(tmp_path):
+    """Makes the contexts of an instance whose authority is named."""
+    authorities = {}
+
+    def make(name):
+        authority = authorities.setdefault(name, trustme.CA())
+        issued = authority.issue_cert("127.0.0.1")
+        files = tls.Files(
+            *(
+                str(tmp_path / f"{name}-{kind}")
+                for kind in ("cert", "key", "ca")
+            )
+        )
+        issued.cert_chain_pems[0].write_to_path(files.cert)
+        issued.private_key_pem.write_to_path(files.key)
+        authority.cert_pem.write_to_path(files.ca)
+        return tls.Contexts(files)
+
+    return make
+
+
+@pytest.mark.parametrize(
+    ("authority", "told"),
+    [
+        ("ours", (200, "answer", "ok")),
+        ("other", (503, "not-run", "zone-unreachable")),
+        ("", (503, "not-run", "zone-unreachable")),
+    ],
+    ids=["same authority", "other authority", "plain text"],
+)
+async def test_forward_over_tls(bench, make_contexts, authority, told):
+    """Guards against requests handed to strangers, or lost between zones."""
+    await bench.start(client_tls=make_contexts("ours").client)
+    upstream = await bench.start_upstream()
+    member = bench.make_member()
+    member.upstream = bench.member.upstream
+    server_tls = make_contexts(authority).server if authority else None
+    other = await bench.start_entry(member, server_tls=server_tls)
+    bench.member.default = bench.make_route(
+        "remote", zone="z2", addresses=(other.caller_address,)
+    )
+    status, headers, _ = await bench.send()
+    outcome = headers["Bamboosill-Outcome"], headers["Bamboosill-Reason"]
+    assert (status, *outcome) == told
+    assert len(upstream.recorder.lines) == (1 if status == 200 else 0)
