Name which of the entry role's two addresses is at fault

Cause: a start whose caller or upstream address was in use named both settings.

Change: the address whose listener had not started is named.

Tested over real processes for both addresses.

--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -338,11 +338,15 @@
             instance_count=count,
         )
         self._parts.push_async_callback(self._stop_entry, entry)
-        await startup.listen(
-            "--caller-listen or --upstream-listen",
-            f"{settings.caller_listen} or {settings.upstream_listen}",
-            entry.start(settings.caller_listen, settings.upstream_listen),
-        )
+        addresses = (settings.caller_listen, settings.upstream_listen)
+        try:
+            await entry.start(*addresses)
+        except OSError as error:
+            # The caller address is set once its listener runs.
+            at_upstreams = bool(entry.caller_address)
+            place = ("--caller-listen", "--upstream-listen")[at_upstreams]
+            address = addresses[at_upstreams]
+            raise startup.explain_listen(place, address, error) from error
         self._entry = entry
 
     async def _stop_entry(self, entry: entry_server.EntryServer) -> None:
--- a/packages/daemon/src/bamboosilld/startup.py
+++ b/packages/daemon/src/bamboosilld/startup.py
@@ -43,9 +43,13 @@
     try:
         return await starting
     except OSError as error:
-        number = error.errno or 0
-        reason = _LISTEN_REASONS.get(number) or describe(error)
-        raise StartError(place, f"{address}: {reason}") from error
+        raise explain_listen(place, address, error) from error
+
+
+def explain_listen(place: str, address: str, error: OSError) -> StartError:
+    """Returns the fault of a listener that could not be started."""
+    reason = _LISTEN_REASONS.get(error.errno or 0) or describe(error)
+    return StartError(place, f"{address}: {reason}")
 
 
 async def open_storage(folder: str, opening: Awaitable[T]) -> T:
--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_main.py
@@ -24,6 +24,7 @@
             ({"peer_listen": address}, 1, "--peer-listen", "in use"),
             ({"admin_listen": address}, 1, "--admin-listen", "in use"),
             ({"caller_listen": address}, 1, "--caller-listen", "in use"),
+            ({"upstream_listen": address}, 1, "--upstream-listen", "in use"),
             ({"data_dir": damaged}, 1, "--data-dir", "identity"),
             ({"data_dir": blocked / "d"}, 1, "--data-dir", "created"),
             ({"key_file": bad_keys}, 2, "--key-file", "cannot be read"),
@@ -37,7 +38,12 @@
         ):
             ended, errors = daemon.end()
             assert ended == code, (change, errors)
-            assert f"{place}" in errors and text in errors
+            named = [
+                line
+                for line in errors.splitlines()
+                if line.startswith(f"{place}: ") and text in line
+            ]
+            assert len(named) == 1, errors
             assert "Traceback" not in errors
 
 
