--- a/packages/daemon/tests/consensus/test_faults.py
+++ b/packages/daemon/tests/consensus/test_faults.py
@@ -1,18 +1,19 @@
 """Tests of groups with faults of network, disks and processes."""
-# ruff: noqa: D102, ASYNC110
+# ruff: noqa: ASYNC110
 
 import asyncio
 import pathlib
 import random
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import errors
 from bamboosill_common.generated import consensus as messages
 from bamboosill_dev import memory_files
 from bamboosilld.storage import disk
 from bamboosilld.storage import memory
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 NAMES = "abc"
 
--- a/packages/dev/src/bamboosill_dev/bench_consensus.py
+++ b/packages/dev/src/bamboosill_dev/bench_consensus.py
@@ -16,16 +16,16 @@
 from typing import Any
 from typing import NamedTuple
 
+from hdrh import histogram
+from returns.result import Success
+
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import events
 from bamboosill_common.generated import consensus as messages
+from bamboosill_dev import memory_network
 from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.storage import disk
-from hdrh import histogram
-from returns.result import Success
-
-from bamboosill_dev import memory_network
 
 _NAMES = ("a", "b", "c")
 _SIZES_BYTES = (100, 1_000, 10_000)
