--- a/packages/daemon/tests/entry/test_inbound.py
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -88,6 +88,16 @@
 ]
 
 
+async def test_customer_is_not_unknown_before_contracts_arrive(bench):
+    """Guards against 404 from an instance that has just started."""
+    await bench.start()
+    bench.member.ready = (False, "no control state received")
+    answer = await bench.send(headers={"Bamboosill-Customer": "bolt"})
+    assert answer[0] == 503
+    assert answer[1]["Bamboosill-Reason"] == "not-ready"
+    assert answer[1]["Bamboosill-Outcome"] == "not-run"
+
+
 @pytest.mark.parametrize(("request_", "status", "reason"), BAD_REQUESTS)
 async def test_bad_requests_are_refused(bench, request_, status, reason):
     """Guards against bad input that is dispatched or not explained."""
@@ -214,6 +224,8 @@
     assert answer[0] == 200
     assert 2000 < int(seen["Bamboosill-Deadline-Ms"]) <= 3000
     assert seen["Bamboosill-Fence"] == "5"
+    left_ms = int(seen["Bamboosill-Expires-Ms"]) - bench.clock.wall_ms()
+    assert left_ms <= 3000
     assert seen["X-Kept"] == "1"
     assert "X-Hop" not in seen
     assert "Authorization" not in seen
