--- a/packages/daemon/src/bamboosilld/zone/proposals.py
+++ b/packages/daemon/src/bamboosilld/zone/proposals.py
@@ -56,7 +56,10 @@
         It is sent again only while it is certain that it was not applied.
         """
         if isinstance(message, messages.AbandonRequest) and not message.token:
-            token = self._tokens.get((message.customer, message.id), 0)
+            token = self._tokens.get((message.customer, message.id))
+            if token is None:
+                # Without it, the record of another attempt could go.
+                return Success(messages.CommandStatus(code="not_begun_here"))
             message = message._replace(token=token)
         end_s = self._clock.monotonic() + deadline_s
         while True:
--- a/packages/daemon/tests/zone/test_authority.py
+++ b/packages/daemon/tests/zone/test_authority.py
@@ -61,6 +61,8 @@
     assert (await follower.propose(abandon, 1.0)).unwrap().ok
     leader = world.members[find_leader(world)]
     assert (await leader.propose(begin, 1.0)).unwrap().status == "new"
+    # Sent again, it must not remove the record of the later attempt.
+    assert not (await follower.propose(abandon, 1.0)).unwrap().ok
     # The record survives the loss of the leader.
     await world.kill_member(leader.name)
     found = (await follower.propose(begin, 5.0)).unwrap()
