--- a/packages/daemon/src/bamboosilld/admission/gate.py
+++ b/packages/daemon/src/bamboosilld/admission/gate.py
@@ -65,6 +65,7 @@
     def __init__(self, limits: ContractLimits, now_s: float) -> None:
         self.contract = limits
         self.share: _Share | None = None
+        self.started = False
         self.lane = lane.Lane(lane.Limits(0, 0, 0, 0), now_s)
         self.rate_per_s = 0.0
         self.concurrency = 0.0
@@ -305,7 +306,11 @@
             rate *= growing.part
             burst *= growing.part
         limits = lane.Limits(rate, burst, int(concurrency), queue)
-        if limits != entry.lane.limits:
+        if not entry.started:
+            # The bucket of a new lane is full.
+            entry.started = True
+            entry.lane = lane.Lane(limits, now_s)
+        elif limits != entry.lane.limits:
             entry.lane.set_limits(limits, now_s)
             self._arm(entry)
 
--- a/packages/daemon/src/bamboosilld/placement/ledger.py
+++ b/packages/daemon/src/bamboosilld/placement/ledger.py
@@ -15,8 +15,8 @@
 _LARGEST_FACTOR = 2.0
 # A shard holds many keys, a hot key is one; keys that move are what counts.
 _SHARD_COST = 20.0
-# Shards below this part of the excess are not worth a move.
-_WORTHWHILE_PART = 0.05
+# Shards below this part of the mean shard load are not worth a move.
+_WORTHWHILE_PART = 0.2
 
 
 class Ledger:
@@ -51,7 +51,9 @@
         self._weights = view.weights
         self._receivers = dict(receivers)
         total = sum(item.load for item in view.shards)
-        self._floor = _FLOOR_PART * total / max(1, len(view.shards)) or 1.0
+        mean = total / max(1, len(view.shards))
+        self._floor = _FLOOR_PART * mean or 1.0
+        self._worthwhile = _WORTHWHILE_PART * mean
         # Targets that may not receive still carry load until they are left.
         self._slots = {
             item.id: receivers.get(item.id, float(item.slots)) or 1.0
@@ -155,7 +157,10 @@
         return fullest
 
     def choose_move(
-        self, source: str, goal: float, settled: Collection[_ShardId]
+        self,
+        source: str,
+        goal: float,
+        settled: Collection[_ShardId],
     ) -> tuple[policy.ShardView, str] | None:
         """Returns the move that reduces a target's excess most cheaply.
 
@@ -182,7 +187,7 @@
             if weight * self._factor[target] > room:
                 continue
             relief = weight * self._factor[source]
-            if relief < _WORTHWHILE_PART * excess:
+            if relief < self._worthwhile:
                 continue
             useful = min(relief, excess)
             cost = self._compute_cost(shard)
--- a/packages/daemon/src/bamboosilld/placement/load.py
+++ b/packages/daemon/src/bamboosilld/placement/load.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from bamboosill_common.generated import zone
-
 from bamboosilld.placement import hotkeys
 
 # Reports older than three heartbeats are not used.
--- a/packages/dev/src/bamboosill_dev/bench/scenarios.py
+++ b/packages/dev/src/bamboosill_dev/bench/scenarios.py
@@ -65,6 +65,16 @@
     return trace.EVENT_S
 
 
+@_register
+def start_uneven(run: engine.Engine) -> float:
+    """The targets of each service are of unequal speed from the event on."""
+    for service in _for_each(run):
+        members = run.targets[service]
+        for index, target in enumerate(members):
+            target.speed = 0.6 + 0.8 * index / (len(members) - 1)
+    return trace.EVENT_S
+
+
 @_register
 def start_sale(run: engine.Engine) -> float:
     """Thirty keys of one customer are asked for 50 times as often."""
