--- a/packages/daemon/tests/consensus/test_rules.py
+++ b/packages/daemon/tests/consensus/test_rules.py
@@ -1,9 +1,12 @@
 """Tests of single rules that faults alone rarely reach."""
-# ruff: noqa: D102
 
 import asyncio
 import random
 
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
 from bamboosill_common import events
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as messages
@@ -11,9 +14,6 @@
 from bamboosilld.consensus import core as core_lib
 from bamboosilld.consensus import interfaces
 from bamboosilld.storage import memory
-import pytest
-from returns.result import Failure
-from returns.result import Success
 
 NAMES = "abc"
 
