--- a/packages/daemon/tests/zone/test_safety.py
+++ b/packages/daemon/tests/zone/test_safety.py
@@ -110,6 +110,8 @@
     await world.wait(
         lambda: all(world.all_local(m) for m in world.members.values())
     )
+    # All become voters: two losses of three voters need the next group epoch.
+    await asyncio.sleep(4)
     world.drivers += [
         asyncio.create_task(drive(world, name)) for name in world.members
     ]
