--- a/packages/daemon/src/bamboosilld/admission/shares.py
+++ b/packages/daemon/src/bamboosilld/admission/shares.py
@@ -53,7 +53,7 @@
             asked[item].concurrency if item in asked else 0.0
             for item in instances
         ]
-        parts = _compute_parts(rates)
+        parts = _compute_parts(rates, limit.rate_per_s)
         slots = _split_whole(limit.concurrency, busy)
         for index, instance in enumerate(instances):
             shares[instance].append(
@@ -68,12 +68,20 @@
     return {item: tuple(values) for item, values in shares.items()}
 
 
-def _compute_parts(demand: Sequence[float]) -> list[float]:
-    """Returns parts that sum to 1: an even floor, the rest by demand."""
+def _compute_parts(demand: Sequence[float], limit: float) -> list[float]:
+    """Returns parts of the limit that sum to 1.
+
+    Demand below the limit is met and the rest split evenly, so that the
+    randomness of a small demand refuses nothing. Beyond, an even floor
+    remains and the rest follows demand.
+    """
     even = 1.0 / len(demand)
     total = math.fsum(demand)
     if total <= 0:
         return [even] * len(demand)
+    if total <= (1 - FLOOR_PART) * limit:
+        spare = (limit - total) * even
+        return [(item + spare) / limit for item in demand]
     return [
         FLOOR_PART * even + (1 - FLOOR_PART) * item / total for item in demand
     ]
@@ -82,7 +90,7 @@
 def _split_whole(limit: float, demand: Sequence[float]) -> list[int]:
     """Splits whole units by largest remainder, one each while they last."""
     units = math.floor(limit)
-    parts = _compute_parts(demand)
+    parts = _compute_parts(demand, limit)
     order = sorted(range(len(parts)), key=lambda item: (-parts[item], item))
     result = [0] * len(parts)
     for index in order[:units]:
--- a/packages/daemon/tests/admission/test_lane.py
+++ b/packages/daemon/tests/admission/test_lane.py
@@ -108,6 +108,12 @@
         {("c", "s"): shares.Limits(100, 10, 8)}, reported, ["a", "b"]
     )
     assert split["a"][0].rate_per_s == pytest.approx(90.0)
+    assert split["b"][0].rate_per_s == pytest.approx(10.0)
+    reported["a"] = (zone.Demand("c", "s", 30.0, 9.0),)
+    split = shares.split(
+        {("c", "s"): shares.Limits(100, 10, 8)}, reported, ["a", "b"]
+    )
+    assert split["a"][0].rate_per_s == pytest.approx(65.0)
     assert split["a"][0].concurrency > split["b"][0].concurrency >= 1
 
 
