--- a/packages/daemon/tests/entry/test_inbound.py
+++ b/packages/daemon/tests/entry/test_inbound.py
@@ -67,6 +67,15 @@
     (HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
     (HEAD + b"X: " + b"a" * 100_000 + b"\r\n\r\n", 431),
     (HEAD + b"Bamboosill-Key: other\r\n\r\n", 400),
+    # Refused by its stated length, before any byte of the body arrives.
+    (HEAD + b"Content-Length: 5001\r\n\r\n", 413),
+    (
+        HEAD
+        + b"Transfer-Encoding: chunked\r\n\r\n1389\r\n"
+        + b"a" * 5001
+        + b"\r\n",
+        413,
+    ),
     (
         HEAD.replace(b"Key: k", b"Key: \xff\xfe") + b"\r\n",
         400,
@@ -88,6 +97,16 @@
 ]
 
 
+async def test_customer_is_not_unknown_before_contracts_arrive(bench):
+    """Guards against 404 from an instance that has just started."""
+    await bench.start()
+    bench.member.ready = (False, "no control state received")
+    answer = await bench.send(headers={"Bamboosill-Customer": "bolt"})
+    assert answer[0] == 503
+    assert answer[1]["Bamboosill-Reason"] == "not-ready"
+    assert answer[1]["Bamboosill-Outcome"] == "not-run"
+
+
 @pytest.mark.parametrize(("request_", "status", "reason"), BAD_REQUESTS)
 async def test_bad_requests_are_refused(bench, request_, status, reason):
     """Guards against bad input that is dispatched or not explained."""
@@ -110,7 +129,7 @@
     host, port = bench.entry.caller_address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(data)
-    head = await reader.readuntil(b"\r\n\r\n")
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 60)
     assert head.split()[1] == str(status).encode()
     assert b"Bamboosill-Outcome: not-run" in head
     assert upstream.recorder.lines == []
@@ -132,7 +151,7 @@
     writer.write(
         HEAD + b"Bamboosill-Deadline-Ms: 50\r\nContent-Length: 9\r\n\r\nabc"
     )
-    head = await reader.readuntil(b"\r\n\r\n")
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 60)
     assert head.startswith(b"HTTP/1.1 504")
     assert b"Bamboosill-Outcome: not-run" in head
     writer.close()
