Make four placement tests catch their mechanism

Cause: with hysteresis, the bound on moves, the order of hot keys or the emptying of draining targets switched off, the tests passed. Change: stricter cases, and a test of draining. Tested: each of 29 mechanisms of placement and admission was switched off once on a scratch copy; its test failed each time, these four after this change.

--- a/packages/daemon/tests/placement/test_policy.py
+++ b/packages/daemon/tests/placement/test_policy.py
@@ -1,5 +1,6 @@
 """Tests of the placement policies."""
 
+import collections
 import random
 
 import hypothesis
@@ -122,15 +123,26 @@
     owners, moves = _simulate(lambda _: view, 60)
     assert _compute_imbalance(view, owners) <= bounded.IMBALANCE_BOUND
     assert len(moves) < 200
+    per_step = collections.Counter(step for step, _ in moves)
+    assert max(per_step.values(), default=0) <= bounded.REBALANCE_MOVES
     late = [move for step, move in moves if step > 50]
     assert not late
 
 
+def test_draining_target_is_emptied():
+    """Guards against work for a target that leaves."""
+    targets = [(6, "warm", 99.0), (6, "draining", 99.0), (6, "warm", 99.0)]
+    view = _view(targets, [(index % 3, 1.0, False, "") for index in range(90)])
+    owners, moves = _simulate(lambda _: view, 1)
+    assert len(moves) == 30
+    assert set(owners.values()) == {"t0", "t2"}
+
+
 def test_hysteresis_leaves_small_imbalance_alone():
     """Guards against moves that a change of a few percent does not need."""
     targets = [(6, "warm", 99.0)] * 4
     shards = [(index % 4, 1.0, False, "") for index in range(400)]
-    shards += [(0, 1.0, False, "")] * 5
+    shards += [(0, 1.0, False, "")] * 14
     view = _view(targets, shards)
     _, moves = _simulate(lambda _: view, 30)
     assert not moves
@@ -169,8 +181,8 @@
 def test_hot_keys_move_before_shards():
     """Guards against moving many keys where one hot key is enough."""
     targets = [(6, "warm", 99.0)] * 3
-    shards = [(index % 3, 1.0, False, "") for index in range(90)]
-    shards += [(0, 5.0, False, "hot")] * 3
+    shards = [(index % 3, 3.0, False, "") for index in range(30)]
+    shards += [(0, 1.5, False, "hot")] * 6
     view = _view(targets, shards)
     _, moves = _simulate(lambda _: view, 20)
     assert moves
