Ask new upstream connections for their identity

Cause: a request sent under the grant of one incarnation was run by the next process that came up at the same address, if that process checks no fences.

Change: a pool for an upstream asks GET /bamboosill/identity once on each new connection and uses it only if id and incarnation are those of the route. Pools are keyed by address, id and incarnation. A mismatch is a certain "not run": the request is routed again for as long as it would wait for a move. A silent identity is a certain "not run" and repeated on a new connection. The stand-in answers the question, and refuses requests on connections on which it stated a former incarnation of the same process.

--- a/packages/daemon/src/bamboosilld/entry/answers.py
+++ b/packages/daemon/src/bamboosilld/entry/answers.py
@@ -40,6 +40,8 @@
     "connect": _Case(503, "upstream-unreachable"),
     "closed": _Case(503, "upstream-unreachable"),
     "moved": _Case(503, "moving"),
+    "identity": _Case(503, "identity"),
+    "identity-silent": _Case(503, "upstream-unreachable"),
     "shed": _Case(503, "shed"),
     "stale-fence": _Case(503, "stale-fence"),
 }
--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -22,6 +22,7 @@
 from bamboosilld.entry import exchange
 from bamboosilld.entry import faults
 from bamboosilld.entry import headers
+from bamboosilld.entry import identity as identity_lib
 from bamboosilld.entry import inbound as inbound_lib
 from bamboosilld.entry import interfaces
 from bamboosilld.entry import pools as pools_lib
@@ -131,11 +132,15 @@
         upstream = route.upstream
         assert upstream is not None
         limit = upstream.connections // max(1, self._instance_count())
-        pool = self.pools.get(upstream.address, max(1, limit))
+        pool = self.pools.get(
+            upstream.address, max(1, limit), _identify(upstream)
+        )
         acquired = await pool.acquire(
             inbound.until - self._clock.monotonic(), attempt.fresh
         )
         if isinstance(acquired, Failure):
+            if acquired.failure().code == identity_lib.SILENT:
+                pool.discard_idle()
             return Failure(acquired.failure())
         connection = acquired.unwrap()
         # Nothing waits between here and the write, so that the lease is
@@ -259,12 +264,14 @@
         self, inbound: inbound_lib.Inbound, upstream: zone_messages.Upstream
     ) -> None:
         if upstream.accepts_cancellation and inbound.operation.repeatable:
-            self._spawn(self._send_cancel(inbound, upstream.address))
+            self._spawn(self._send_cancel(inbound, upstream))
 
     async def _send_cancel(
-        self, inbound: inbound_lib.Inbound, address: str
+        self, inbound: inbound_lib.Inbound, upstream: zone_messages.Upstream
     ) -> None:
-        pool = self.control_pools.get(address, _CONTROL_CONNECTIONS)
+        pool = self.control_pools.get(
+            upstream.address, _CONTROL_CONNECTIONS, _identify(upstream)
+        )
         body = json.dumps(
             {
                 "request_id": inbound.request_id,
@@ -274,7 +281,7 @@
         request = exchange.format_request(
             "POST",
             _CANCEL_PATH,
-            address,
+            upstream.address,
             (
                 (headers.REQUEST_ID, inbound.request_id),
                 ("Content-Type", "application/json"),
@@ -294,6 +301,10 @@
             )
 
 
+def _identify(upstream: zone_messages.Upstream) -> identity_lib.Identity:
+    return identity_lib.Identity(upstream.id, upstream.incarnation)
+
+
 def _never() -> bool:
     return False
 
--- a/packages/daemon/src/bamboosilld/entry/pools.py
+++ b/packages/daemon/src/bamboosilld/entry/pools.py
@@ -12,6 +12,7 @@
 from bamboosill_common import settings
 from bamboosilld.entry import connection as connection_lib
 from bamboosilld.entry import faults
+from bamboosilld.entry import identity as identity_lib
 
 # Three times the longest round trip between zones, for one lost SYN.
 _CONNECT_TIMEOUT_S = 1.2
@@ -33,8 +34,10 @@
         limit: int,
         tls: ssl.SSLContext | None = None,
         local_host: str = "",
+        identity: identity_lib.Identity | None = None,
     ) -> None:
         self.address = address
+        self._identity = identity
         self.limit = max(1, limit)
         self._host, self._port = settings.split_address(address)
         self._tls = tls
@@ -74,7 +77,7 @@
             if fresh and self._idle and self.size >= self.limit:
                 self.discard(self._idle[0], "replaced")
             if self.size < self.limit:
-                return await self._connect(until - self._loop.time())
+                return await self._connect_checked(until)
             if not await self._wait(until):
                 return Failure(
                     faults.Fault("pool", "no connection became free", False)
@@ -157,6 +160,29 @@
             metrics.pool_connections.inc()
         return Success(connection)
 
+    async def _connect_checked(
+        self, until: float
+    ) -> Result[connection_lib.Connection, faults.Fault]:
+        """Opens a connection to the process that the pool is for."""
+        result = await self._connect(until - self._loop.time())
+        if self._identity is None or isinstance(result, Failure):
+            return result
+        connection = result.unwrap()
+        fault: faults.Fault | None = None
+        checked = False
+        try:
+            fault = await identity_lib.check_connection(
+                connection,
+                self._identity,
+                self.address,
+                until - self._loop.time(),
+            )
+            checked = fault is None
+        finally:
+            if not checked:
+                self.discard(connection, "identity")
+        return Success(connection) if fault is None else Failure(fault)
+
     async def _wait(self, until: float) -> bool:
         waiter: asyncio.Future[None] = self._loop.create_future()
         self._waiters.append(waiter)
@@ -192,7 +218,7 @@
 
 
 class Pools:
-    """Pools by address."""
+    """Pools by address and, for upstreams, the incarnation found there."""
 
     def __init__(
         self, tls: ssl.SSLContext | None = None, local_host: str = ""
@@ -205,14 +231,26 @@
         """
         self._tls = tls
         self._local_host = local_host
-        self._pools: dict[str, Pool] = {}
+        self._pools: dict[tuple[str, identity_lib.Identity | None], Pool] = {}
+
+    def get(
+        self,
+        address: str,
+        limit: int,
+        identity: identity_lib.Identity | None = None,
+    ) -> Pool:
+        """Returns the pool of an address with the given limit.
 
-    def get(self, address: str, limit: int) -> Pool:
-        """Returns the pool of an address with the given limit."""
-        pool = self._pools.get(address)
+        Args:
+            address: Where the connections lead to.
+            limit: Most connections at a time.
+            identity: Which upstream must be there, or None for an instance.
+        """
+        pool = self._pools.get((address, identity))
         if pool is None:
-            pool = self._pools[address] = Pool(
-                address, limit, self._tls, self._local_host
+            self._discard_idle(address)
+            pool = self._pools[address, identity] = Pool(
+                address, limit, self._tls, self._local_host, identity
             )
         elif pool.limit != limit:
             pool.limit = max(1, limit)
@@ -220,12 +258,19 @@
 
     def sweep(self) -> None:
         """Closes connections that idled too long, and drops empty pools."""
-        for address, pool in tuple(self._pools.items()):
+        for name, pool in tuple(self._pools.items()):
             pool.sweep()
             if not pool.size:
-                del self._pools[address]
+                del self._pools[name]
 
     def close(self) -> None:
         """Closes all connections."""
         for pool in self._pools.values():
             pool.close()
+
+    def _discard_idle(self, address: str) -> None:
+        # Connections to a former incarnation count towards the limit of the
+        # upstream that follows it.
+        for (other, _), pool in self._pools.items():
+            if other == address:
+                pool.discard_idle()
--- a/packages/daemon/src/bamboosilld/entry/retry.py
+++ b/packages/daemon/src/bamboosilld/entry/retry.py
@@ -18,12 +18,15 @@
         backoff: After a random delay that grows with the attempts.
         reroute: After routes have changed, or a short wait.
         budget: Only with a retry from the budget.
+        hold: For as long as a request waits for the end of a move, whatever
+            the number of attempts; nothing was written in any of them.
     """
 
     fresh: bool = False
     backoff: bool = False
     reroute: bool = False
     budget: bool = True
+    hold: bool = False
 
 
 # Faults not listed here are not retried.
@@ -32,6 +35,10 @@
     "closed": Rule(budget=False),
     # The route changed between the choice and the write.
     "moved": Rule(reroute=True, budget=False),
+    # The address belongs to another process; the route follows once that one
+    # announces itself or the loss of the former one is detected.
+    "identity": Rule(reroute=True, budget=False, hold=True),
+    "identity-silent": Rule(fresh=True),
     "stale-fence": Rule(reroute=True),
     "shed": Rule(backoff=True),
     "refused": Rule(reroute=True, backoff=True),
@@ -59,9 +66,10 @@
         attempts: Attempts made so far.
     """
     if not fault.may_have_run:
-        if attempts >= MAX_ATTEMPTS:
+        rule = _NOT_RUN_RULES.get(fault.code)
+        if rule is not None and not rule.hold and attempts >= MAX_ATTEMPTS:
             return None
-        return _NOT_RUN_RULES.get(fault.code)
+        return rule
     if not repeatable or suspected or attempts >= MAX_UNSURE_ATTEMPTS:
         return None
     return _UNSURE_RULES.get(fault.code)
--- a/packages/daemon/src/bamboosilld/entry/router.py
+++ b/packages/daemon/src/bamboosilld/entry/router.py
@@ -255,6 +255,8 @@
             return False
         if rule.budget and not self._budget.try_retry(inbound.customer):
             return False
+        if rule.hold and not self._may_hold(flight):
+            return False
         flight.fresh = rule.fresh
         remaining_s = inbound.until - self._clock.monotonic()
         if rule.backoff:
@@ -276,9 +278,7 @@
     ) -> answers.Refused | None:
         """Waits for a change of routes, or returns a refusal."""
         now_s = self._clock.monotonic()
-        if not flight.held_until:
-            flight.held_until = min(now_s + _HOLD_LIMIT_S, flight.inbound.until)
-        if now_s >= flight.held_until:
+        if not self._may_hold(flight):
             detail = "the key has no owner at this moment"
             return answers.refuse(503, reason, detail)
         if self._held >= MAX_HELD:
@@ -291,6 +291,12 @@
             self._held -= 1
         return None
 
+    def _may_hold(self, flight: Flight) -> bool:
+        now_s = self._clock.monotonic()
+        if not flight.held_until:
+            flight.held_until = min(now_s + _HOLD_LIMIT_S, flight.inbound.until)
+        return now_s < flight.held_until
+
     def _conclude(self, flight: Flight, fault: faults.Fault) -> answers.Refused:
         return self._override(flight, answers.describe_fault(fault))
 
--- a/packages/daemon/tests/entry/conftest.py
+++ b/packages/daemon/tests/entry/conftest.py
@@ -19,6 +19,7 @@
 from bamboosill_common.generated import zone as zone_messages
 from bamboosill_dev.upstream import options
 from bamboosill_dev.upstream import process
+from bamboosilld.entry import identity
 from bamboosilld.entry import server
 
 # Turns a hang into a failure; no test waits for it.
@@ -231,8 +232,8 @@
         )
         self.upstream = upstream
         self.member.upstream = zone_messages.Upstream(
-            id="u1",
-            incarnation=1,
+            id=changes.get("id", "u1"),
+            incarnation=upstream.heartbeats.incarnation,
             address=upstream.address,
             slots=6,
             connections=20,
@@ -248,6 +249,15 @@
             await asyncio.sleep(0.01)
         raise AssertionError("condition not reached")
 
+    def get_pool(self):
+        """Returns the pool of connections to the upstream."""
+        upstream = self.member.upstream
+        return self.entry._dispatcher.pools.get(
+            upstream.address,
+            upstream.connections,
+            identity.Identity(upstream.id, upstream.incarnation),
+        )
+
     def make_route(self, status, **fields):
         return _Route(status, **fields)
 
--- a/packages/daemon/tests/entry/test_dispatch.py
+++ b/packages/daemon/tests/entry/test_dispatch.py
@@ -155,10 +155,10 @@
 async def test_silent_connection_is_replaced_and_not_used_again(bench):
     """Guards against a second request on a connection known to be silent."""
     await bench.start()
-    upstream = await bench.start_upstream()
+    await bench.start_upstream()
     await asyncio.gather(*(bench.send() for _ in range(3)))
     await bench.send(headers={"X-Test-Fault": "once-mute"})
-    pool = bench.entry._dispatcher.pools.get(upstream.address, 20)
+    pool = bench.get_pool()
     assert pool.size == 1
 
 
@@ -264,11 +264,11 @@
 async def test_connections_to_an_upstream_are_bounded(bench):
     """Guards against more connections than the upstream announced."""
     await bench.start()
-    upstream = await bench.start_upstream(slots=50)
+    await bench.start_upstream(slots=50)
     bench.member.upstream = bench.member.upstream._replace(connections=3)
     answers = await asyncio.gather(
         *(bench.send(headers={"X-Test-Service-Ms": "20"}) for _ in range(12))
     )
     assert {answer[0] for answer in answers} == {200}
-    pool = bench.entry._dispatcher.pools.get(upstream.address, 3)
+    pool = bench.get_pool()
     assert pool.size <= 3
--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -264,8 +264,8 @@
     """Returns an upstream that can crash, and the one that succeeds it."""
     first = await bench.start_upstream()
     record = bench.member.upstream
-    second = await bench.start_upstream()
-    successor = bench.member.upstream._replace(id="u2")
+    second = await bench.start_upstream(id="u2")
+    successor = bench.member.upstream
     bench.member.upstream = record
 
     def crash():
@@ -314,8 +314,11 @@
     )
     try:
         address = (await child.stdout.readline()).decode().split()[1]
+        url = f"http://{address}/bamboosill/identity"
+        async with bench.session.get(url) as response:
+            identity = await response.json()
         bench.member.upstream = zone_messages.Upstream(
-            id="u1", incarnation=1, address=address, slots=6, connections=20
+            **identity, address=address, slots=6, connections=20
         )
         assert (await bench.send())[0] == 200
         answer = await bench.send("POST", "/shopfront/notes", data=b"poison")
--- a/packages/dev/src/bamboosill_dev/upstream/heartbeat.py
+++ b/packages/dev/src/bamboosill_dev/upstream/heartbeat.py
@@ -41,7 +41,7 @@
         self._get_token = get_token
         self._session: aiohttp.ClientSession | None = None
         self._entry = 0
-        self.incarnation = 0
+        self.incarnation = time.time_ns() // 1_000_000
         self.draining = False
         self.warm = False
         self.replies = 0
@@ -54,14 +54,12 @@
                 await self._beat_until_refused()
                 # Nothing from before is trusted.
                 self._grants.drop_all()
+                self._renew()
         finally:
             await self._replace_connection()
 
     async def _announce(self, address: str) -> None:
         options = self._options
-        self.incarnation = max(
-            self.incarnation + 1, time.time_ns() // 1_000_000
-        )
         while True:
             status, document = await self._post(
                 "/v1/announce",
@@ -83,9 +81,7 @@
                 return
             _log.info("Announcement refused: %s %s.", status, document)
             if status == 409:
-                self.incarnation = max(
-                    self.incarnation + 1, time.time_ns() // 1_000_000
-                )
+                self._renew()
             await asyncio.sleep(_RETRY_S)
 
     async def _beat_until_refused(self) -> None:
@@ -112,6 +108,11 @@
                 wait_s = min(wait_s, _RETRY_S)
             await asyncio.sleep(max(0.0, wait_s))
 
+    def _renew(self) -> None:
+        self.incarnation = max(
+            self.incarnation + 1, time.time_ns() // 1_000_000
+        )
+
     def _get_state(self) -> str:
         if self.draining:
             return "draining"
--- a/packages/dev/src/bamboosill_dev/upstream/service.py
+++ b/packages/dev/src/bamboosill_dev/upstream/service.py
@@ -6,6 +6,7 @@
 import os
 import time
 from typing import Any
+import weakref
 
 from aiohttp import web
 
@@ -50,6 +51,10 @@
         self._tasks: dict[tuple[str, str], asyncio.Task[Any]] = {}
         self._cancelled: set[asyncio.Task[Any]] = set()
         self._seen: set[int] = set()
+        # Incarnation that was stated on each connection.
+        self._stated: weakref.WeakKeyDictionary[Any, int] = (
+            weakref.WeakKeyDictionary()
+        )
         self._faulted: set[str] = set()
         self._latency_ms = 0.0
         self.running = 0
@@ -69,6 +74,8 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         path = request.path
+        if path == "/bamboosill/identity":
+            return self._state_identity(request)
         if path.startswith("/bamboosill/"):
             return await self._handle_protocol(request, path)
         try:
@@ -84,6 +91,21 @@
                 },
             )
 
+    def _check_connection(self, request: web.BaseRequest) -> None:
+        if request.transport is None:
+            return
+        stated = self._stated.get(request.transport, self.incarnation)
+        if stated != self.incarnation:
+            raise Refusal(409, "incarnation")
+
+    def _state_identity(self, request: web.BaseRequest) -> web.Response:
+        if request.transport is not None:
+            self._stated[request.transport] = self.incarnation
+        return web.json_response(
+            {"id": self._options.id, "incarnation": self.incarnation},
+            headers={"Bamboosill-Request-Id": _get_id(request)},
+        )
+
     async def _handle_protocol(
         self, request: web.BaseRequest, path: str
     ) -> web.Response:
@@ -117,6 +139,7 @@
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
         body = await request.read()
+        self._check_connection(request)
         fault = self._choose_fault(request)
         if self.running >= self._options.slots or fault == "shed":
             raise Refusal(503, "shed")
