Refuse requests for zones that do not answer

Cause: when a zone was cut off silently, callers of its keys in other zones waited until their deadlines and were told "unknown".

A request for a zone with suspect addresses only is refused "not run", zone-unreachable, before anything is written.

test_silence counted all connections that the relay accepted; probes now open some, so that test answers probes itself and keeps its exact count.

--- a/packages/daemon/src/bamboosilld/entry/forward.py
+++ b/packages/daemon/src/bamboosilld/entry/forward.py
@@ -19,6 +19,7 @@
 from bamboosilld.entry import inbound as inbound_lib
 from bamboosilld.entry import interfaces
 from bamboosilld.entry import pools as pools_lib
+from bamboosilld.entry import reachability as reachability_lib
 
 # Connections to one entry instance of another zone.
 _CONNECTIONS = 64
@@ -50,6 +51,13 @@
         self._token = ""
         self._token_until_s = float("-inf")
         self.pools = pools_lib.Pools(tls, local_host)
+        self._reachability = reachability_lib.Reachability(
+            clock, tls, local_host
+        )
+
+    async def close(self) -> None:
+        """Ends the probes of other zones."""
+        await self._reachability.close()
 
     async def run(
         self,
@@ -64,6 +72,14 @@
                     answers.refuse(503, "hop-limit", "forwarded too often")
                 )
             )
+        usable = self._reachability.select(route.addresses)
+        if route.addresses and not usable:
+            detail = f"no entry instance of zone {route.zone} answers"
+            return Failure(
+                dispatch.Stopped(
+                    answers.refuse(503, "zone-unreachable", detail)
+                )
+            )
         last: Result[None, dispatch.Ended] = Failure(
             faults.Fault(
                 "zone-unreachable",
@@ -71,7 +87,7 @@
                 False,
             )
         )
-        for address in self._order(route.addresses):
+        for address in self._order(usable):
             last = await self._try(inbound, address, attempt)
             if not isinstance(last, Failure):
                 return last
@@ -100,6 +116,8 @@
             inbound.until - self._clock.monotonic(), attempt.fresh
         )
         if isinstance(acquired, Failure):
+            if acquired.failure().code == "connect":
+                self._reachability.note_silent(address)
             return Failure(acquired.failure())
         connection = acquired.unwrap()
         remaining_s = inbound.until - self._clock.monotonic()
@@ -134,7 +152,11 @@
             inbound.method == "HEAD",
             timing,
         )
+        if connection.received:
+            self._reachability.note_heard(pool.address)
         if isinstance(result, Failure):
+            if result.failure().code in ("silent", "deadline"):
+                self._reachability.note_silent(pool.address)
             if result.failure().code == "silent":
                 pool.discard_idle()
             return Failure(result.failure())
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -207,6 +207,7 @@
             self._sweeper, *self._tasks, return_exceptions=True
         )
         await self._crashes.close()
+        await self._forwarder.close()
         for pools in self._list_pools():
             pools.close()
 
--- a/packages/daemon/tests/entry/test_silence.py
+++ b/packages/daemon/tests/entry/test_silence.py
@@ -97,6 +97,12 @@
     bench.member.default = bench.make_route(
         "remote", zone="z2", addresses=(relay.address,)
     )
+
+    async def answer_probe(address):
+        return True
+
+    # Probes open connections of their own, which are not counted here.
+    bench.entry._forwarder._reachability._probe = answer_probe
     await open_connections(bench)
     relay.silence()
     answers = [await bench.send() for _ in range(3)]
