--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/load/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded load on loopback, and what it costs."""
