Hold back optional moves of an uninformed zone leader

Cause: a new leader had no request rates, took hot keys for cold and began to take them away at once. Such a move must wait for leases and deadlines that the leader does not know, so the keys were unavailable for over 3 s.

Change: moves without need begin only after the waits of a new leader, after all members have reported for 10 s, and while no holder of a serve lease may be lost. Hot keys stay until then. A policy whose move was held back is made anew, since it would take the move for made and leave the shard for 30 s.

The zones of the other tests now wait 18 s until balance, because rebalancing begins later.

--- a/packages/daemon/src/bamboosilld/zone/authority.py
+++ b/packages/daemon/src/bamboosilld/zone/authority.py
@@ -26,6 +26,7 @@
 from bamboosilld.zone import joins as joins_lib
 from bamboosilld.zone import leases as leases_lib
 from bamboosilld.zone import moves as moves_lib
+from bamboosilld.zone import optional as optional_lib
 from bamboosilld.zone import planner as planner_lib
 from bamboosilld.zone import registry as registry_lib
 from bamboosilld.zone import shares as shares_lib
@@ -84,10 +85,10 @@
         self.is_open = False
         self._wake = asyncio.Event()
         now_s = parts.clock.monotonic()
-        self._elected_at_s = parts.node.elected_at_s
-        self._serve_leases = leases_lib.ServeLeases(self._elected_at_s)
+        elected_at_s = parts.node.elected_at_s
+        self._serve_leases = leases_lib.ServeLeases(elected_at_s)
         self._upstream_leases = grants_lib.UpstreamLeases(
-            parts.state, self._elected_at_s, now_s
+            parts.state, elected_at_s, now_s
         )
         self._shares = shares_lib.ShareBook(now_s)
         self._membership = joins_lib.Membership(parts.node, parts.clock)
@@ -117,7 +118,13 @@
             self._serve_leases,
             self._upstream_leases,
             parts.make_policy,
-            self._may_disturb,
+            optional_lib.OptionalMoves(
+                parts.state,
+                parts.node,
+                self._serve_leases,
+                self._facts.get_longest_deadline_s,
+                elected_at_s,
+            ),
         )
 
     async def run(self) -> None:
@@ -334,21 +341,6 @@
         if reply is not None:
             await beats_lib.apply_feed(self._state, reply, self._commit)
 
-    def _may_disturb(
-        self, key: assignments.AssignmentKey, owner: assignments.Owner
-    ) -> bool:
-        """Returns whether a move without need would be short.
-
-        A new leader does not know which instances were lost with requests in
-        flight, which an upstream that checks no fences may still run.
-        """
-        upstream = self._state.upstreams.find_owner(owner)
-        if upstream is not None and upstream.checks_fences and not key.key:
-            return True
-        known_s = self._elected_at_s + times.SERVE_LEASE_S + times.MARGIN_S
-        longest_s = self._facts.get_longest_deadline_s(key.keyspace)
-        return self._clock.monotonic() > known_s + longest_s
-
     def _give_shares(
         self, instance: str, now_s: float
     ) -> tuple[messages.Share, ...]:
--- a/packages/daemon/src/bamboosilld/zone/leases.py
+++ b/packages/daemon/src/bamboosilld/zone/leases.py
@@ -6,6 +6,8 @@
 from bamboosilld.zone import assignments
 from bamboosilld.zone import times
 
+# A holder whose last renewal is older missed two; it may be lost.
+_RENEWED_S = 3 * times.SERVE_RENEWAL_S
 # Longer than any deadline that a contract may allow; a holder's reports are
 # forgotten this long after its lease ended.
 _FORGET_S = 3600.0
@@ -97,6 +99,22 @@
                 waits.append(f"{holder_key.instance} is lost")
         return waits
 
+    def is_certain(self, in_flight_s: float, now_s: float) -> bool:
+        """Returns whether a change that begins now waits for no lost holder.
+
+        Args:
+            in_flight_s: As for `find_waits`.
+            now_s: The leader's time.
+        """
+        if now_s < self._unknown_until_s + in_flight_s:
+            return False
+        lease_s = times.SERVE_LEASE_S + times.MARGIN_S
+        return all(
+            now_s - (holder.until_s - lease_s) <= _RENEWED_S
+            or now_s >= holder.until_s + in_flight_s
+            for holder in self._holders.values()
+        )
+
     def forget(self, now_s: float) -> None:
         """Drops reports too old to matter."""
         for key in [
--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -13,6 +13,7 @@
 from bamboosilld.zone import grants as grants_lib
 from bamboosilld.zone import leases as leases_lib
 from bamboosilld.zone import moves as moves_lib
+from bamboosilld.zone import optional as optional_lib
 from bamboosilld.zone import state as state_lib
 from bamboosilld.zone import upstreams as upstreams_lib
 
@@ -41,13 +42,13 @@
         serve_leases: leases_lib.ServeLeases,
         upstream_leases: grants_lib.UpstreamLeases,
         make_policy: MakePolicy,
-        may_disturb: Callable[[_Key, assignments.Owner], bool],
+        optional: optional_lib.OptionalMoves,
     ) -> None:
         self._state = state
         self._serve_leases = serve_leases
         self._upstream_leases = upstream_leases
         self._make_policy = make_policy
-        self._may_disturb = may_disturb
+        self._optional = optional
         self._policies: dict[str, policy_lib.Policy] = {}
         self._rates = load_lib.ShardRates()
         self._loads: dict[str, load_lib.Loads] = {}
@@ -65,7 +66,7 @@
         for service, keyspaces in services.items():
             for move in self._plan_service(service, keyspaces, hot, now_s):
                 moves.setdefault(move.key, move)
-        for move in self._cool_hot_keys(hot):
+        for move in self._cool_hot_keys(hot, now_s):
             moves.setdefault(move.key, move)
         leaving, releases = self._plan_releases()
         for move in leaving:
@@ -97,9 +98,17 @@
         holders = self._serve_leases.list_live(now_s).values()
         reports = [holder.report.shard_load for holder in holders]
         self._rates.update(now_s, reports)
-        hot = self._chooser.choose(
-            now_s, hotkeys.merge_reports(reports), self._rates.compute_mean()
-        )
+        rates = hotkeys.merge_reports(reports)
+        mean_per_s = self._rates.compute_mean()
+        if not self._optional.is_informed(now_s):
+            # The former leader's hot keys stay, whatever is known of them.
+            known = [
+                (key.keyspace, key.shard, key.key)
+                for key, _ in self._state.assignments.list_hot()
+            ]
+            rates = {key: rates.get(key, 0.0) for key in known}
+            mean_per_s = 0.0
+        hot = self._chooser.choose(now_s, rates, mean_per_s)
         self._shard_rates = self._rates.compute_rates(hot)
         return hot
 
@@ -128,10 +137,30 @@
         )
         policy = self._policies.setdefault(service, self._make_policy())
         eligible = {each.id: each for each in able}
-        moves = (
-            self._convert(move, views, eligible) for move in policy.plan(view)
-        )
-        return [move for move in moves if move is not None]
+        moves = []
+        for move in policy.plan(view):
+            planned = self._convert(move, views, eligible)
+            if planned is None:
+                continue
+            if self._may_begin(planned, views[planned.key], eligible, now_s):
+                moves.append(planned)
+            else:
+                # It takes the move for made and would not plan it again soon.
+                self._policies.pop(service, None)
+        return moves
+
+    def _may_begin(
+        self,
+        move: moves_lib.PlannedMove,
+        view: policy_lib.ShardView,
+        eligible: dict[str, messages.Upstream],
+        now_s: float,
+    ) -> bool:
+        """Returns whether a move is necessary, or allowed without need."""
+        _, value = self._state.assignments.resolve(*move.key)
+        if value is None or value.owner is None or view.owner not in eligible:
+            return True
+        return self._optional.may_begin(move.key, value.owner, now_s)
 
     def _list_keys(
         self, keyspace: str, hot: dict[hotkeys.KeyId, float]
@@ -241,10 +270,6 @@
         _, value = self._state.assignments.resolve(*key)
         if value is not None and not value.moving and value.owner == target:
             return None
-        owner = value.owner if value is not None else None
-        urgent = owner is None or view.owner not in eligible
-        if owner and not urgent and not self._may_disturb(key, owner):
-            return None
         return moves_lib.PlannedMove(key, target, move.reason)
 
     def _abandon(
@@ -266,12 +291,18 @@
         return moves
 
     def _cool_hot_keys(
-        self, hot: dict[hotkeys.KeyId, float]
+        self, hot: dict[hotkeys.KeyId, float], now_s: float
     ) -> list[moves_lib.PlannedMove]:
         return [
             moves_lib.PlannedMove(key, None, "the key is not hot any more")
             for key, value in self._state.assignments.list_hot()
-            if tuple(key) not in hot and not value.moving
+            if tuple(key) not in hot
+            and not value.moving
+            and value.owner is not None
+            and (
+                self._upstream_leases.is_lost(value.owner)
+                or self._optional.may_begin(key, value.owner, now_s)
+            )
         ]
 
     def _plan_releases(
--- a/packages/daemon/tests/zone/test_moves.py
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -8,6 +8,7 @@
 from bamboosill_common import sharding
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import assignments
+from bamboosilld.zone import optional
 from bamboosilld.zone import times
 
 SHARDS = 16
@@ -47,7 +48,7 @@
         await world.add_member(f"i{number}")
     await settle(world)
     # A new leader waits before moves that are not needed.
-    await asyncio.sleep(4)
+    await asyncio.sleep(optional.AVERAGING_S + 8)
     return world
 
 
@@ -416,3 +417,74 @@
     assert other.route("a", "shop", key).status == "moving"
     await world.wait(lambda: other.route("a", "shop", key).status == "local")
     assert world.now() - refused_s >= 2.0
+
+
+async def replace_leader(world):
+    """Ends the leader, and returns when the next one was elected."""
+    await world.kill_member(find_leader(world))
+    for upstream in world.upstreams.values():
+        upstream.members = sorted(world.members)
+    await world.wait(lambda: find_leader(world) is not None)
+    return world.members[find_leader(world)]._membership.node.elected_at_s
+
+
+async def settle_key(world, key, owner):
+    """Waits until all members route a key to an upstream."""
+
+    def is_there(member):
+        route = member.route("a", "shop", key)
+        return route.status == "local" and route.upstream.id == owner
+
+    await world.wait(lambda: all(map(is_there, world.members.values())))
+
+
+@pytest.mark.looptime(noop_cycles=0)
+async def test_new_leader_keeps_hot_keys(make_world):
+    """Guards against a hot key that a leader without rates takes away."""
+    world = await make_zone(make_world)
+    entry = world.members["i1"]
+    key = find_key(world, "u", entry)
+    route = entry.route("a", "shop", key)
+    hot = assignments.AssignmentKey(route.keyspace, route.shard, route.key)
+    authority = world.members[find_leader(world)]._authority
+    authority._planner._chooser.choose = lambda *args: {tuple(hot): 1.0}
+    begin = messages.BeginMove(*hot[:1], (hot.shard,), "v", 1, "", hot.key)
+    await authority._commit(begin)
+    await settle_key(world, key, "v")
+    elected_s = await replace_leader(world)
+    state = world.members[find_leader(world)]._membership.state
+    other = world.members[find_leader(world)]
+
+    def is_moving():
+        return other.route("a", "shop", key).status == "moving"
+
+    await world.wait(lambda: not is_moving())
+    # Nobody asks for the key, so that it is cold indeed.
+    began_s = await world.wait(is_moving, 60.0)
+    assert began_s - elected_s >= optional.AVERAGING_S
+    ended_s = await world.wait(lambda: not is_moving())
+    assert ended_s - began_s < 1.0, "the move had to wait"
+    assert state.assignments.find(hot) is None
+
+
+@pytest.mark.parametrize("checks_fences", [True, False])
+@pytest.mark.looptime(noop_cycles=0)
+async def test_new_leader_makes_only_necessary_moves(make_world, checks_fences):
+    """Guards against moves that wait for what a leader does not know."""
+    world = await make_zone(make_world, checks_fences=checks_fences)
+    elected_s = await replace_leader(world)
+    world.add_upstream("w", 1, checks_fences)
+    await leave(world, "u")
+    member = world.members[find_leader(world)]
+    count = count_moves(world)
+    await world.wait(lambda: count_moves(world) > count, 2.0)
+    await world.wait(
+        lambda: (
+            "u" not in world.find_owners(member, "a").values()
+            and world.all_local(member)
+        )
+    )
+    world.add_upstream("x", 1, checks_fences)
+    count = count_moves(world)
+    began_s = await world.wait(lambda: count_moves(world) > count, 90.0)
+    assert began_s - elected_s >= optional.AVERAGING_S
