Take the id floor of a released shard from its last request id

The release of a shard states it at the time it is applied, and the group records nothing for the shard afterwards. Control uses it as the floor unless the former floor is higher. Shards taken without a release keep the former rule.

--- a/packages/common/src/bamboosill_common/schema/control.capnp
+++ b/packages/common/src/bamboosill_common/schema/control.capnp
@@ -172,10 +172,12 @@
 }
 
 struct ShardRelease {
-  # Shards that a zone group has given up under the stated epoch.
+  # A shard that a zone group has given up under the stated epoch, and the
+  # largest time stamp of the request ids recorded for it, or 0.
   keyspace @0 :Text;
   shard @1 :UInt32;
   epoch @2 :UInt32;
+  lastIdMs @3 :UInt64;
 }
 
 struct ZoneBeat {
--- a/packages/common/src/bamboosill_common/schema/zone.capnp
+++ b/packages/common/src/bamboosill_common/schema/zone.capnp
@@ -142,6 +142,14 @@
   keyspace @0 :Text;
   shard @1 :UInt32;
   epoch @2 :UInt32;
+  lastIdMs @3 :UInt64;
+}
+
+struct LastIdItem {
+  # The largest time stamp of the request ids recorded for a shard.
+  keyspace @0 :Text;
+  shard @1 :UInt32;
+  lastIdMs @2 :UInt64;
 }
 
 struct RecordItem {
@@ -178,6 +186,7 @@
   released @6 :List(ReleasedItem);
   records @7 :List(RecordItem);
   crashes @8 :List(CrashItem);
+  lastIds @9 :List(LastIdItem);
 }
 
 # Messages.
--- a/packages/daemon/src/bamboosilld/control/delegation.py
+++ b/packages/daemon/src/bamboosilld/control/delegation.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 from collections.abc import Set
+import types
 from typing import NamedTuple
 
 from bamboosill_common.generated import control as messages
@@ -26,9 +27,12 @@
         slots: Slots of the service by live zone that may hold shards.
         group_epochs: Present group epoch of each of these zones.
         takeable: Indexes of shards that no zone holds any more.
-        id_floor_ms: Floor of request ids for shards that are delegated now.
+        id_floor_ms: Floor of request ids for shards that are delegated now
+            without a release.
         release_budget: Most shards that may begin to move between zones.
         empty_zones: Live zones that have had no slots for a while.
+        last_ids_ms: By index of each released shard, the largest time stamp
+            of the request ids that its zone recorded.
     """
 
     slots: Mapping[str, int]
@@ -37,6 +41,7 @@
     id_floor_ms: int
     release_budget: int
     empty_zones: Set[str] = frozenset()
+    last_ids_ms: Mapping[int, int] = types.MappingProxyType({})
 
 
 def compute_release_rate(shards: int) -> float:
@@ -168,6 +173,8 @@
     shard = planned[index]
     # No request of a shard that was never delegated can have run before.
     floor_ms = view.id_floor_ms if shard.epoch else 0
+    # A zone records nothing for a shard after it has released it.
+    floor_ms = view.last_ids_ms.get(index, floor_ms)
     planned[index] = Shard(
         zone,
         shard.epoch + 1,
--- a/packages/daemon/src/bamboosilld/control/delegator.py
+++ b/packages/daemon/src/bamboosilld/control/delegator.py
@@ -1,5 +1,6 @@
 """Decides when shards are taken from a zone, and issues the delegations."""
 
+from collections.abc import Collection
 from collections.abc import Iterator
 from typing import Any
 
@@ -102,13 +103,15 @@
             and views[zone].beat.group_epoch == zones[zone].group_epoch
         ]
         slots = {zone: views[zone].get_slots(keyspace.service) for zone in live}
+        last_ids_ms = self._find_last_ids(keyspace.keyspace, shards, views)
         return delegation.View(
             slots=slots,
             group_epochs={zone: zones[zone].group_epoch for zone in live},
-            takeable=self._find_takeable(keyspace, shards, views),
+            takeable=self._find_takeable(keyspace, shards, views, last_ids_ms),
             id_floor_ms=self._clock.wall_ms() + timing.ID_FLOOR_AHEAD_MS,
             release_budget=self._get_budget(keyspace),
             empty_zones=self._find_empty_zones(keyspace.keyspace, slots),
+            last_ids_ms=last_ids_ms,
         )
 
     def _find_takeable(
@@ -116,18 +119,12 @@
         keyspace: messages.KeyspaceItem,
         shards: list[delegation.Shard],
         views: Views,
+        released: Collection[int],
     ) -> set[int]:
         zones = {each.zone for each in shards if each.zone}
         ended = {
             zone for zone in zones if self._has_ended(keyspace, zone, views)
         }
-        released = {
-            (zone, each.shard, each.epoch)
-            for zone in zones
-            if zone in views
-            for each in views[zone].beat.released
-            if each.keyspace == keyspace.keyspace
-        }
         group_epochs = {
             zone: self._state.tables.zones[zone].group_epoch
             for zone in zones
@@ -142,11 +139,27 @@
             # leases to end.
             or shard.group_epoch
             != group_epochs.get(shard.zone, shard.group_epoch)
-            or (
-                shard.releasing and (shard.zone, index, shard.epoch) in released
-            )
+            or index in released
         }
 
+    @staticmethod
+    def _find_last_ids(
+        keyspace: str, shards: list[delegation.Shard], views: Views
+    ) -> dict[int, int]:
+        """Returns the last ids of the shards that zones have released."""
+        last_ids_ms = {}
+        for zone in {each.zone for each in shards} & views.keys():
+            for each in views[zone].beat.released:
+                if each.keyspace != keyspace or each.shard >= len(shards):
+                    continue
+                shard = shards[each.shard]
+                if shard.releasing and (shard.zone, shard.epoch) == (
+                    zone,
+                    each.epoch,
+                ):
+                    last_ids_ms[each.shard] = each.last_id_ms
+        return last_ids_ms
+
     def _may_leave_group(self, service: str, zone: str, views: Views) -> bool:
         """Returns whether shards of former groups of a zone are delegated.
 
@@ -234,6 +247,10 @@
     tables: tables_lib.Tables, views: Views, command: messages.SetDelegations
 ) -> set[str]:
     """Returns the zones that lose shards which they have not released."""
+    released = {
+        zone: {each[:3] for each in view.beat.released}
+        for zone, view in views.items()
+    }
     taken = set()
     for item in command.items:
         known = tables.delegations.get((item.keyspace, item.first_shard))
@@ -242,11 +259,8 @@
         for offset, (zone, old, new) in enumerate(
             zip(known.zones, known.epochs, item.epochs, strict=True)
         ):
-            release = messages.ShardRelease(
-                item.keyspace, item.first_shard + offset, old
-            )
-            view = views.get(zone)
-            if old != new and not (view and release in view.beat.released):
+            release = (item.keyspace, item.first_shard + offset, old)
+            if old != new and release not in released.get(zone, ()):
                 taken.add(zone)
     return taken
 
--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -316,7 +316,7 @@
             for shard, delegation in state.feed.list_delegations(keyspace):
                 if not delegation.releasing or not state.is_here(delegation):
                     continue
-                if state.released.get((keyspace, shard)) == delegation.epoch:
+                if state.is_released(keyspace, shard, delegation.epoch):
                     continue
                 if not state.assignments.has_owner(keyspace, shard):
                     place = (keyspace, delegation.epoch)
--- a/packages/daemon/src/bamboosilld/zone/snapshots.py
+++ b/packages/daemon/src/bamboosilld/zone/snapshots.py
@@ -34,8 +34,12 @@
             for each in state.assignments.list_all()
         ),
         "released": (
-            messages.ReleasedItem(keyspace, shard, epoch)
-            for (keyspace, shard), epoch in state.released.items()
+            messages.ReleasedItem(*place, *release)
+            for place, release in state.released.items()
+        ),
+        "last_ids": (
+            messages.LastIdItem(*place, last_ms)
+            for place, last_ms in state.last_ids_ms.items()
         ),
         "crashes": state.quarantine.list_items(),
     }
@@ -80,7 +84,10 @@
         for item in part.assignments:
             state.assignments.put(*assignments.read_item(item))
         for each in part.released:
-            state.released[(each.keyspace, each.shard)] = each.epoch
+            state.put_released(each)
+        for last in part.last_ids:
+            place = (last.keyspace, last.shard)
+            state.last_ids_ms[place] = last.last_id_ms
         for record in part.records:
             state.records.restore_item(record)
         for crash in part.crashes:
--- a/packages/daemon/src/bamboosilld/zone/state.py
+++ b/packages/daemon/src/bamboosilld/zone/state.py
@@ -5,8 +5,10 @@
 
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 from bamboosill_common import logs
+from bamboosill_common import requestid
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import assignments
@@ -37,6 +39,18 @@
     return add
 
 
+class Release(NamedTuple):
+    """A shard given back.
+
+    Attributes:
+        epoch: Delegation epoch under which it was given back.
+        last_id_ms: Largest time stamp of the request ids recorded for it.
+    """
+
+    epoch: int
+    last_id_ms: int
+
+
 class ZoneState:
     """Assignments, upstreams, records, quarantine and feed of one group.
 
@@ -44,7 +58,10 @@
         zone: Availability zone of the group.
         group_epoch: Epoch of the group.
         applied_index: Log index of the last command.
-        released: Shards given back, and the epoch under which.
+        released: Shards given back.
+        last_ids_ms: Largest time stamp of the request ids recorded for a
+            shard. Kept when the records expire, because it becomes the floor
+            of ids when the shard is released.
     """
 
     def __init__(self, zone: str, group_epoch: int) -> None:
@@ -60,7 +77,8 @@
         self.upstreams = upstreams_lib.UpstreamTable()
         self.records = records_lib.RecordTable()
         self.quarantine = quarantine_lib.QuarantineTable()
-        self.released: dict[tuple[str, int], int] = {}
+        self.released: dict[tuple[str, int], Release] = {}
+        self.last_ids_ms: dict[tuple[str, int], int] = {}
 
     def add_listener(self, listener: Listener) -> None:
         """Calls `listener(command, result)` after each applied command.
@@ -123,9 +141,20 @@
             delegation is not None
             and self.is_here(delegation)
             and not delegation.releasing
-            and self.released.get((keyspace, shard)) != delegation.epoch
+            and not self.is_released(keyspace, shard, delegation.epoch)
         )
 
+    def put_released(self, item: messages.ReleasedItem) -> None:
+        """Stores a release of a snapshot."""
+        self.released[(item.keyspace, item.shard)] = Release(
+            item.epoch, item.last_id_ms
+        )
+
+    def is_released(self, keyspace: str, shard: int, epoch: int) -> bool:
+        """Returns whether a shard was given back under an epoch."""
+        release = self.released.get((keyspace, shard))
+        return release is not None and release.epoch == epoch
+
 
 @_applies(messages.ApplyFeed)
 def _apply_feed(
@@ -141,8 +170,11 @@
         # The control group changes an epoch only after all leases under the
         # former one have ended or the shard was released.
         state.assignments.drop_shard(keyspace, shard, except_epoch=epoch)
-        if state.released.get((keyspace, shard), epoch) != epoch:
+        release = state.released.get((keyspace, shard))
+        if release is not None and release.epoch != epoch:
             del state.released[(keyspace, shard)]
+        if epoch is None:
+            state.last_ids_ms.pop((keyspace, shard), None)
     return change
 
 
@@ -235,7 +267,11 @@
         if state.assignments.has_owner(command.keyspace, shard):
             continue
         state.assignments.drop_shard(command.keyspace, shard)
-        state.released[(command.keyspace, shard)] = command.epoch
+        place = (command.keyspace, shard)
+        # No request is recorded for the shard after this.
+        state.released[place] = Release(
+            command.epoch, state.last_ids_ms.get(place, 0)
+        )
         released.append(shard)
     return messages.CommandStatus(
         bool(released),
@@ -250,11 +286,21 @@
 ) -> messages.RecordStatus:
     delegation = state.feed.find_delegation(command.keyspace, command.shard)
     floor_ms = None
-    if delegation is not None and state.is_here(delegation):
+    place = (command.keyspace, command.shard)
+    if (
+        delegation is not None
+        and state.is_here(delegation)
+        and not state.is_released(*place, delegation.epoch)
+    ):
         floor_ms = delegation.id_floor_ms
-    return state.records.begin(
+    status = state.records.begin(
         index, command, floor_ms, state.feed.is_instance_gone
     )
+    if status.status == "new":
+        time_ms = requestid.parse_request_id(command.id).unwrap().time_ms
+        last_ms = state.last_ids_ms.get(place, 0)
+        state.last_ids_ms[place] = max(last_ms, time_ms)
+    return status
 
 
 @_applies(messages.FinishRequest)
--- a/packages/daemon/src/bamboosilld/zone/summary.py
+++ b/packages/daemon/src/bamboosilld/zone/summary.py
@@ -28,8 +28,8 @@
         applied_revision=state.feed.revision,
         services=_list_services(state, planner, get_longest_deadline_s),
         released=tuple(
-            control.ShardRelease(keyspace, shard, epoch)
-            for (keyspace, shard), epoch in sorted(state.released.items())
+            control.ShardRelease(*place, *release)
+            for place, release in sorted(state.released.items())
         ),
         group_term=node.term,
         live_instances=tuple(sorted(live_instances)),
--- a/packages/daemon/tests/control/conftest.py
+++ b/packages/daemon/tests/control/conftest.py
@@ -151,6 +151,7 @@
         self.name = name
         self.slots = slots
         self.unfenced_ms = 0
+        self.last_id_ms = 0
         self.group_epoch = 1
         self.term = 1
         self.revision = 0
@@ -163,7 +164,7 @@
     def list_released(self) -> tuple[messages.ShardRelease, ...]:
         """Returns the shards that control wants back, as given up."""
         return tuple(
-            messages.ShardRelease(name, index, shard.epoch)
+            messages.ShardRelease(name, index, shard.epoch, self.last_id_ms)
             for name in self.group.state.tables.keyspaces
             for index, shard in enumerate(self.group.list_shards(name))
             if self.releases and shard.releasing and shard.zone == self.name
--- a/packages/daemon/tests/control/test_delegation.py
+++ b/packages/daemon/tests/control/test_delegation.py
@@ -48,7 +48,10 @@
     takeable = {index for index, shard in enumerate(before) if not shard.zone}
     takeable |= data.draw(strategies.sets(strategies.integers(0, shards - 1)))
     budget = data.draw(strategies.integers(0, 20))
-    view = delegation.View(slots, dict.fromkeys(slots, 1), takeable, 5, budget)
+    last_ids_ms = dict.fromkeys(sorted(takeable)[::2], 3)
+    view = delegation.View(
+        slots, dict.fromkeys(slots, 1), takeable, 5, budget, set(), last_ids_ms
+    )
     after = delegation.plan(before, view, True)
     if not sum(slots.values()):
         assert after == before
@@ -58,7 +61,8 @@
         if index in takeable:
             assert new.epoch == old.epoch + 1
             assert new.zone in slots
-            assert new.id_floor_ms == (5 if old.epoch else 0)
+            floor_ms = last_ids_ms.get(index, 5 if old.epoch else 0)
+            assert new.id_floor_ms == floor_ms
         else:
             assert new._replace(releasing=False) == old
         released += new.releasing
--- a/packages/daemon/tests/control/test_delegator.py
+++ b/packages/daemon/tests/control/test_delegator.py
@@ -73,6 +73,38 @@
     assert harness.group.count().get("zb", 0) > 0
 
 
+@pytest.mark.parametrize(
+    ("last_id_ms", "before_ms", "floor_ms"),
+    [(0, 0, 0), (70, 0, 70), (70, 90, 90), (70, 50, 70)],
+)
+async def test_id_floor_of_a_released_shard(
+    harness, last_id_ms, before_ms, floor_ms
+):
+    """Guards against new ids refused after a planned move, or old accepted."""
+    await start(harness, za=6)
+    tables = harness.group.state.tables
+    for key, item in tables.delegations.items():
+        floors_ms = (before_ms,) * len(item.zones)
+        tables.delegations[key] = item._replace(id_floors_ms=floors_ms)
+    harness.zones["za"].last_id_ms = last_id_ms
+    await harness.add_zone("zb", 6)
+    await harness.run(30)
+    moved = [each for each in harness.group.list_shards() if each.zone == "zb"]
+    assert moved
+    assert {each.id_floor_ms for each in moved} == {floor_ms}
+
+
+async def test_id_floor_of_a_shard_that_was_not_released(harness):
+    """Guards against ids accepted that a silent zone may have recorded."""
+    await start(harness, za=6, zb=6)
+    before_ms = harness.group.clock.wall_ms()
+    await harness.run(3, "za")
+    taken = [each for each in harness.group.list_shards() if each.epoch == 2]
+    assert len(taken) == 32
+    for each in taken:
+        assert each.id_floor_ms > before_ms + timing.ID_FLOOR_AHEAD_MS
+
+
 async def test_zone_without_upstreams_gives_up_its_shards(harness):
     """Guards against keys that stay where no upstream is left."""
     await start(harness, za=6, zb=6)
--- a/packages/daemon/tests/zone/test_state.py
+++ b/packages/daemon/tests/zone/test_state.py
@@ -1,9 +1,12 @@
 """Tests of assignments and the feed in the replicated state."""
 
+import random
+
 import hypothesis
 from hypothesis import strategies
 import pytest
 
+from bamboosill_common import requestid
 from bamboosill_common import sharding
 from bamboosill_common import wire
 from bamboosill_common.generated import control
@@ -311,3 +314,53 @@
     before = log.state.snapshot()
     assert not log.state.apply(99, data).ok
     assert log.state.snapshot() == before
+
+
+NOW_MS = 1_700_000_000_000
+
+
+def begin_request(log, time_ms, now_ms=NOW_MS, shard=0):
+    """Begins a request with an id of the given time."""
+    request_id = requestid.make_request_id(time_ms, random.Random(time_ms))
+    command = messages.BeginRequest(
+        request_id, "c", b"f", KEYSPACE, shard, "i", 1, now_ms
+    )
+    return log.apply(command).status
+
+
+@pytest.mark.parametrize("copied", [False, True], ids=["log", "snapshot"])
+def test_release_states_the_last_id(log, copied):
+    """Guards against an id that runs again in the zone that is next."""
+    for time_ms in (NOW_MS - 5, NOW_MS + 1_500, NOW_MS - 10):
+        assert begin_request(log, time_ms) == "new"
+    assert begin_request(log, NOW_MS + 9_000) == "future"
+    # The records expire, but a lagging zone could still accept the ids.
+    assert begin_request(log, NOW_MS + 700_000, NOW_MS + 700_000, 1) == "new"
+    assert len(log.state.records) == 1
+    if copied:
+        log.state.restore(log.state.snapshot())
+    log.apply(messages.ReleaseShards(KEYSPACE, (0, 2), 1))
+    if copied:
+        log.state.restore(log.state.snapshot())
+    assert log.state.released == {
+        (KEYSPACE, 0): (1, NOW_MS + 1_500),
+        (KEYSPACE, 2): (1, 0),
+    }
+
+
+def test_released_shard_records_no_request(log):
+    """Guards against a record that the release did not state."""
+    log.apply(messages.ReleaseShards(KEYSPACE, (0,), 1))
+    assert begin_request(log, NOW_MS) == "below_floor"
+    assert begin_request(log, NOW_MS, shard=1) == "new"
+    log.apply(make_feed(2, (2, 1, 1)))
+    assert begin_request(log, NOW_MS + 1) == "new"
+
+
+def test_last_id_is_kept_while_the_shard_is_here(log):
+    """Guards against a lost last id, and a table that only grows."""
+    begin_request(log, NOW_MS)
+    log.apply(make_feed(2, (2, 1, 1)))
+    assert log.state.last_ids_ms == {(KEYSPACE, 0): NOW_MS}
+    log.apply(make_feed(3, (3, 1, 1), zones=("y", "z", "z")))
+    assert not log.state.last_ids_ms
