State the voters of a zone group in its beats

Control decides by the voters whether a group is lost. Without them it counted the live instances, which include members without a vote.

Tested: test_beats_state_the_voters; seen failing without the change.

--- a/packages/daemon/src/bamboosilld/zone/summary.py
+++ b/packages/daemon/src/bamboosilld/zone/summary.py
@@ -20,6 +20,7 @@
     get_longest_deadline_s: Callable[[str], float],
 ) -> control.ZoneBeat:
     """Returns the beat that describes the zone now."""
+    voters = [each for each in node.membership.members if each.voter]
     return control.ZoneBeat(
         zone=state.zone,
         group_epoch=state.group_epoch,
@@ -33,6 +34,8 @@
         ),
         group_term=node.term,
         live_instances=tuple(sorted(live_instances)),
+        voters=tuple(each.instance for each in voters),
+        voter_incarnations=tuple(each.incarnation for each in voters),
     )
 
 
--- a/packages/daemon/tests/zone/test_joins.py
+++ b/packages/daemon/tests/zone/test_joins.py
@@ -55,6 +55,28 @@
     await world.wait(lambda: world.all_local(world.members["i2"]))
 
 
+@pytest.mark.looptime(noop_cycles=0)
+async def test_beats_state_the_voters(make_world):
+    """Guards against a group founded beside one that still has a quorum."""
+    world = make_world()
+    world.control.add_contract("a", "shop", 16)
+    await start_zone(world, 6)
+
+    def is_stated(expected):
+        beat = world.control.beats[-1]
+        stated = zip(beat.voters, beat.voter_incarnations, strict=True)
+        return sorted(stated) == expected
+
+    first = [(f"i{number}", 1) for number in range(5)]
+    await world.wait(lambda: is_stated(first))
+    await world.kill_member("i2")
+    await world.wait(lambda: is_stated([*first[:2], *first[3:], ("i5", 1)]))
+    await world.kill_member("i1")
+    await world.add_member("i1", 2)
+    after = [("i0", 1), ("i1", 2), ("i3", 1), ("i4", 1), ("i5", 1)]
+    await world.wait(lambda: is_stated(after))
+
+
 @pytest.mark.looptime(noop_cycles=0)
 async def test_leader_lost(make_world):
     """Guards against a zone that forgets its shards with its leader."""
