Replay recorded traces: one owner, survival of losses, consensus

Cause: the points that must hold had tests for engineers only, none that an operator can read. Change: features replay traces of timed steps against the zone group and the consensus group on virtual time; players give the steps, few and general.

--- /dev/null
+++ b/packages/daemon/tests/features/players/zone.py
@@ -0,0 +1,251 @@
+"""Plays traces on a zone group with a stand-in of control and upstreams."""
+
+import asyncio
+import pathlib
+import random
+
+from returns.result import Success
+
+from bamboosill_common import requestid
+from bamboosill_common.generated import zone as messages
+from bamboosilld.zone import membership
+
+TESTS = pathlib.Path(__file__).parents[2]
+# Bound on new work for an upstream that is leaving.
+LEAVING_S = 3.0
+SETTLED_S = 4.0
+
+
+class Player:
+    """One zone; `leader` and `follower` name instances by their role."""
+
+    virtual = True
+
+    def __init__(self, load_module):
+        self.harness = load_module(TESTS / "zone" / "conftest.py")
+        self.answers = []
+        self.served = []
+        self.ids = {}
+        self.effects = {}
+        self.leaving_s = {}
+        self.marked = {}
+        self.checks = {
+            "each key had one owner at any time": self.check_owner,
+            "keys moved": self.check_moved,
+            "no key moved": self.check_unmoved,
+            "each order ran at most once": self.check_orders,
+            "a leaving upstream got no new work after 3 s": self.check_leaving,
+            "no request was interrupted": self.check_interrupted,
+        }
+
+    async def start(
+        self,
+        instances=3,
+        upstreams=("u", "v"),
+        checks_fences=True,
+        zone_loss="hold",
+        shards=16,
+        seed=1,
+    ):
+        self.world = self.make_world(seed)
+        self.world.control.add_contract("a", "shop", shards, zone_loss)
+        for name in upstreams:
+            self.world.add_upstream(name, 1, checks_fences)
+        for number in range(instances):
+            await self.world.add_member(f"i{number}")
+        await self.settle()
+        await asyncio.sleep(SETTLED_S)
+        self.mark()
+
+    def make_world(self, seed):
+        return self.harness.World(membership.make_node, seed=seed)
+
+    async def stop(self):
+        for member in self.world.members.values():
+            await member.stop()
+        for upstream in self.world.upstreams.values():
+            upstream.die()
+
+    async def settle(self, limit_s=60):
+        members = self.world.members
+        await self.world.wait(
+            lambda: all(self.world.all_local(m) for m in members.values()),
+            limit_s,
+        )
+
+    def mark(self):
+        leader = self.world.members[self.find("leader")]
+        self.marked = self.world.find_owners(leader, "a")
+
+    def find(self, name):
+        """Returns the name of an instance, given by name or role."""
+        if name not in ("leader", "follower"):
+            return name
+        leads = {
+            each: member._membership.node is not None
+            and member._membership.node.has_leader_lease()
+            for each, member in sorted(self.world.members.items())
+        }
+        return next(
+            each for each, it in leads.items() if it == (name == "leader")
+        )
+
+    def find_upstream(self, name):
+        return next(
+            each
+            for each in reversed(self.world.upstreams.values())
+            if each.id == name
+        )
+
+    # Steps.
+
+    async def do_request(self, by, key, duration_s=0.01):
+        member = self.world.members[self.find(by)]
+        route = member.route("a", "shop", key)
+        begin_s = self.world.now()
+        answer = await self.world.request(member, key, duration_s)
+        self.answers.append(answer)
+        if answer in ("done", "timeout"):
+            self.served.append((route.upstream.id, begin_s))
+        return answer
+
+    async def do_load(self, by, for_s, every_s=0.025, keys=60):
+        """Sends requests of random length for random keys."""
+        rng, tasks = self.world.rng, []
+        end_s = self.world.now() + for_s
+        while self.world.now() < end_s:
+            if by in self.world.members:
+                key = f"key{rng.randrange(keys)}"
+                duration_s = rng.choice([0.005, 0.05, 0.4, 1.5])
+                tasks.append(
+                    asyncio.create_task(self.do_request(by, key, duration_s))
+                )
+            await asyncio.sleep(every_s)
+        await asyncio.gather(*tasks)
+
+    async def do_pause(self, who, for_s):
+        """Stops a process, as SIGSTOP does, and resumes it."""
+        name = self.find(who)
+        process = self.world.processes.get(name) or self.find_upstream(name)
+        process.clock.pause()
+        await asyncio.sleep(for_s)
+        process.clock.resume()
+
+    async def do_isolate(self, who, for_s):
+        """Cuts a process off from all others silently."""
+        self.world.network.isolate(self.find(who))
+        await asyncio.sleep(for_s)
+        self.world.network.heal()
+
+    async def do_restart_instance(self, who, after_s):
+        name = self.find(who)
+        incarnation = self.world.processes[name].identity.incarnation
+        await self.world.kill_member(name)
+        await asyncio.sleep(after_s)
+        await self.world.add_member(name, incarnation + 1)
+
+    async def do_restart_upstream(self, who, after_s):
+        old = self.find_upstream(who)
+        old.die()
+        await asyncio.sleep(after_s)
+        self.world.add_upstream(who, old.incarnation + 1, old.checks_fences)
+
+    async def do_drain(self, who):
+        self.find_upstream(who).state = "draining"
+        self.leaving_s[who] = self.world.now()
+
+    async def do_settle(self, limit_s=60):
+        await self.settle(limit_s)
+
+    async def do_owners(self):
+        """Returns the upstreams that own keys."""
+        member = self.world.members[self.find("leader")]
+        return sorted(set(self.world.find_owners(member, "a").values()))
+
+    async def do_announced(self, who):
+        return self.find_upstream(who).announced
+
+    async def do_order(self, by, number, key, duration_s=0.01, age_s=0.0):
+        """Sends a non-repeatable request as an entry instance does."""
+        name = self.find(by)
+        member, clock = self.world.members[name], self.world.processes[name]
+        wall_ms = clock.clock.wall_ms()
+        if number not in self.ids:
+            self.ids[number] = requestid.make_request_id(
+                wall_ms - int(age_s * 1000), random.Random(number)
+            )
+        begin = messages.BeginRequest(
+            id=self.ids[number],
+            customer="a",
+            fingerprint=b"f",
+            keyspace="shop/hold/all",
+            shard=member.route("a", "shop", key).shard,
+            instance=name,
+            incarnation=clock.identity.incarnation,
+            now_ms=wall_ms,
+        )
+        result = await member.propose(begin, 5.0)
+        if not isinstance(result, Success):
+            return result.failure().code
+        if result.unwrap().status != "new":
+            return result.unwrap().status
+        answer = await self.world.request(member, key, duration_s)
+        if answer == "done":
+            self.effects[number] = self.effects.get(number, 0) + 1
+        if name not in self.world.members or not clock.alive:
+            return "caller got nothing"
+        finish = messages.FinishRequest(
+            id=self.ids[number],
+            customer="a",
+            status=200,
+            outcome="answer" if answer == "done" else "unknown",
+        )
+        await member.propose(finish, 5.0)
+        return answer
+
+    async def do_report_crash(self, by, upstream, incarnation, requests):
+        member = self.world.members[self.find(by)]
+        clock = self.world.processes[member.name].clock
+        report = messages.ReportCrash(
+            upstream,
+            incarnation,
+            tuple(each.encode() for each in requests),
+            clock.wall_ms(),
+        )
+        return isinstance(await member.propose(report, 2.0), Success)
+
+    async def do_quarantined(self, request):
+        """Returns the instances that would refuse a request."""
+        return [
+            name
+            for name, member in sorted(self.world.members.items())
+            if member.find_quarantine(request.encode())
+        ]
+
+    # What holds for the whole replay.
+
+    def check_owner(self):
+        self.world.check_single_owner()
+
+    def check_moved(self):
+        assert len({run.fence for run in self.world.runs}) > 3
+
+    def check_unmoved(self):
+        before = self.marked
+        self.mark()
+        assert before == self.marked
+
+    def check_orders(self):
+        assert self.effects, "no order ran"
+        assert max(self.effects.values()) == 1
+
+    def check_leaving(self):
+        assert self.leaving_s, "no upstream left"
+        for upstream, left_s in self.leaving_s.items():
+            mine = [at_s for name, at_s in self.served if name == upstream]
+            assert mine, "the upstream was never used"
+            assert max(mine) <= left_s + LEAVING_S
+
+    def check_interrupted(self):
+        assert self.answers.count("done") > 10
+        assert "timeout" not in self.answers
--- /dev/null
+++ b/packages/daemon/tests/features/test_features.py
@@ -0,0 +1,5 @@
+"""Runs all features beside this file."""
+
+import pytest_bdd
+
+pytest_bdd.scenarios("daemon/tests/features")
