--- a/packages/daemon/tests/features/one_owner.feature
+++ b/packages/daemon/tests/features/one_owner.feature
@@ -10,3 +10,12 @@
     Then it holds that each key had one owner at any time
     And it holds that keys moved
     And each step has its stated outcome
+
+  # Guards against instances that resume after a pause and write requests by
+  # assignments that ended meanwhile, to upstreams that check nothing.
+  Scenario: Instances pause while keys move between upstreams without fences
+    Given the recorded trace "one_owner_unfenced"
+    When it is replayed
+    Then each step has its stated outcome
+    And it holds that each key had one owner at any time
+    And it holds that keys moved
--- a/packages/daemon/tests/features/players/zone.py
+++ b/packages/daemon/tests/features/players/zone.py
@@ -9,6 +9,7 @@
 from bamboosill_common import requestid
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import membership
+from bamboosilld.zone import renewal
 
 TESTS = pathlib.Path(__file__).parents[2]
 # Bound on new work for an upstream that is leaving.
@@ -29,6 +30,8 @@
         self.effects = {}
         self.leaving_s = {}
         self.marked = {}
+        self.lies = {}
+        self.deceived = set()
         self.checks = {
             "each key had one owner at any time": self.check_owner,
             "keys moved": self.check_moved,
@@ -236,6 +239,40 @@
             if member.find_quarantine(request.encode())
         ]
 
+    async def do_figures(self, by, in_flight, rate_per_s):
+        """Lets an instance report the same load of all upstreams and shards."""
+        names = sorted({each.id for each in self.world.upstreams.values()})
+        shards = sorted(self.list_owners())
+        views = tuple(
+            messages.UpstreamView(name, in_flight, 10.0, completions=1)
+            for name in names
+        )
+        loads = tuple(
+            messages.ShardLoad("shop/hold/all", shard, rate_per_s)
+            for shard in shards
+        )
+        report = renewal.Report(upstreams=views, shard_load=loads)
+        self.world.members[by].set_reporter(lambda: report)
+
+    async def do_lie(self, who, in_flight):
+        """Lets an upstream report a false number of requests from now on."""
+        self.lies[who] = in_flight
+        for member in self.world.members.values():
+            if member.name not in self.deceived:
+                self.deceived.add(member.name)
+                member.beat_upstream = self.deceive(member.beat_upstream)
+
+    def deceive(self, send):
+        async def send_lie(beat):
+            told = self.lies.get(beat.id, beat.in_flight)
+            return await send(beat._replace(in_flight=told))
+
+        return send_lie
+
+    async def do_keeps(self, who, least):
+        """Returns whether an upstream owns at least so many shards."""
+        return list(self.list_owners().values()).count(who) >= least
+
     # What holds for the whole replay.
 
     def check_owner(self):
