--- a/packages/daemon/tests/features/players/control.py
+++ b/packages/daemon/tests/features/players/control.py
@@ -274,7 +274,8 @@
                 assert found >= rate, (name, customer)
 
     def check_storm(self):
-        rate = sum(
+        # Only keys of one mode move, so the rate of one keyspace counts.
+        rate = max(
             delegation.compute_release_rate(each.shards)
             for each in self.group.state.tables.keyspaces.values()
         )
