--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -223,7 +223,11 @@
                 inbound.method == "HEAD",
                 timing,
             )
-            ended = await self._settle(result, upstream, pool, attempt)
+            if isinstance(result, Failure) and not connection.received:
+                # Whatever lost track of this connection may have lost the
+                # idle ones too.
+                pool.discard_idle()
+            ended = await self._settle(result, upstream, attempt)
             complete = True
             return ended
         finally:
@@ -235,13 +239,10 @@
         self,
         result: Result[exchange.Answer, faults.Fault],
         upstream: zone_messages.Upstream,
-        pool: pools_lib.Pool,
         attempt: Attempt,
     ) -> Result[None, Ended]:
         if isinstance(result, Failure):
             fault = result.failure()
-            if fault.code == "silent":
-                pool.discard_idle()
             if fault.code in ("broken", "truncated"):
                 await self._crashes.inquire(upstream)
             return Failure(fault)
