--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measures how memory, bytes and processor time grow with size."""
