--- a/packages/daemon/src/bamboosilld/control/tables.py
+++ b/packages/daemon/src/bamboosilld/control/tables.py
@@ -1,5 +1,6 @@
 """The replicated data of the control group."""
 
+import collections
 import math
 from typing import Any
 
@@ -34,6 +35,9 @@
         # Derived from the contracts in force.
         self.parsed: dict[str, contract_lib.Contract] = {}
         self.customers: dict[str, set[str]] = {}
+        # How many services of each keyspace have the same weights. Keeps an
+        # accepted contract from visiting all others.
+        self._weights: dict[str, collections.Counter[contract_lib.Weights]] = {}
 
     def list_items(self) -> list[Any]:
         """Returns all feed items."""
@@ -120,12 +124,18 @@
         for service in contract.services if contract else ():
             keyspaces[service.name] = service.format_keyspace()
             self.customers[keyspaces[service.name]].discard(customer)
+            counts = self._weights[keyspaces[service.name]]
+            counts[service.weights] -= 1
+            if not counts[service.weights]:
+                del counts[service.weights]
         return keyspaces
 
     def _add_customer(self, contract: contract_lib.Contract) -> None:
         for service in contract.services:
             keyspace = service.format_keyspace()
             self.customers.setdefault(keyspace, set()).add(contract.customer)
+            counts = self._weights.setdefault(keyspace, collections.Counter())
+            counts[service.weights] += 1
 
     def _put_home(
         self, customer: str, service: str, keyspace: str, index: int
@@ -156,17 +166,15 @@
     def _update_weights(self, keyspace: str, index: int) -> None:
         """Sets the weights to the mean over the contracts in force."""
         known = self.keyspaces[keyspace]
-        weights = [
-            service.weights
-            for customer in sorted(self.customers.get(keyspace, ()))
-            for service in self.parsed[customer].services
-            if service.format_keyspace() == keyspace
-        ]
-        if not weights:
+        counts = self._weights.get(keyspace)
+        if not counts:
             return
         means = [
-            math.fsum(column) / len(weights)
-            for column in zip(*weights, strict=True)
+            math.fsum(
+                weights[column] * count for weights, count in counts.items()
+            )
+            / counts.total()
+            for column in range(len(contract_lib.Weights._fields))
         ]
         changed = known._replace(
             unavailability_weight=means[0],
--- a/packages/daemon/tests/control/test_state.py
+++ b/packages/daemon/tests/control/test_state.py
@@ -87,6 +87,37 @@
     return built
 
 
+def accept_weighted(customer, churn, base=0):
+    contract = contract_lib.parse(make_document(customer)).unwrap()
+    service = contract.services[0]._replace(
+        weights=contract_lib.Weights(1.0, churn, 1.0)
+    )
+    document = contract_lib.normalise(contract._replace(services=(service,)))
+    return accept(customer, base)._replace(document=document)
+
+
+def test_weights_are_the_mean_of_contracts_in_force(log):
+    """Guards against weights that keep a changed or retired contract."""
+
+    def get_churn():
+        return log.state.tables.keyspaces[KEYSPACE].churn_weight
+
+    assert log.apply(accept_weighted("a", 1.0)).ok
+    assert log.apply(accept_weighted("b", 4.0)).ok
+    assert get_churn() == 2.5
+    changed = log.apply(accept_weighted("a", 2.0, base=1))
+    assert get_churn() == 3.0
+    retire = messages.RetireContract(
+        customer="a", base_revision=changed.revision
+    )
+    assert log.apply(retire).ok
+    assert get_churn() == 4.0
+    restored = state_lib.ControlState()
+    restored.restore(log.state.snapshot())
+    assert restored.apply(9, wire.pack(accept_weighted("c", 2.0))).ok
+    assert restored.tables.keyspaces[KEYSPACE].churn_weight == 3.0
+
+
 def test_racing_changes(log):
     """Guards against a change that silently undoes another operator's."""
     first = log.apply(accept(rate=1))
--- a/packages/dev/src/bamboosill_dev/slopes/subjects.py
+++ b/packages/dev/src/bamboosill_dev/slopes/subjects.py
@@ -1,6 +1,7 @@
 """What is measured: state machines and messages of a given size."""
 
 from collections.abc import Callable
+import functools
 import pathlib
 import random
 from typing import Any
@@ -91,9 +92,14 @@
     return wire.pack(zone_messages.ApplyFeed(revision, False, packed))
 
 
+@functools.cache
+def _parse_example() -> contract_lib.Contract:
+    return contract_lib.parse(_EXAMPLE.read_text()).unwrap()
+
+
 def _make_document(customer: str) -> str:
-    contract = contract_lib.parse(_EXAMPLE.read_text()).unwrap()
-    return contract_lib.normalise(contract._replace(customer=customer))
+    contract = _parse_example()._replace(customer=customer)
+    return contract_lib.normalise(contract)
 
 
 def _make_delegations(count: int) -> Commands:
@@ -164,7 +170,7 @@
     ]
 
 
-@register_state("zone: contract", _make_zone, 250, 1000, 4000)
+@register_state("zone: contract", _make_zone, 50, 200, 800)
 def make_contracts(count: int) -> Commands:
     """Returns commands that put contracts in force in a zone."""
     return [
@@ -213,9 +219,9 @@
 @register_state(
     "zone: request record",
     _make_zone,
+    500,
     2000,
     8000,
-    32000,
     prepare=lambda count: _make_delegations(BLOCK),
 )
 def make_records(count: int) -> Commands:
@@ -254,9 +260,7 @@
     return commands
 
 
-@register_state(
-    "control: contract", control_state.ControlState, 250, 1000, 4000
-)
+@register_state("control: contract", control_state.ControlState, 50, 200, 800)
 def make_accepted(count: int) -> Commands:
     """Returns commands that accept contracts."""
     return [
