Name all pages and measuring commands; read stored contracts in a test

Cause: the README listed six of sixteen pages; the test of mean weights parsed a stored document as an operator's file and failed. Change: README, Makefile (report, measure-hop, slopes), read_stored in the test. Tested: the test passes, and fails when a changed contract keeps its count.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: install generate format lint test demo faults bench report
+.PHONY: install generate format lint test demo faults bench report measure-hop slopes
 
 $(VENV)/installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -45,4 +45,14 @@
 	$(BIN)/python -m bamboosill_dev.faults --seed $(SEED)
 
 bench: install
-	$(BIN)/python -m bamboosill_dev.bench --seed $(SEED)
+	mkdir -p out
+	$(BIN)/python -m bamboosill_dev.bench --seed $(SEED) | tee out/bench.txt
+
+report: install
+	$(BIN)/python -m bamboosill_dev.report out/bench.txt out/bench.html
+
+measure-hop: install
+	$(BIN)/python -m bamboosill_dev.load hop
+
+slopes: install
+	$(BIN)/python -m bamboosill_dev.slopes
--- a/packages/daemon/tests/control/test_state.py
+++ b/packages/daemon/tests/control/test_state.py
@@ -88,7 +88,7 @@
 
 
 def accept_weighted(customer, churn, base=0):
-    contract = contract_lib.parse(make_document(customer)).unwrap()
+    contract = contract_lib.read_stored(make_document(customer))
     service = contract.services[0]._replace(
         weights=contract_lib.Weights(1.0, churn, 1.0)
     )
