Share the consensus node's interface and the making of callers

Cause: the interface of the consensus node stood in control/ports.py and in zone/group.py, and the demonstration and the fault runs made callers alike. Change: consensus.interfaces.Node; Cluster.make_callers; Process.pid in place of a private attribute in the load tool. Behaviour is unchanged.

--- a/packages/daemon/src/bamboosilld/consensus/interfaces.py
+++ b/packages/daemon/src/bamboosilld/consensus/interfaces.py
@@ -1,5 +1,6 @@
 """What a consensus node needs from its surroundings."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
@@ -112,3 +113,75 @@
         deadline_s: float,
     ) -> Result[Reply, errors.PeerError]:
         """Sends a request and returns the reply, within the deadline."""
+
+
+class Node(Protocol):
+    """A member of a consensus group."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads the group."""
+
+    @property
+    def leader(self) -> messages.Member | None:
+        """The leader as far as known."""
+
+    @property
+    def elected_at_s(self) -> float:
+        """When this member was elected, on its monotonic clock."""
+
+    @property
+    def membership(self) -> messages.Membership:
+        """The members of the group."""
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the last committed entry known."""
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last applied entry."""
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+
+    def has_leader_lease(self) -> bool:
+        """Returns whether no other member can lead now."""
+
+    def get_silence_s(self, member: messages.Member) -> float:
+        """Returns the seconds since the member last answered."""
+
+    def add_leadership_listener(self, listener: Callable[[bool], None]) -> None:
+        """Calls `listener` when this member begins or ends to lead."""
+
+    async def start(self) -> None:
+        """Starts the member's tasks."""
+
+    async def stop(self) -> None:
+        """Stops the member's tasks."""
+
+    async def propose(
+        self, command: bytes, deadline_s: float
+    ) -> Result[Any, errors.ProposeError]:
+        """Commits a command and returns `Applied`."""
+
+    async def read_barrier(
+        self, deadline_s: float
+    ) -> Result[Any, errors.ProposeError]:
+        """Waits until all that was acknowledged before is applied here."""
+
+    async def add_learner(
+        self, member: messages.Member, deadline_s: float
+    ) -> Result[Any, errors.ProposeError]:
+        """Adds a member without a vote."""
+
+    async def promote(
+        self, member: messages.Member, deadline_s: float
+    ) -> Result[Any, errors.ProposeError]:
+        """Gives a learner a vote."""
+
+    async def remove(
+        self, member: messages.Member, deadline_s: float
+    ) -> Result[Any, errors.ProposeError]:
+        """Removes a member."""
--- a/packages/daemon/src/bamboosilld/control/service.py
+++ b/packages/daemon/src/bamboosilld/control/service.py
@@ -15,10 +15,10 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import control as messages
 from bamboosill_common.generated import peer as peer_messages
+from bamboosilld.consensus import interfaces
 from bamboosilld.control import commands
 from bamboosilld.control import delegator as delegator_lib
 from bamboosilld.control import founder as founder_lib
-from bamboosilld.control import ports
 from bamboosilld.control import settlement as settlement_lib
 from bamboosilld.control import state as state_lib
 from bamboosilld.control import timing
@@ -34,7 +34,7 @@
 
     def __init__(
         self,
-        node: ports.Node,
+        node: interfaces.Node,
         state: state_lib.ControlState,
         clock: clock_lib.Clock,
         timeline: events_lib.Timeline,
--- a/packages/daemon/src/bamboosilld/zone/authority.py
+++ b/packages/daemon/src/bamboosilld/zone/authority.py
@@ -16,6 +16,7 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
+from bamboosilld.consensus import interfaces
 from bamboosilld.zone import assignments
 from bamboosilld.zone import beats as beats_lib
 from bamboosilld.zone import contracts as contracts_lib
@@ -59,7 +60,7 @@
 
     identity: peer.Identity
     state: state_lib.ZoneState
-    node: group_lib.Node
+    node: interfaces.Node
     directory: peer.Directory
     clock: clock_lib.Clock
     timeline: events.Timeline
--- a/packages/daemon/src/bamboosilld/zone/joins.py
+++ b/packages/daemon/src/bamboosilld/zone/joins.py
@@ -4,7 +4,7 @@
 from bamboosill_common import logs
 from bamboosill_common.generated import consensus
 from bamboosill_common.generated import zone as messages
-from bamboosilld.zone import group as group_lib
+from bamboosilld.consensus import interfaces
 from bamboosilld.zone import times
 
 MAX_VOTERS = 5
@@ -20,7 +20,7 @@
 class Membership:
     """Adds, promotes and removes members."""
 
-    def __init__(self, node: group_lib.Node, clock: clock_lib.Clock) -> None:
+    def __init__(self, node: interfaces.Node, clock: clock_lib.Clock) -> None:
         self._node = node
         self._clock = clock
         self._applied: dict[tuple[str, int], int] = {}
--- a/packages/daemon/src/bamboosilld/zone/membership.py
+++ b/packages/daemon/src/bamboosilld/zone/membership.py
@@ -19,6 +19,7 @@
 from bamboosill_common.generated import zone as messages
 from bamboosilld.consensus import core as consensus_core
 from bamboosilld.consensus import groups as consensus_groups
+from bamboosilld.consensus import interfaces
 from bamboosilld.consensus import node as consensus_node
 from bamboosilld.storage import memory
 from bamboosilld.zone import group as group_lib
@@ -47,7 +48,7 @@
     timeline: events.Timeline
 
 
-MakeNode = Callable[[NodeSpec], group_lib.Node]
+MakeNode = Callable[[NodeSpec], interfaces.Node]
 
 
 class Parts(NamedTuple):
@@ -62,7 +63,7 @@
     timeline: events.Timeline
     registrar: registration.Registrar
     make_node: MakeNode
-    on_enter: Callable[[state_lib.ZoneState, group_lib.Node], None]
+    on_enter: Callable[[state_lib.ZoneState, interfaces.Node], None]
 
 
 class Membership:
@@ -78,7 +79,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self.state: state_lib.ZoneState | None = None
-        self.node: group_lib.Node | None = None
+        self.node: interfaces.Node | None = None
         self.member = consensus.Member()
         self.group = ""
         self._founded: set[int] = set()
@@ -222,7 +223,7 @@
         return None
 
 
-def make_node(spec: NodeSpec) -> group_lib.Node:
+def make_node(spec: NodeSpec) -> interfaces.Node:
     """Returns a consensus node without a disk."""
     return consensus_node.Node(
         consensus_core.GroupConfig(spec.group, spec.member, spec.bootstrap),
--- a/packages/daemon/src/bamboosilld/zone/optional.py
+++ b/packages/daemon/src/bamboosilld/zone/optional.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
+from bamboosilld.consensus import interfaces
 from bamboosilld.placement import load as load_lib
 from bamboosilld.zone import assignments
-from bamboosilld.zone import group as group_lib
 from bamboosilld.zone import leases as leases_lib
 from bamboosilld.zone import state as state_lib
 from bamboosilld.zone import times
@@ -32,7 +32,7 @@
     def __init__(
         self,
         state: state_lib.ZoneState,
-        node: group_lib.Node,
+        node: interfaces.Node,
         serve_leases: leases_lib.ServeLeases,
         get_longest_deadline_s: Callable[[str], float],
         elected_at_s: float,
--- a/packages/daemon/src/bamboosilld/zone/summary.py
+++ b/packages/daemon/src/bamboosilld/zone/summary.py
@@ -5,7 +5,7 @@
 
 from bamboosill_common import peer
 from bamboosill_common.generated import control
-from bamboosilld.zone import group as group_lib
+from bamboosilld.consensus import interfaces
 from bamboosilld.zone import planner as planner_lib
 from bamboosilld.zone import state as state_lib
 from bamboosilld.zone import times
@@ -14,7 +14,7 @@
 def make_beat(
     identity: peer.Identity,
     state: state_lib.ZoneState,
-    node: group_lib.Node,
+    node: interfaces.Node,
     live_instances: Iterable[str],
     planner: planner_lib.Planner,
     get_longest_deadline_s: Callable[[str], float],
--- a/packages/dev/src/bamboosill_dev/cluster.py
+++ b/packages/dev/src/bamboosill_dev/cluster.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import signal
 import sys
@@ -18,6 +19,10 @@
 
 import aiohttp
 
+from bamboosill_common import auth
+from bamboosill_common import clock as clock_lib
+from bamboosill_dev import caller as caller_lib
+
 PEER_PORT = 7100
 ADMIN_PORT = 7200
 CALLER_PORT = 7300
@@ -56,6 +61,11 @@
         self.name = name
         self._process = process
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
     @property
     def returncode(self) -> int | None:
         """Exit code, or None while the process runs."""
@@ -306,6 +316,26 @@
             raise RuntimeError(f"{' '.join(arguments)}: {output}")
         return json.loads(output)
 
+    def make_callers(
+        self, customers: Sequence[str], rng: random.Random
+    ) -> dict[str, caller_lib.Caller]:
+        """Returns a caller for each customer, through all entry instances."""
+        authenticator = auth.Authenticator(
+            str(self.key_file), clock_lib.SystemClock()
+        )
+        entries = [
+            self.get_caller_address(spec.name)
+            for spec in self.list_instances("entry")
+        ]
+        return {
+            customer: caller_lib.Caller(
+                lambda: rng.choice(entries),
+                random.Random(rng.getrandbits(32)),
+                token=authenticator.sign("caller", customer),
+            )
+            for customer in customers
+        }
+
     async def stop(self) -> None:
         """Ends all processes that were started here.
 
--- a/packages/dev/src/bamboosill_dev/demo.py
+++ b/packages/dev/src/bamboosill_dev/demo.py
@@ -21,8 +21,6 @@
 
 import tabulate
 
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
 from bamboosill_dev import caller as caller_lib
 from bamboosill_dev import cluster as cluster_lib
 
@@ -105,24 +103,9 @@
                 raise RuntimeError(f"contract of {customer} was not accepted")
         await cluster.wait_ready(list(cluster.instances), READY_TIMEOUT_S)
         self._say("All instances are ready.")
-        self._open_callers()
+        self._callers = self._cluster.make_callers(CUSTOMERS, self._rng)
         await self._wait_routed()
 
-    def _open_callers(self) -> None:
-        authenticator = auth.Authenticator(
-            str(self._cluster.key_file), clock_lib.SystemClock()
-        )
-        entries = [
-            self._cluster.get_caller_address(spec.name)
-            for spec in self._cluster.list_instances("entry")
-        ]
-        for customer in CUSTOMERS:
-            self._callers[customer] = caller_lib.Caller(
-                lambda: self._rng.choice(entries),
-                random.Random(self._rng.getrandbits(32)),
-                token=authenticator.sign("caller", customer),
-            )
-
     async def _wait_routed(self) -> None:
         """Waits until every customer's keys have owners."""
         async with asyncio.timeout(ROUTED_TIMEOUT_S):
--- a/packages/dev/src/bamboosill_dev/faults/run.py
+++ b/packages/dev/src/bamboosill_dev/faults/run.py
@@ -8,8 +8,6 @@
 from typing import Any
 from typing import NamedTuple
 
-from bamboosill_common import auth
-from bamboosill_common import clock as clock_lib
 from bamboosill_dev import caller as caller_lib
 from bamboosill_dev import cluster as cluster_lib
 from bamboosill_dev import relay as relay_lib
@@ -112,7 +110,7 @@
             if code:
                 raise RuntimeError(f"contract was not accepted: {output}")
         await cluster.wait_ready(list(cluster.instances), READY_TIMEOUT_S)
-        self._open_callers()
+        self._callers = self._cluster.make_callers(CUSTOMERS, self._rng)
         await self._wait_served()
 
     async def _start_relays(self) -> None:
@@ -130,21 +128,6 @@
                 self._relays.setdefault(name, []).append(relay)
             cluster.advertised[name] = advertised
 
-    def _open_callers(self) -> None:
-        authenticator = auth.Authenticator(
-            str(self._cluster.key_file), clock_lib.SystemClock()
-        )
-        entries = [
-            self._cluster.get_caller_address(spec.name)
-            for spec in self._cluster.list_instances("entry")
-        ]
-        for customer in CUSTOMERS:
-            self._callers[customer] = caller_lib.Caller(
-                lambda: self._rng.choice(entries),
-                random.Random(self._rng.getrandbits(32)),
-                token=authenticator.sign("caller", customer),
-            )
-
     async def _wait_served(self) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
             for customer, caller in self._callers.items():
--- a/packages/dev/src/bamboosill_dev/load/hop.py
+++ b/packages/dev/src/bamboosill_dev/load/hop.py
@@ -186,7 +186,7 @@
         )
 
     def _read_cpu_s(self) -> float:
-        pid = self._cluster.processes[_ENTRY]._process.pid
+        pid = self._cluster.processes[_ENTRY].pid
         text = pathlib.Path(f"/proc/{pid}/stat").read_text()
         # The name in parentheses may hold spaces; user and system time are
         # the 14th and 15th field.
