--- a/packages/common/src/bamboosill_common/schema/zone.capnp
+++ b/packages/common/src/bamboosill_common/schema/zone.capnp
@@ -269,6 +269,7 @@
   demand @6 :List(Demand);
   upstreams @7 :List(UpstreamView);
   shardLoad @8 :List(ShardLoad);
+  sameLoad @9 :Bool;
 }
 
 struct LeaseReply {
--- a/packages/daemon/src/bamboosilld/zone/leases.py
+++ b/packages/daemon/src/bamboosilld/zone/leases.py
@@ -49,6 +49,13 @@
         """Stores the report of an instance."""
         key = HolderKey(message.instance, message.incarnation)
         holder = self._holders.setdefault(key, Holder())
+        if message.same_load:
+            known = holder.report
+            message = message._replace(
+                demand=known.demand,
+                upstreams=known.upstreams,
+                shard_load=known.shard_load,
+            )
         holder.report = message
         holder.drained = {
             assignments.AssignmentKey(
--- a/packages/daemon/src/bamboosilld/zone/renewal.py
+++ b/packages/daemon/src/bamboosilld/zone/renewal.py
@@ -21,6 +21,9 @@
 from bamboosilld.zone import times
 
 RETRY_S = 0.1
+# Load is reported less often than the lease is renewed: making and encoding a
+# report costs milliseconds, and rates over a few milliseconds say nothing.
+REPORT_INTERVAL_S = 1.0
 _CALL_S = 0.25
 # Renewals caused by moves and ended requests come at most this often.
 _SHORTEST_S = 0.01
@@ -66,6 +69,7 @@
         self._call_leader = call_leader
         self._holder = holder_lib.LeaseHolder()
         self._kick = asyncio.Event()
+        self._report_due_s = float("-inf")
         self.reporter: Callable[[], Report] = Report
         self.on_lease: Callable[[Any, bool], None] = lambda shares, new: None
         self.clock_skew_ms = 0
@@ -74,6 +78,7 @@
     def reset(self) -> None:
         """Forgets the lease of a group that was left."""
         self._holder = holder_lib.LeaseHolder()
+        self._report_due_s = float("-inf")
 
     def renew_now(self) -> None:
         """Sends the next renewal without waiting."""
@@ -128,6 +133,8 @@
         match result:
             case Success(reply) if reply.granted:
                 self._accept(reply, sent_s)
+                if not message.same_load:
+                    self._report_due_s = sent_s + REPORT_INTERVAL_S
                 return "ok"
             case Success(_):
                 return "not_leader"
@@ -144,14 +151,18 @@
         )
         metrics.zone_records.set(len(state.records))
         metrics.zone_quarantined.set(len(state.quarantine))
-        report = self.reporter()
-        return messages.RenewLease(
+        renewal = messages.RenewLease(
             group=self._membership.group,
             instance=self._membership.member.instance,
             incarnation=self._membership.member.incarnation,
             applied_index=node.applied_index,
             drained=drained,
             in_flight=in_flight,
+        )
+        if now_s < self._report_due_s:
+            return renewal._replace(same_load=True)
+        report = self.reporter()
+        return renewal._replace(
             demand=tuple(report.demand),
             upstreams=tuple(report.upstreams),
             shard_load=tuple(report.shard_load),
