Count only usable upstreams in the beats of a zone

Draining and lost upstreams counted as slots until they were dropped, so control delegated shards for them.

Tested: test_beats_count_usable_slots; both cases seen failing without the change.

--- a/packages/daemon/src/bamboosilld/zone/authority.py
+++ b/packages/daemon/src/bamboosilld/zone/authority.py
@@ -326,16 +326,15 @@
         await self._registry.drop_lost()
 
     async def _beat(self) -> None:
+        now_s = self._clock.monotonic()
         beat = summary.make_beat(
             self._parts.identity,
             self._state,
             self._node,
-            [
-                key.instance
-                for key in self._serve_leases.list_live(self._clock.monotonic())
-            ],
+            [key.instance for key in self._serve_leases.list_live(now_s)],
             self._planner,
             self._facts.get_longest_deadline_s,
+            now_s,
         )
         reply = await self._link.send(beat)
         if reply is not None:
--- a/packages/daemon/src/bamboosilld/zone/planner.py
+++ b/packages/daemon/src/bamboosilld/zone/planner.py
@@ -94,6 +94,14 @@
         ]
         return calm or live
 
+    def list_able(self, service: str, now_s: float) -> list[messages.Upstream]:
+        """Returns the upstreams of a service that may receive shards."""
+        return [
+            each
+            for each in self.list_targets(service, now_s)
+            if each.state != policy_lib.DRAINING
+        ]
+
     def _update_rates(self, now_s: float) -> dict[hotkeys.KeyId, float]:
         holders = self._serve_leases.list_live(now_s).values()
         reports = [holder.report.shard_load for holder in holders]
@@ -125,7 +133,7 @@
             for item in keyspaces
             for view_key in self._list_keys(item.keyspace, hot)
         }
-        able = [u for u in upstreams if u.state != policy_lib.DRAINING]
+        able = self.list_able(service, now_s)
         if not able:
             return self._abandon(views, upstreams)
         view = policy_lib.PlacementView(
--- a/packages/daemon/src/bamboosilld/zone/summary.py
+++ b/packages/daemon/src/bamboosilld/zone/summary.py
@@ -18,6 +18,7 @@
     live_instances: Iterable[str],
     planner: planner_lib.Planner,
     get_longest_deadline_s: Callable[[str], float],
+    now_s: float,
 ) -> control.ZoneBeat:
     """Returns the beat that describes the zone now."""
     voters = [each for each in node.membership.members if each.voter]
@@ -27,7 +28,7 @@
         leader=identity.instance,
         leader_incarnation=identity.incarnation,
         applied_revision=state.feed.revision,
-        services=_list_services(state, planner, get_longest_deadline_s),
+        services=_list_services(state, planner, get_longest_deadline_s, now_s),
         released=tuple(
             control.ShardRelease(*place, *release)
             for place, release in sorted(state.released.items())
@@ -43,6 +44,7 @@
     state: state_lib.ZoneState,
     planner: planner_lib.Planner,
     get_longest_deadline_s: Callable[[str], float],
+    now_s: float,
 ) -> tuple[control.ServiceLoad, ...]:
     deadlines: dict[str, float] = {}
     for keyspace, item in state.feed.keyspaces.items():
@@ -62,10 +64,13 @@
         load = loads.get(service, control.ServiceLoad(service))
         effective = planner.effective.get(upstream.id)
         loads[service] = load._replace(
-            slots=load.slots + upstream.slots,
-            upstreams=load.upstreams + 1,
             load=load.load + (effective.load if effective else 0.0),
         )
+    for service, load in loads.items():
+        able = planner.list_able(service, now_s)
+        loads[service] = load._replace(
+            slots=sum(each.slots for each in able), upstreams=len(able)
+        )
     for service in unfenced:
         load = loads.get(service, control.ServiceLoad(service))
         longest_s = deadlines.get(service, times.DEFAULT_LONGEST_DEADLINE_S)
--- a/packages/daemon/tests/zone/test_moves.py
+++ b/packages/daemon/tests/zone/test_moves.py
@@ -488,3 +488,23 @@
     count = count_moves(world)
     began_s = await world.wait(lambda: count_moves(world) > count, 90.0)
     assert began_s - elected_s >= optional.AVERAGING_S
+
+
+@pytest.mark.parametrize("event", ["draining", "lost"])
+@pytest.mark.looptime(noop_cycles=0)
+async def test_beats_count_usable_slots(make_world, event):
+    """Guards against shards delegated for upstreams that take none."""
+    world = await make_zone(make_world)
+    assert world.control.beats[-1].services[0].slots == 16
+    if event == "draining":
+        await leave(world, "u")
+    else:
+        get_upstream(world, "u").die()
+    began_s = world.now()
+    stated_s = await world.wait(
+        lambda: world.control.beats[-1].services[0].slots == 8
+    )
+    assert world.control.beats[-1].services[0].upstreams == 1
+    assert stated_s - began_s < 2.5
+    # Its entry in the table of upstreams stays longer.
+    assert get_state(world).upstreams.find("u") is not None
