Use the real Applied in the fakes of two test harnesses

Cause: admin's and control's test harnesses each defined the same record again. No check is changed.

--- a/packages/daemon/tests/admin/conftest.py
+++ b/packages/daemon/tests/admin/conftest.py
@@ -2,7 +2,6 @@
 
 import json
 from typing import Any
-from typing import NamedTuple
 
 import aiohttp
 from aiohttp import test_utils
@@ -20,20 +19,13 @@
 from bamboosill_common.generated import zone as zone_messages
 from bamboosilld.admin import app as app_lib
 from bamboosilld.admin import ports
+from bamboosilld.consensus import core
 from bamboosilld.control import service as service_lib
 from bamboosilld.control import state as state_lib
 
 LEADER = consensus.Member("c1", 0, "127.0.0.1:1", True)
 
 
-class Applied(NamedTuple):
-    """What proposing gives."""
-
-    index: int
-    term: int
-    value: Any
-
-
 class FakeNode:
     """Applies each command at once; `failure` makes all calls fail."""
 
@@ -56,7 +48,7 @@
             return Failure(self.failure)
         self.index += 1
         value = self.state.apply(self.index, command)
-        return Success(Applied(self.index, 1, value))
+        return Success(core.Applied(self.index, 1, value))
 
     async def read_barrier(self, deadline_s: float) -> Any:
         """Succeeds unless a failure is set."""
--- a/packages/daemon/tests/control/conftest.py
+++ b/packages/daemon/tests/control/conftest.py
@@ -1,7 +1,6 @@
 """A single-member control group and zones for tests."""
 
 from typing import Any
-from typing import NamedTuple
 
 import pytest
 from returns.result import Failure
@@ -16,20 +15,13 @@
 from bamboosill_common.generated import consensus
 from bamboosill_common.generated import control as messages
 from bamboosill_common.generated import peer as peer_messages
+from bamboosilld.consensus import core
 from bamboosilld.control import delegation
 from bamboosilld.control import service as service_lib
 from bamboosilld.control import state as state_lib
 from bamboosilld.control import timing
 
 
-class Applied(NamedTuple):
-    """What proposing gives."""
-
-    index: int
-    term: int
-    value: Any
-
-
 class FakeNode:
     """Applies each command at once."""
 
@@ -56,7 +48,7 @@
             return Failure(self.failure)
         self.index += 1
         return Success(
-            Applied(self.index, 1, self.state.apply(self.index, command))
+            core.Applied(self.index, 1, self.state.apply(self.index, command))
         )
 
     async def read_barrier(self, deadline_s: float) -> Any:
