Run on the platform: replicated fleet state, key grants and a request path

Cause: nothing of the product spoke the platform's language. Change: fleet (configuration, upstreams and key ranges in one replicated state, copied to entry instances), gateway (request path), platform/ (decoding of settings, calls and headers).

--- a/packages/common/src/bamboosill_common/auth.py
+++ b/packages/common/src/bamboosill_common/auth.py
@@ -15,6 +15,7 @@
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import identities
 from bamboosill_common import logs
 
 _ALGORITHM = "HS256"
@@ -26,6 +27,8 @@
 
 _log = logs.get_logger("auth")
 
+Identity = identities.Identity
+
 
 class Key(NamedTuple):
     """One signing key."""
@@ -35,13 +38,6 @@
     roles: tuple[str, ...]
 
 
-class Identity(NamedTuple):
-    """Who a verified token speaks for."""
-
-    role: str
-    subject: str
-
-
 def load_keys(path: pathlib.Path) -> Result[tuple[Key, ...], str]:
     """Returns the keys in a key file, or a sentence that says what is wrong."""
     try:
--- a/packages/common/src/bamboosill_common/logs.py
+++ b/packages/common/src/bamboosill_common/logs.py
@@ -5,7 +5,6 @@
 import sys
 from typing import Any
 
-from aiohttp import http_exceptions
 from pythonjsonlogger.json import JsonFormatter
 
 
@@ -34,7 +33,9 @@
     def filter(self, record: logging.LogRecord) -> bool:
         """Returns true; changes the record where needed."""
         error = record.exc_info[1] if record.exc_info else None
-        while error is not None:
+        # Not imported here: processes that do not use aiohttp save its memory.
+        http_exceptions = sys.modules.get("aiohttp.http_exceptions")
+        while error is not None and http_exceptions is not None:
             if isinstance(error, http_exceptions.HttpProcessingError):
                 record.msg = f"{record.getMessage()}: {type(error).__name__}"
                 record.args = None
--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -20,10 +20,10 @@
 from returns.result import Result
 from returns.result import Success
 
-from bamboosill_common import auth as auth_lib
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import events as events_lib
+from bamboosill_common import identities
 from bamboosill_common import logs
 from bamboosill_common import metrics
 from bamboosill_common import wire
@@ -88,7 +88,7 @@
     """What every peer connection of a process shares."""
 
     identity: Identity
-    authenticator: auth_lib.Authenticator
+    authenticator: identities.Authenticator
     clock: clock_lib.Clock
     timeline: events_lib.Timeline
     client_tls: ssl.SSLContext | None = None
--- a/packages/daemon/src/bamboosilld/consensus/interfaces.py
+++ b/packages/daemon/src/bamboosilld/consensus/interfaces.py
@@ -149,6 +149,9 @@
     def has_leader_lease(self) -> bool:
         """Returns whether no other member can lead now."""
 
+    def has_applied_barrier(self) -> bool:
+        """Returns whether a leader's state includes all of earlier leaders."""
+
     def get_silence_s(self, member: messages.Member) -> float:
         """Returns the seconds since the member last answered."""
 
--- a/packages/daemon/src/bamboosilld/consensus/node.py
+++ b/packages/daemon/src/bamboosilld/consensus/node.py
@@ -141,6 +141,11 @@
             and self._replication.has_lease()
         )
 
+    def has_applied_barrier(self) -> bool:
+        """Returns whether a leader's state includes all of earlier leaders."""
+        core = self._core
+        return core is not None and core.applied_index >= core.barrier_index
+
     def get_silence_s(self, member: messages.Member) -> float:
         """Returns, on a leader, the seconds since a member last answered."""
         key = memberships.get_key(member)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/fleet/controlprocess.py
@@ -0,0 +1,71 @@
+"""The process of a control instance."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bamboosill_common import logs
+from bamboosilld.fleet import control as control_lib
+from bamboosilld.fleet import process as process_lib
+from bamboosilld.fleet import settings as settings_lib
+from bamboosilld.gateway import listener as listener_lib
+from bamboosilld.gateway import metrics as metrics_lib
+
+_log = logs.get_logger("control")
+
+
+class ControlSettings(NamedTuple):
+    """Addresses of a control instance.
+
+    Attributes:
+        api_address: Where operators and upstreams call.
+        metrics_port: Port of the metrics, on the same address; 0 for none.
+    """
+
+    api_address: str
+    metrics_port: int
+
+
+MakeApi = Callable[[control_lib.ControlMember], listener_lib.Handler]
+
+
+def run(
+    settings: settings_lib.FleetSettings,
+    control: ControlSettings,
+    make_api: MakeApi,
+    read: process_lib.ReadSettings,
+) -> int:
+    """Runs a control instance and returns its exit code.
+
+    Args:
+        settings: Settings of a member of the fleet.
+        control: Addresses.
+        make_api: Makes the handler of the calls of operators and upstreams.
+        read: Reads the settings again.
+    """
+
+    async def main() -> int:
+        process = process_lib.Process(settings, read)
+        member = control_lib.ControlMember(
+            settings,
+            process.directory,
+            process.handlers,
+            process.clock,
+            process.timeline,
+            process.list_control_peers,
+        )
+        await process.start(serves_peers=True)
+        await member.start()
+        host, _, port = control.api_address.rpartition(":")
+        api = listener_lib.Listener(make_api(member))
+        await api.start(host, int(port))
+        if control.metrics_port:
+            metrics = listener_lib.Listener(metrics_lib.handle)
+            await metrics.start(host, control.metrics_port)
+        await process.stopping.wait()
+        _log.info("Stopping.")
+        api.stop_accepting()
+        await member.stop()
+        await process.stop()
+        return 0
+
+    return process_lib.run(main())
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -0,0 +1,233 @@
+"""Decides which upstream gets free keys, and which keys should move.
+
+Work is counted by blocks of keys, as entry instances saw it; a share of it
+is spread evenly, so that keys nobody has asked for yet count as well.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import keyranges
+from bamboosilld.fleet import state as state_lib
+
+# Ranges of one upstream in the first distribution. Busy keys are often
+# neighbours, so each upstream gets several short ranges.
+_RANGES_PER_UPSTREAM = 8
+# Reported work counts for about this long.
+_HALF_LIFE_S = 6.0
+# Part of the total work that counts as spread evenly over all keys.
+_EVEN_PART = 0.15
+# An upstream above the mean by this factor gives keys away.
+_OVERLOAD_RATIO = 1.25
+# One that would be above the mean by this factor takes none.
+_TAKER_RATIO = 1.05
+# Most blocks of one upstream that move in one step.
+_MAX_MOVED_BLOCKS = 64
+# Work that must have been reported before any key moves, in milliseconds.
+_MIN_WORK_MS = 40_000.0
+
+
+class Move(NamedTuple):
+    """Keys that one life of an upstream should give away."""
+
+    life: state_lib.Life
+    first: int
+    last: int
+
+
+class Works:
+    """Recent work of the blocks of keys of one service."""
+
+    def __init__(self) -> None:
+        self._blocks: dict[int, float] = collections.defaultdict(float)
+        self._updated_s = 0.0
+
+    @property
+    def total(self) -> float:
+        """Sum over all blocks."""
+        return sum(self._blocks.values())
+
+    def add(self, block: int, work_ms: float) -> None:
+        """Counts work of one block."""
+        self._blocks[block] += work_ms
+
+    def decay(self, now_s: float) -> None:
+        """Lets older work count less."""
+        factor = 0.5 ** ((now_s - self._updated_s) / _HALF_LIFE_S)
+        self._updated_s = now_s
+        for block in list(self._blocks):
+            self._blocks[block] *= factor
+            if self._blocks[block] < 1.0:
+                del self._blocks[block]
+
+    def get_block(self, block: int) -> float:
+        """Returns the work of a block with its part of the even share."""
+        even = max(self.total, 1.0) * _EVEN_PART / keyranges.BLOCK_COUNT
+        return self._blocks.get(block, 0.0) * (1 - _EVEN_PART) + even
+
+    def sum_range(self, first: int, last: int) -> float:
+        """Returns the work of a range of keys."""
+        low = first // keyranges.BLOCK_KEYS
+        high = last // keyranges.BLOCK_KEYS
+        total = max(self.total, 1.0)
+        size = (last - first + 1) / keyranges.KEY_COUNT
+        work = total * _EVEN_PART * size
+        for block, value in self._blocks.items():
+            if low <= block <= high:
+                start = block * keyranges.BLOCK_KEYS
+                end = start + keyranges.BLOCK_KEYS - 1
+                overlap = min(end, last) - max(start, first) + 1
+                work += (
+                    value * (1 - _EVEN_PART) * overlap / keyranges.BLOCK_KEYS
+                )
+        return work
+
+
+def sum_holders(
+    table: keyranges.Table, works: Works
+) -> dict[state_lib.Life, float]:
+    """Returns the work of each holder of keys."""
+    sums: dict[state_lib.Life, float] = collections.defaultdict(float)
+    for each in table.ranges:
+        if each.upstream:
+            life = state_lib.Life(each.upstream, each.born_ms)
+            sums[life] += works.sum_range(each.first, each.last)
+    return sums
+
+
+def split_evenly(
+    lives: list[state_lib.Life],
+) -> list[messages.KeyRange]:
+    """Returns the first distribution of all keys of a service."""
+    count = len(lives) * _RANGES_PER_UPSTREAM
+    edges = [
+        keyranges.KEY_COUNT * index // count for index in range(count + 1)
+    ]
+    return [
+        messages.KeyRange(
+            first=edges[index],
+            last=edges[index + 1] - 1,
+            upstream=lives[index % len(lives)].upstream,
+            born_ms=lives[index % len(lives)].born_ms,
+        )
+        for index in range(count)
+    ]
+
+
+def choose_free(
+    life: state_lib.Life,
+    capacities: dict[state_lib.Life, float],
+    table: keyranges.Table,
+    works: Works,
+    slack: float,
+) -> list[messages.KeyRange]:
+    """Returns free ranges that a life should get now.
+
+    Args:
+        life: The upstream that can take keys at this moment.
+        capacities: Relative capacity of each upstream that may hold keys.
+        table: Who holds what.
+        works: Recent work of the keys.
+        slack: Part of the mean load by which the upstream may exceed it;
+            grows while keys wait.
+    """
+    free = [each for each in table.ranges if not each.upstream]
+    if not free or life not in capacities:
+        return []
+    sums = sum_holders(table, works)
+    held = sums.get(life, 0.0)
+    waiting = sum(works.sum_range(each.first, each.last) for each in free)
+    total = sum(sums.get(each, 0.0) for each in capacities) + waiting
+    fair = total * capacities[life] / sum(capacities.values())
+    chosen = []
+    for each in free:
+        work = works.sum_range(each.first, each.last)
+        if held + work / 2 <= fair * (1 + slack):
+            chosen.append(each)
+            held += work
+        elif held < fair * (1 + slack):
+            part = _cut_work(each, fair * (1 + slack) - held, works)
+            if part is not None:
+                chosen.append(part)
+                held += works.sum_range(part.first, part.last)
+    return chosen
+
+
+def _cut_work(
+    each: messages.KeyRange, room: float, works: Works
+) -> messages.KeyRange | None:
+    """Returns the first blocks of a range that fit into the room."""
+    work = 0.0
+    last = each.first - 1
+    while last < each.last:
+        end = min(each.last, last - last % keyranges.BLOCK_KEYS + 63)
+        work += works.sum_range(last + 1, end)
+        if work > room:
+            break
+        last = end
+    if last < each.first:
+        return None
+    return each._replace(last=last)
+
+
+def plan_moves(
+    capacities: dict[state_lib.Life, float],
+    table: keyranges.Table,
+    works: Works,
+) -> list[Move]:
+    """Returns the keys that the most loaded upstream should give away."""
+    if works.total < _MIN_WORK_MS or len(capacities) < 2:
+        return []
+    sums = sum_holders(table, works)
+    total = sum(sums.get(each, 0.0) for each in capacities)
+    share = total / sum(capacities.values())
+    ratios = {
+        life: sums.get(life, 0.0) / (share * capacity)
+        for life, capacity in capacities.items()
+    }
+    life = max(ratios, key=lambda each: ratios[each])
+    fair = share * capacities[life]
+    if ratios[life] < _OVERLOAD_RATIO or min(ratios.values()) > _TAKER_RATIO:
+        return []
+    surplus = sums[life] - fair
+    blocks = sorted(
+        _list_blocks(table.list_held(life.upstream, life.born_ms)),
+        key=lambda block: -works.get_block(block),
+    )
+    # One key can be busier than a whole upstream should be: it stays, and
+    # others make room for it.
+    moves: list[int] = []
+    for block in blocks:
+        work = works.get_block(block)
+        if work <= surplus and len(moves) < _MAX_MOVED_BLOCKS:
+            moves.append(block)
+            surplus -= work
+    return [_make_move(life, first, last) for first, last in _join(moves)]
+
+
+def _list_blocks(ranges: Iterable[messages.KeyRange]) -> list[int]:
+    return [
+        block
+        for each in ranges
+        for block in range(
+            -(-each.first // keyranges.BLOCK_KEYS),
+            (each.last + 1) // keyranges.BLOCK_KEYS,
+        )
+    ]
+
+
+def _join(blocks: list[int]) -> list[tuple[int, int]]:
+    joined: list[tuple[int, int]] = []
+    for block in sorted(blocks):
+        if joined and joined[-1][1] + 1 == block:
+            joined[-1] = (joined[-1][0], block)
+        else:
+            joined.append((block, block))
+    return joined
+
+
+def _make_move(life: state_lib.Life, first: int, last: int) -> Move:
+    size = keyranges.BLOCK_KEYS
+    return Move(life, first * size, (last + 1) * size - 1)
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/fleet/keyranges.py
@@ -0,0 +1,89 @@
+"""Which upstream holds which keys of one service, as ranges of key numbers."""
+
+import bisect
+from collections.abc import Iterable
+
+from bamboosill_common.generated import fleet as messages
+
+KEY_COUNT = 65536
+# Keys are counted, moved and reported by blocks of this size.
+BLOCK_KEYS = 32
+BLOCK_COUNT = KEY_COUNT // BLOCK_KEYS
+
+
+class Table:
+    """All ranges of one service, in order and without gaps."""
+
+    def __init__(self, ranges: Iterable[messages.KeyRange] = ()) -> None:
+        self.ranges = list(ranges) or [
+            messages.KeyRange(first=0, last=KEY_COUNT - 1)
+        ]
+        self._firsts = [each.first for each in self.ranges]
+
+    def find(self, key: int) -> messages.KeyRange:
+        """Returns the range that a key is in."""
+        return self.ranges[bisect.bisect_right(self._firsts, key) - 1]
+
+    def put(self, new: messages.KeyRange) -> None:
+        """Replaces what the table says of the keys of a range."""
+        kept = []
+        for each in self.ranges:
+            kept.extend(subtract(each, new.first, new.last))
+        bisect.insort(kept, new)
+        self.ranges = _merge(kept)
+        self._firsts = [each.first for each in self.ranges]
+
+    def cut(self, first: int, last: int) -> list[messages.KeyRange]:
+        """Returns the parts of all ranges that lie in [first, last]."""
+        index = bisect.bisect_right(self._firsts, first) - 1
+        parts = []
+        while index < len(self.ranges) and self.ranges[index].first <= last:
+            each = self.ranges[index]
+            parts.append(
+                each._replace(
+                    first=max(first, each.first), last=min(last, each.last)
+                )
+            )
+            index += 1
+        return parts
+
+    def list_held(
+        self, upstream: str, born_ms: int
+    ) -> list[messages.KeyRange]:
+        """Returns the ranges that one life of an upstream holds."""
+        return [
+            each
+            for each in self.ranges
+            if each.upstream == upstream and each.born_ms == born_ms
+        ]
+
+
+def subtract(
+    each: messages.KeyRange, first: int, last: int
+) -> list[messages.KeyRange]:
+    """Returns what is left of a range without the keys of [first, last]."""
+    if each.last < first or each.first > last:
+        return [each]
+    left = []
+    if each.first < first:
+        left.append(each._replace(last=first - 1))
+    if each.last > last:
+        left.append(each._replace(first=last + 1))
+    return left
+
+
+def _merge(ranges: list[messages.KeyRange]) -> list[messages.KeyRange]:
+    merged: list[messages.KeyRange] = []
+    for each in ranges:
+        if (
+            merged
+            and merged[-1].last + 1 == each.first
+            # A handover belongs to exactly the keys that were released.
+            and not each.handover
+            and merged[-1]._replace(first=0, last=0)
+            == each._replace(first=0, last=0)
+        ):
+            merged[-1] = merged[-1]._replace(last=each.last)
+        else:
+            merged.append(each)
+    return merged
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/fleet/process.py
@@ -0,0 +1,107 @@
+"""What the processes of a fleet share: loop, peers, signals and logs."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+import time
+
+import uvloop
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import events
+from bamboosill_common import identities
+from bamboosill_common import logs
+from bamboosill_common import peer
+from bamboosilld.fleet import settings as settings_lib
+
+# Events kept in memory for each process.
+_MAX_EVENTS = 500
+# The settings file is read again when it has changed; it may change without
+# a signal.
+_RELOAD_INTERVAL_S = 1.0
+
+_log = logs.get_logger("process")
+
+ReadSettings = Callable[[], settings_lib.FleetSettings | None]
+
+
+class Process:
+    """Parts that every process of a fleet has.
+
+    Attributes:
+        settings: Settings in force.
+        stopping: Set by the first SIGTERM.
+    """
+
+    def __init__(
+        self, settings: settings_lib.FleetSettings, read: ReadSettings
+    ) -> None:
+        self.settings = settings
+        self._read = read
+        self.clock = clock_lib.SystemClock()
+        self.timeline = events.Timeline(
+            self.clock, settings.instance, _MAX_EVENTS
+        )
+        self.handlers = peer.Handlers()
+        host, _, port = settings.peer_address.rpartition(":")
+        context = peer.PeerContext(
+            peer.Identity(
+                settings.peer_address, time.time_ns(), settings.zone
+            ),
+            identities.OpenAuthenticator(),
+            self.clock,
+            self.timeline,
+            local_host=host,
+        )
+        self.directory = peer.Directory(context)
+        self._server = peer.Server(context, self.handlers)
+        self._host, self._port = host, int(port)
+        self.stopping = asyncio.Event()
+
+    def list_control_peers(self) -> tuple[str, ...]:
+        """Returns the control instances that the settings name now."""
+        return self.settings.control_peers
+
+    async def start(self, serves_peers: bool) -> None:
+        """Handles signals and, if told so, listens to other instances."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._reloading = asyncio.create_task(self._run_reloading())
+        if serves_peers:
+            await self._server.start(self._host, self._port)
+        _log.info(
+            "Started. Zone: %s. Control peers: %s.",
+            self.settings.zone,
+            ", ".join(self.settings.control_peers),
+        )
+
+    async def stop(self) -> None:
+        """Closes all connections to other instances."""
+        self._reloading.cancel()
+        await self._server.stop()
+        await self.directory.close()
+        _log.info("Stopped.")
+
+    def _reload(self) -> None:
+        settings = self._read()
+        if settings is None or settings == self.settings:
+            return
+        self.settings = settings
+        _log.info(
+            "Settings reloaded. Control peers: %s.",
+            ", ".join(settings.control_peers),
+        )
+
+    async def _run_reloading(self) -> None:
+        while True:
+            await self.clock.sleep(_RELOAD_INTERVAL_S)
+            self._reload()
+
+
+def run(main: Awaitable[int]) -> int:
+    """Runs a process's main coroutine and returns its exit code."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main)  # type: ignore[arg-type]
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Passes requests of routed services on to their upstreams."""
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -0,0 +1,139 @@
+"""What an entry instance knows of each upstream, and which one it chooses."""
+
+import random
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.gateway import upstream as upstream_lib
+
+# Weight of the newest latency in the moving average of an upstream's pace.
+_PACE_GAIN = 0.15
+# Pace is kept within these bounds, so that no upstream is starved by it.
+_MIN_PACE = 0.3
+_MAX_PACE = 8.0
+# An upstream's report of its load counts for this long.
+_REPORT_LIFE_S = 1.0
+# An upstream that fails is left alone for this long at first, doubled with
+# each further failure in a row up to the longest time.
+_FIRST_REST_S = 0.5
+_LONGEST_REST_S = 4.0
+# Upstreams of other zones count as loaded by this much more, in slots: bytes
+# between zones are costly.
+_OTHER_ZONE_LOAD = 0.15
+# Requests that may wait at an upstream for each slot.
+_QUEUE_PER_SLOT = 3.0
+
+_log = logs.get_logger("balance")
+
+
+class Load(NamedTuple):
+    """What an upstream reported of itself."""
+
+    running: int
+    waiting: int
+    own: int
+    at_s: float
+
+
+class Upstream:
+    """One life of an upstream as this instance sees it.
+
+    Attributes:
+        item: What it announced.
+        in_flight: Requests of this instance that it has now.
+        pace: Its recent latency relative to the mean of its service.
+        failures: Failures in a row.
+        rests_until_s: It gets no request before, unless all are resting.
+    """
+
+    def __init__(
+        self,
+        item: messages.UpstreamItem,
+        clock: clock_lib.Clock,
+        request_id_name: bytes,
+    ) -> None:
+        self.item = item
+        self._clock = clock
+        self.pool = upstream_lib.Pool(item.address, request_id_name)
+        self.in_flight = 0
+        self.pace = 1.0
+        self.failures = 0
+        self.rests_until_s = 0.0
+        self._warm_at_s = clock.monotonic() + item.warmup_ms / 1000
+        self._load = Load(0, 0, 0, float("-inf"))
+
+    @property
+    def slots(self) -> int:
+        """Requests that it runs at the same time."""
+        return max(1, self.item.slots)
+
+    def estimate_load(self) -> float:
+        """Returns the requests that it probably has now, in all."""
+        age_s = self._clock.monotonic() - self._load.at_s
+        weight = max(0.0, 1.0 - age_s / _REPORT_LIFE_S)
+        others = self._load.running + self._load.waiting - self._load.own
+        return self.in_flight + max(0, others) * weight
+
+    def take_load(self, value: bytes) -> None:
+        """Takes an upstream's report of its running and waiting requests."""
+        parts = value.split(b",")
+        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+            return
+        running, waiting, _ = (int(part) for part in parts)
+        # The request that was just answered may still be counted.
+        self._load = Load(
+            running, waiting, self.in_flight, self._clock.monotonic()
+        )
+
+    def take_success(self, ratio: float) -> None:
+        """Counts an answer.
+
+        Args:
+            ratio: Latency relative to what is usual for its route.
+        """
+        self.failures = 0
+        self.rests_until_s = 0.0
+        pace = self.pace + _PACE_GAIN * (ratio - self.pace)
+        self.pace = min(_MAX_PACE, max(_MIN_PACE, pace))
+
+    def take_failure(self) -> None:
+        """Lets the upstream rest."""
+        self.failures += 1
+        rest_s = min(
+            _LONGEST_REST_S, _FIRST_REST_S * 2 ** (self.failures - 1)
+        )
+        self.rests_until_s = self._clock.monotonic() + rest_s
+        self.pool.close_idle()
+
+    def is_resting(self) -> bool:
+        """Returns whether it should get no request now."""
+        return self._clock.monotonic() < self.rests_until_s
+
+    def is_full(self) -> bool:
+        """Returns whether another request would probably wait too long."""
+        return self.estimate_load() >= self.slots * (1 + _QUEUE_PER_SLOT)
+
+    def compute_cost(self, zone: str) -> float:
+        """Returns how unfavourable another request is here."""
+        load = self.estimate_load() + 1.0
+        if self.item.zone != zone:
+            load += _OTHER_ZONE_LOAD * self.slots
+        if self._clock.monotonic() < self._warm_at_s:
+            load *= 2.0
+        return load / self.slots * self.pace
+
+
+def choose(
+    candidates: list[Upstream], zone: str, rng: random.Random
+) -> Upstream | None:
+    """Returns the most favourable upstream, or None if all are full."""
+    usable = [each for each in candidates if not each.is_full()]
+    awake = [each for each in usable if not each.is_resting()]
+    if not (awake or usable):
+        return None
+    return min(
+        awake or usable,
+        key=lambda each: (each.compute_cost(zone), rng.random()),
+    )
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/gateway/routes.py
@@ -0,0 +1,73 @@
+"""Finds the route of a request, and the service that a route leads to."""
+
+from typing import NamedTuple
+
+from bamboosill_common.generated import fleet as messages
+
+
+class _Host(NamedTuple):
+    """Routes of one host by prefix, and the lengths of the prefixes."""
+
+    by_prefix: dict[str, messages.RouteItem]
+    lengths: tuple[int, ...]
+
+
+class Routes:
+    """The routes of one configuration."""
+
+    def __init__(self, routes: tuple[messages.RouteItem, ...]) -> None:
+        by_host: dict[str, dict[str, messages.RouteItem]] = {}
+        for route in routes:
+            prefixes = by_host.setdefault(route.host.lower(), {})
+            prefixes[route.path_prefix] = route
+        self._hosts = {
+            host: _Host(
+                prefixes,
+                tuple(sorted({len(each) for each in prefixes}, reverse=True)),
+            )
+            for host, prefixes in by_host.items()
+        }
+
+    def find(self, host: str, path: str) -> messages.RouteItem | None:
+        """Returns the route with the longest prefix, or None."""
+        found = self._hosts.get(host.lower())
+        if found is None:
+            found = self._hosts.get(host.lower().rpartition(":")[0])
+        if found is None:
+            return None
+        for length in found.lengths:
+            route = found.by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
+class Splitter:
+    """Distributes the requests of each route among its services.
+
+    Each service collects credit by its weight; the one with most credit gets
+    the request. The shares hold exactly, also over few requests.
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[str, dict[str, float]] = {}
+
+    def choose(self, route: messages.RouteItem) -> str:
+        """Returns the service that the next request of a route goes to."""
+        if not route.shares:
+            return route.service
+        total = sum(share.weight for share in route.shares)
+        credits = self._credits.setdefault(route.name, {})
+        for name in [each for each in credits if each not in _names(route)]:
+            del credits[name]
+        for share in route.shares:
+            credit = credits.get(share.service, 0.0)
+            credits[share.service] = credit + share.weight / total
+        weighted = {share.service for share in route.shares if share.weight}
+        chosen = max(weighted, key=lambda name: (credits[name], name))
+        credits[chosen] -= 1.0
+        return chosen
+
+
+def _names(route: messages.RouteItem) -> set[str]:
+    return {share.service for share in route.shares}
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -14,7 +14,6 @@
 
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
-from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
 from bamboosill_common import peer
@@ -30,8 +29,8 @@
 from bamboosilld.admission import gate as gate_lib
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.admission import retry
-from bamboosilld.consensus import election
 from bamboosilld.consensus import groups as groups_lib
+from bamboosilld.consensus import joining as joining_lib
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.control import service as control_service
 from bamboosilld.control import state as control_state
@@ -46,21 +45,6 @@
 _log = logs.get_logger("instance")
 
 
-class JoiningNode(node_lib.Node):
-    """A member that is added to a group that runs."""
-
-    async def handle(self, request: Any) -> Any:
-        """Answers other members.
-
-        Raises:
-            errors.HandlerError: The group counts on the vote of this member,
-                which has nothing stored: it lost its data folder.
-        """
-        if request.target.voter and not self.membership.members:
-            raise errors.HandlerError("storage", election.LOST_STORAGE)
-        return await super().handle(request)
-
-
 class ControlRole:
     """The control role of one instance."""
 
@@ -82,7 +66,7 @@
         own = next(
             (m for m in members if m.instance == settings.instance_id), joining
         )
-        make_node = JoiningNode if joins else node_lib.Node
+        make_node = joining_lib.JoiningNode if joins else node_lib.Node
         self.state = control_state.ControlState()
         self.node = make_node(
             node_lib.GroupConfig(
