--- a/packages/daemon/src/bamboosilld/consensus/replication.py
+++ b/packages/daemon/src/bamboosilld/consensus/replication.py
@@ -44,6 +44,8 @@
         self._sent_round = 0
         self._sent_commit = 0
         self._sent_s = _NEVER_S
+        # A member that refuses at once is not sent entries again at once.
+        self._resume_s = _NEVER_S
         self._calls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
 
@@ -70,7 +72,11 @@
         log = self._core.log
         has_entries = self._next_index <= log.last_index
         limit = 1 if self._probing else self._config.max_in_flight
-        may_send = len(self._calls) < limit and not self._installing
+        may_send = (
+            len(self._calls) < limit
+            and not self._installing
+            and self._context.clock.monotonic() >= self._resume_s
+        )
         is_due = self._get_wait_s() < core_lib.SHORTEST_WAIT_S
         if has_entries and may_send:
             if self._next_index <= log.base_index:
@@ -148,6 +154,7 @@
     async def _append(self, request: messages.AppendEntries) -> None:
         reply = await self._call(request, self._config.election_min_s)
         if reply is None:
+            self._pause()
             if request.entries:
                 self._restart_probing(self.match_index)
             return
@@ -171,12 +178,17 @@
                     self._config.snapshot_timeout_s,
                 )
                 if reply is None or not reply.success:
+                    self._pause()
                     return
             self._take_match(snapshot.last_index)
             self._next_index = self.match_index + 1
         finally:
             self._installing = False
 
+    def _pause(self) -> None:
+        now_s = self._context.clock.monotonic()
+        self._resume_s = now_s + self._config.heartbeat_s
+
     def _make_chunk(
         self, snapshot: interfaces.Snapshot, offset: int, size: int
     ) -> messages.InstallSnapshot:
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -49,6 +49,7 @@
         self._take_loads = take_loads
         self._known: tuple[str, ...] = ()
         self._leader = ""
+        self._is_following = False
         self.state = state_lib.FleetState()
         self.entry_count = 1
         self.synced_s = float("-inf")
@@ -64,7 +65,7 @@
             for address in self._list_candidates():
                 if await self._follow(address):
                     break
-            else:
+            if not self._is_following:
                 await self._clock.sleep(_RETRY_DELAY_S)
 
     def _list_candidates(self) -> list[str]:
@@ -83,6 +84,7 @@
         result = await self._directory.call(
             address, request, messages.FollowReply, _CALL_TIMEOUT_S
         )
+        self._is_following = isinstance(result, Success)
         match result:
             case Success(reply):
                 self._take(address, reply)
