--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -142,11 +142,18 @@
   workMs @2 :UInt32;
 }
 
+struct UpstreamPace {
+  # How slow an upstream is, relative to the mean of its service.
+  upstream @0 :Text;
+  pace @1 :Float32;
+}
+
 struct Follow {
   # Request of an entry instance for all commands after `revision`.
   revision @0 :UInt64;
   instance @1 :Text;
   loads @2 :List(KeyLoad);
+  paces @3 :List(UpstreamPace);
 }
 
 struct RevisedCommand {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -32,6 +32,11 @@
 # Shortest time between two moves of keys of one service.
 _MOVE_INTERVAL_S = 2.0
 
+# Weight of the newest reported pace in the moving average of an upstream.
+_PACE_GAIN = 0.3
+# Slower upstreams get fewer keys; a faster one gets at most this many more.
+_MIN_PACE = 0.4
+
 _log = logs.get_logger("fleet")
 
 
@@ -71,6 +76,7 @@
         self._moved_s: dict[str, float] = collections.defaultdict(float)
         # Keys asked back from their holder, and when its lease on them ends.
         self._revoked: dict[keyplan.Move, float] = {}
+        self._paces: dict[str, float] = {}
         self._works: dict[str, keyplan.Works] = collections.defaultdict(
             keyplan.Works
         )
@@ -85,10 +91,17 @@
             self._begin()
         return True
 
-    def add_loads(self, loads: tuple[messages.KeyLoad, ...]) -> None:
-        """Counts work that an entry instance reported."""
+    def add_reports(
+        self,
+        loads: tuple[messages.KeyLoad, ...],
+        paces: tuple[messages.UpstreamPace, ...],
+    ) -> None:
+        """Counts work and paces that an entry instance reported."""
         for load in loads:
             self._works[load.service].add(load.block, float(load.work_ms))
+        for each in paces:
+            pace = self._paces.get(each.upstream, each.pace)
+            self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
 
     async def handle_report(
         self, report: messages.UpstreamReport
@@ -169,9 +182,7 @@
             raise errors.HandlerError("not_leader", "leadership was lost")
 
     async def _commit(self, command: object) -> None:
-        result = await self._node.propose(
-            wire.pack(command), _COMMIT_TIMEOUT_S
-        )
+        result = await self._node.propose(wire.pack(command), _COMMIT_TIMEOUT_S)
         match result:
             case Failure(error):
                 raise errors.HandlerError(error.code, error.detail)
@@ -180,9 +191,7 @@
 
     def _has_changed(self, item: messages.UpstreamItem) -> bool:
         known = self._state.upstreams.get(item.upstream)
-        return known is None or known._replace(
-            warmup_ms=item.warmup_ms
-        ) != item
+        return known is None or known._replace(warmup_ms=item.warmup_ms) != item
 
     def _list_grants(
         self, life: state_lib.Life, item: messages.UpstreamItem
@@ -276,7 +285,8 @@
                 continue
             if now_s - seen.at_s > self._leases.lease_s / 2:
                 continue
-            capacities[life] = float(max(1, item.slots))
+            pace = max(_MIN_PACE, self._paces.get(item.upstream, 1.0))
+            capacities[life] = max(1, item.slots) / pace
         return capacities
 
     async def _remove_silent(self, now_s: float) -> None:
@@ -287,9 +297,7 @@
             heard_s = seen.at_s if seen else self._begun_s
             if now_s - heard_s > _SILENCE_LIMIT_S:
                 gone.append(
-                    messages.UpstreamLife(
-                        item.upstream, item.born_ms, "silent"
-                    )
+                    messages.UpstreamLife(item.upstream, item.born_ms, "silent")
                 )
         if gone:
             _log.info("Removing %d silent upstreams.", len(gone))
@@ -306,9 +314,7 @@
                 continue
             is_replaced = self._state.gone.get(life) == "replaced"
             if is_replaced or self._leases.has_ended(life):
-                freed.append(
-                    each._replace(upstream="", born_ms=0, handover="")
-                )
+                freed.append(each._replace(upstream="", born_ms=0, handover=""))
         for move, end_s in list(self._revoked.items()):
             if now_s < end_s:
                 continue
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -9,6 +9,7 @@
 import random
 import secrets
 from typing import Any
+from typing import NamedTuple
 from typing import TypeVar
 
 from returns.result import Failure
@@ -48,13 +49,13 @@
 _LEADERLESS_S = 2.0
 # Time after a failed write before the data folder is opened again.
 _REOPEN_DELAY_S = 0.5
-# Part of the longest lease that is given. Shorter leases free the keys of a
-# lost upstream sooner; longer ones outlast longer partitions.
-_LEASE_PART = 0.7
+# Heartbeats in a lease. Shorter leases free the keys of a lost upstream
+# sooner; longer ones outlast an election and a lost heartbeat.
+_LEASE_HEARTBEATS = 4.5
 
 _log = logs.get_logger("control")
 
-Reply = TypeVar("Reply")
+Reply = TypeVar("Reply", bound=NamedTuple)
 
 
 class ControlMember:
@@ -167,7 +168,10 @@
             self.node,
             self.state,
             self._clock,
-            settings.max_lease_ms / 1000 * _LEASE_PART,
+            min(
+                settings.max_lease_ms / 1000,
+                settings.heartbeat_ms / 1000 * _LEASE_HEARTBEATS,
+            ),
             settings.heartbeat_ms / 1000,
         )
         self._keeper = membership_lib.Keeper(self.node, self._clock)
@@ -236,7 +240,9 @@
             + list(self._list_seeds())
         )
         request = messages.JoinControl(
-            self._member.instance, self._member.incarnation, self._member.address
+            self._member.instance,
+            self._member.incarnation,
+            self._member.address,
         )
         for address in addresses:
             if address == self._settings.peer_address:
@@ -294,9 +300,7 @@
             if faults:
                 detail = "; ".join(each.format() for each in faults[:5])
                 return self._answer_change(change, "invalid", detail)
-            result = await self.node.propose(
-                wire.pack(change), _CALL_TIMEOUT_S
-            )
+            result = await self.node.propose(wire.pack(change), _CALL_TIMEOUT_S)
             match result:
                 case Success(applied):
                     return self._answer_change(change, applied.value, "")
@@ -334,7 +338,7 @@
             raise errors.HandlerError(
                 "not_leader", leader.address if leader else ""
             )
-        self.authority.add_loads(request.loads)
+        self.authority.add_reports(request.loads, request.paces)
         reply = await self.feed.answer(request)
         if not self.authority.leads():
             raise errors.HandlerError("not_leader", "")
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -1,6 +1,5 @@
 """The copy of the fleet's state that an entry instance keeps."""
 
-import asyncio
 from collections.abc import Callable
 import random
 
@@ -24,6 +23,10 @@
 
 _log = logs.get_logger("follower")
 
+TakeReports = Callable[
+    [], tuple[tuple[messages.KeyLoad, ...], tuple[messages.UpstreamPace, ...]]
+]
+
 
 class Follower:
     """Follows the leader and applies its commands.
@@ -40,13 +43,13 @@
         directory: peer.Directory,
         clock: clock_lib.Clock,
         list_seeds: Callable[[], tuple[str, ...]],
-        take_loads: Callable[[], tuple[messages.KeyLoad, ...]],
+        take_reports: TakeReports,
     ) -> None:
         self._instance = instance
         self._directory = directory
         self._clock = clock
         self._list_seeds = list_seeds
-        self._take_loads = take_loads
+        self._take_reports = take_reports
         self._known: tuple[str, ...] = ()
         self._leader = ""
         self._is_following = False
@@ -77,9 +80,7 @@
     async def _follow(self, address: str) -> bool:
         """Asks one instance; returns whether it was the leader."""
         request = messages.Follow(
-            revision=self.state.revision,
-            instance=self._instance,
-            loads=self._take_loads(),
+            self.state.revision, self._instance, *self._take_reports()
         )
         result = await self._directory.call(
             address, request, messages.FollowReply, _CALL_TIMEOUT_S
@@ -101,9 +102,7 @@
 
     def _take(self, address: str, reply: messages.FollowReply) -> None:
         if self._leader != address:
-            _log.info(
-                "Following %s. Revision: %d.", address, reply.revision
-            )
+            _log.info("Following %s. Revision: %d.", address, reply.revision)
         self._leader = address
         self._known = reply.control_peers
         self.entry_count = max(1, reply.entry_count)
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -20,13 +20,15 @@
 # Part of the total work that counts as spread evenly over all keys.
 _EVEN_PART = 0.15
 # An upstream above the mean by this factor gives keys away.
-_OVERLOAD_RATIO = 1.25
+_OVERLOAD_RATIO = 1.2
 # One that would be above the mean by this factor takes none.
 _TAKER_RATIO = 1.05
 # Most blocks of one upstream that move in one step.
 _MAX_MOVED_BLOCKS = 64
+# Most upstreams that give keys away in one step.
+_MAX_GIVERS = 3
 # Work that must have been reported before any key moves, in milliseconds.
-_MIN_WORK_MS = 40_000.0
+_MIN_WORK_MS = 15_000.0
 
 
 class Move(NamedTuple):
@@ -102,9 +104,7 @@
 ) -> list[messages.KeyRange]:
     """Returns the first distribution of all keys of a service."""
     count = len(lives) * _RANGES_PER_UPSTREAM
-    edges = [
-        keyranges.KEY_COUNT * index // count for index in range(count + 1)
-    ]
+    edges = [keyranges.KEY_COUNT * index // count for index in range(count + 1)]
     return [
         messages.KeyRange(
             first=edges[index],
@@ -177,34 +177,46 @@
     table: keyranges.Table,
     works: Works,
 ) -> list[Move]:
-    """Returns the keys that the most loaded upstream should give away."""
+    """Returns the keys that overloaded upstreams should give away."""
     if works.total < _MIN_WORK_MS or len(capacities) < 2:
         return []
     sums = sum_holders(table, works)
     total = sum(sums.get(each, 0.0) for each in capacities)
     share = total / sum(capacities.values())
+    # What others can take bounds what is given away.
+    room = sum(
+        max(0.0, share * capacity * _TAKER_RATIO - sums.get(life, 0.0))
+        for life, capacity in capacities.items()
+    )
     ratios = {
         life: sums.get(life, 0.0) / (share * capacity)
         for life, capacity in capacities.items()
     }
-    life = max(ratios, key=lambda each: ratios[each])
-    fair = share * capacities[life]
-    if ratios[life] < _OVERLOAD_RATIO or min(ratios.values()) > _TAKER_RATIO:
-        return []
-    surplus = sums[life] - fair
-    blocks = sorted(
-        _list_blocks(table.list_held(life.upstream, life.born_ms)),
-        key=lambda block: -works.get_block(block),
-    )
-    # One key can be busier than a whole upstream should be: it stays, and
-    # others make room for it.
-    moves: list[int] = []
-    for block in blocks:
+    moves: list[Move] = []
+    for life in sorted(ratios, key=lambda each: -ratios[each])[:_MAX_GIVERS]:
+        if ratios[life] < _OVERLOAD_RATIO:
+            break
+        surplus = min(sums[life] - share * capacities[life], room)
+        blocks = _choose_blocks(table.list_held(*life), works, surplus)
+        room -= sum(works.get_block(block) for block in blocks)
+        moves.extend(
+            _make_move(life, first, last) for first, last in _join(blocks)
+        )
+    return moves
+
+
+def _choose_blocks(
+    held: list[messages.KeyRange], works: Works, surplus: float
+) -> list[int]:
+    """Returns the busiest blocks that together do not exceed a surplus."""
+    chosen: list[int] = []
+    blocks = _list_blocks(held)
+    for block in sorted(blocks, key=lambda each: -works.get_block(each)):
         work = works.get_block(block)
-        if work <= surplus and len(moves) < _MAX_MOVED_BLOCKS:
-            moves.append(block)
+        if work <= surplus and len(chosen) < _MAX_MOVED_BLOCKS:
+            chosen.append(block)
             surplus -= work
-    return [_make_move(life, first, last) for first, last in _join(moves)]
+    return chosen
 
 
 def _list_blocks(ranges: Iterable[messages.KeyRange]) -> list[int]:
--- a/packages/daemon/src/bamboosilld/fleet/keyranges.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyranges.py
@@ -47,9 +47,7 @@
             index += 1
         return parts
 
-    def list_held(
-        self, upstream: str, born_ms: int
-    ) -> list[messages.KeyRange]:
+    def list_held(self, upstream: str, born_ms: int) -> list[messages.KeyRange]:
         """Returns the ranges that one life of an upstream holds."""
         return [
             each
--- a/packages/daemon/src/bamboosilld/fleet/membership.py
+++ b/packages/daemon/src/bamboosilld/fleet/membership.py
@@ -52,14 +52,10 @@
             voters = [each for each in members if each.voter]
             dead = self._find_dead(voters, members)
             if dead is not None and len(voters) % 2 == 0:
-                _log.info(
-                    "Removing voter %s.", memberships.format_key(dead)
-                )
+                _log.info("Removing voter %s.", memberships.format_key(dead))
                 await self._node.remove(dead, _CHANGE_TIMEOUT_S)
             elif learners and (dead is not None or len(learners) > 1):
-                _log.info(
-                    "Promoting %s.", memberships.format_key(learners[0])
-                )
+                _log.info("Promoting %s.", memberships.format_key(learners[0]))
                 await self._node.promote(learners[0], _CHANGE_TIMEOUT_S)
             elif len(voters) % 2 == 0 and learners:
                 await self._node.promote(learners[0], _CHANGE_TIMEOUT_S)
@@ -73,11 +69,14 @@
     ) -> messages.Member | None:
         for voter in voters:
             # The same instance is back without its data.
-            if any(
-                each.instance == voter.instance
-                and each.incarnation != voter.incarnation
-                for each in members
-            ) and self._node.get_silence_s(voter) > _FRESH_S:
+            if (
+                any(
+                    each.instance == voter.instance
+                    and each.incarnation != voter.incarnation
+                    for each in members
+                )
+                and self._node.get_silence_s(voter) > _FRESH_S
+            ):
                 return voter
         silent = [
             each
--- a/packages/daemon/src/bamboosilld/fleet/process.py
+++ b/packages/daemon/src/bamboosilld/fleet/process.py
@@ -46,9 +46,7 @@
         self.handlers = peer.Handlers()
         host, _, port = settings.peer_address.rpartition(":")
         context = peer.PeerContext(
-            peer.Identity(
-                settings.peer_address, time.time_ns(), settings.zone
-            ),
+            peer.Identity(settings.peer_address, time.time_ns(), settings.zone),
             identities.OpenAuthenticator(),
             self.clock,
             self.timeline,
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -110,9 +110,7 @@
 
     def restore(self, data: bytes) -> None:
         """Replaces the whole state."""
-        snapshot = wire.decode(
-            messages.FleetSnapshot, zlib.decompress(data)
-        )
+        snapshot = wire.decode(messages.FleetSnapshot, zlib.decompress(data))
         self.revision = self._forgotten = snapshot.revision
         self.configuration = snapshot.configuration
         self._orders = {each.digest: each.version for each in snapshot.orders}
@@ -175,8 +173,8 @@
         return "accepted"
 
     def _set_upstreams(self, command: messages.SetUpstreams) -> str:
-        for life in command.gone:
-            self._end_life(Life(life.upstream, life.born_ms), life.reason)
+        for each in command.gone:
+            self._end_life(Life(each.upstream, each.born_ms), each.reason)
         for item in command.upstreams:
             life = Life(item.upstream, item.born_ms)
             if self.has_ended(life) or self.find_successor(item):
--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -1,5 +1,6 @@
 """What an entry instance knows of each upstream, and which one it chooses."""
 
+from collections.abc import Iterable
 import random
 from typing import NamedTuple
 
@@ -9,7 +10,9 @@
 from bamboosilld.gateway import upstream as upstream_lib
 
 # Weight of the newest latency in the moving average of an upstream's pace.
-_PACE_GAIN = 0.15
+_PACE_GAIN = 0.2
+# A pace is reported when it has changed by this part.
+_REPORTED_CHANGE = 0.1
 # Pace is kept within these bounds, so that no upstream is starved by it.
 _MIN_PACE = 0.3
 _MAX_PACE = 8.0
@@ -22,8 +25,9 @@
 # Upstreams of other zones count as loaded by this much more, in slots: bytes
 # between zones are costly.
 _OTHER_ZONE_LOAD = 0.15
-# Requests that may wait at an upstream for each slot.
-_QUEUE_PER_SLOT = 3.0
+# Requests that may wait at an upstream for each slot: some upstreams never
+# answer a request that they cannot queue.
+_QUEUE_PER_SLOT = 2.5
 
 _log = logs.get_logger("balance")
 
@@ -59,6 +63,7 @@
         self.pool = upstream_lib.Pool(item.address, request_id_name)
         self.in_flight = 0
         self.pace = 1.0
+        self._reported_pace = 1.0
         self.failures = 0
         self.rests_until_s = 0.0
         self._warm_at_s = clock.monotonic() + item.warmup_ms / 1000
@@ -87,23 +92,25 @@
             running, waiting, self.in_flight, self._clock.monotonic()
         )
 
-    def take_success(self, ratio: float) -> None:
-        """Counts an answer.
+    def take_success(self) -> None:
+        """Ends a rest."""
+        self.failures = 0
+        self.rests_until_s = 0.0
+
+    def take_pace(self, ratio: float) -> None:
+        """Counts a latency.
 
         Args:
-            ratio: Latency relative to what is usual for its route.
+            ratio: Latency without a wait for a slot, relative to what is
+                usual for its route.
         """
-        self.failures = 0
-        self.rests_until_s = 0.0
         pace = self.pace + _PACE_GAIN * (ratio - self.pace)
         self.pace = min(_MAX_PACE, max(_MIN_PACE, pace))
 
     def take_failure(self) -> None:
         """Lets the upstream rest."""
         self.failures += 1
-        rest_s = min(
-            _LONGEST_REST_S, _FIRST_REST_S * 2 ** (self.failures - 1)
-        )
+        rest_s = min(_LONGEST_REST_S, _FIRST_REST_S * 2 ** (self.failures - 1))
         self.rests_until_s = self._clock.monotonic() + rest_s
         self.pool.close_idle()
 
@@ -115,6 +122,23 @@
         """Returns whether another request would probably wait too long."""
         return self.estimate_load() >= self.slots * (1 + _QUEUE_PER_SLOT)
 
+    def take_changed_pace(self) -> float | None:
+        """Returns the pace if it has changed much since the last call."""
+        change = abs(self.pace - self._reported_pace) / self._reported_pace
+        if change < _REPORTED_CHANGE:
+            return None
+        self._reported_pace = self.pace
+        return self.pace
+
+    def estimate_latency(self, usual_s: float) -> float:
+        """Returns how long another request would probably take, in seconds.
+
+        Args:
+            usual_s: Usual latency of the request's route without a wait.
+        """
+        ahead = max(0.0, self.estimate_load() + 1.0 - self.slots)
+        return usual_s * self.pace * (1.0 + ahead / self.slots)
+
     def compute_cost(self, zone: str) -> float:
         """Returns how unfavourable another request is here."""
         load = self.estimate_load() + 1.0
@@ -126,7 +150,7 @@
 
 
 def choose(
-    candidates: list[Upstream], zone: str, rng: random.Random
+    candidates: Iterable[Upstream], zone: str, rng: random.Random
 ) -> Upstream | None:
     """Returns the most favourable upstream, or None if all are full."""
     usable = [each for each in candidates if not each.is_full()]
--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import http
+from typing import Any
 from typing import NamedTuple
 
 import httptools
@@ -24,7 +25,7 @@
 
 _log = logs.get_logger("http")
 
-Handler = Callable[[messages.Request], Awaitable[messages.Response]]
+Handler = Callable[[messages.Request], Coroutine[Any, Any, messages.Response]]
 
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
--- a/packages/daemon/src/bamboosilld/gateway/messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/messages.py
@@ -89,6 +89,4 @@
 
 def format_headers(headers: Headers) -> bytes:
     """Returns header lines."""
-    return b"".join(
-        name + b": " + value + b"\r\n" for name, value in headers
-    )
+    return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -57,7 +57,7 @@
             process.directory,
             process.clock,
             process.list_control_peers,
-            lambda: self.service.take_loads(),
+            lambda: self.service.take_reports(),
         )
         self._view = view_lib.View(
             self._follower.state,
--- a/packages/daemon/src/bamboosilld/gateway/routes.py
+++ b/packages/daemon/src/bamboosilld/gateway/routes.py
@@ -57,15 +57,15 @@
         if not route.shares:
             return route.service
         total = sum(share.weight for share in route.shares)
-        credits = self._credits.setdefault(route.name, {})
-        for name in [each for each in credits if each not in _names(route)]:
-            del credits[name]
+        balances = self._credits.setdefault(route.name, {})
+        for name in [each for each in balances if each not in _names(route)]:
+            del balances[name]
         for share in route.shares:
-            credit = credits.get(share.service, 0.0)
-            credits[share.service] = credit + share.weight / total
+            credit = balances.get(share.service, 0.0)
+            balances[share.service] = credit + share.weight / total
         weighted = {share.service for share in route.shares if share.weight}
-        chosen = max(weighted, key=lambda name: (credits[name], name))
-        credits[chosen] -= 1.0
+        chosen = max(weighted, key=lambda name: (balances[name], name))
+        balances[chosen] -= 1.0
         return chosen
 
 
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -1,5 +1,6 @@
 """What an entry instance derives from its copy of the fleet's state."""
 
+from collections.abc import Iterator
 from typing import Any
 
 from bamboosill_common import clock as clock_lib
@@ -53,15 +54,26 @@
             return None
         return holder
 
+    def get_fence(self, service: str, key: int) -> int:
+        """Returns the fence with which a key was granted, or 0."""
+        table = self.state.keys.get(service)
+        return table.find(key).fence if table is not None else 0
+
+    def take_paces(self) -> Iterator[tuple[str, float]]:
+        """Yields the paces of holders of keys that have changed much."""
+        for upstream in self._upstreams.values():
+            if upstream.item.service in self.state.keys:
+                pace = upstream.take_changed_pace()
+                if pace is not None:
+                    yield upstream.item.upstream, pace
+
     def sweep(self) -> None:
         """Closes connections that are not used any more."""
         for upstream in self._upstreams.values():
             upstream.pool.sweep()
 
     def _take_change(self, command: Any) -> None:
-        if command is None or isinstance(
-            command, messages.ChangeConfiguration
-        ):
+        if command is None or isinstance(command, messages.ChangeConfiguration):
             configuration = self.state.configuration
             self.routes = routes_lib.Routes(configuration.routes)
             self.services = {each.name: each for each in configuration.services}
