Share the loads of upstreams among entry instances

Cause: an entry instance sees each upstream about once a second, and counted the requests of others as gone after one second. Change: loads go to the leader with each question and come back as one byte for each upstream; they count for 2.5 s; with many instances each chooses among three by lot.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -135,7 +135,7 @@
   keys @5 :List(ServiceKeys);
 }
 
-struct KeyLoad {
+struct KeyWork {
   # Work that one block of keys caused, in milliseconds of its upstream.
   service @0 :Text;
   block @1 :UInt32;
@@ -148,12 +148,19 @@
   pace @1 :Float32;
 }
 
+struct UpstreamLoad {
+  # Requests that an upstream ran or had waiting, as it reported last.
+  upstream @0 :Text;
+  requests @1 :UInt16;
+}
+
 struct Follow {
   # Request of an entry instance for all commands after `revision`.
   revision @0 :UInt64;
   instance @1 :Text;
-  loads @2 :List(KeyLoad);
+  works @2 :List(KeyWork);
   paces @3 :List(UpstreamPace);
+  loads @4 :List(UpstreamLoad);
 }
 
 struct RevisedCommand {
@@ -169,6 +176,8 @@
   commands @2 :List(RevisedCommand);
   entryCount @3 :UInt32;
   controlPeers @4 :List(Text);
+  # One byte for each upstream of `revision`, in the order of their ids.
+  loads @5 :Data;
 }
 
 struct ReleasedRange {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -32,6 +32,8 @@
 # Shortest time between two moves of keys of one service.
 _MOVE_INTERVAL_S = 3.0
 
+# A load that was seen longer ago counts as none.
+_LOAD_LIFE_S = 3.0
 # Weight of the newest reported pace in the moving average of an upstream.
 _PACE_GAIN = 0.3
 # Slower upstreams get fewer keys; a faster one gets at most this many more.
@@ -47,6 +49,13 @@
     at_s: float
 
 
+class _SeenLoad(NamedTuple):
+    """The latest load of an upstream that an entry instance saw."""
+
+    requests: int
+    at_s: float
+
+
 class Authority:
     """Registers upstreams and grants keys while this member leads."""
 
@@ -77,6 +86,7 @@
         # Keys asked back from their holder, and when its lease on them ends.
         self._revoked: dict[keyplan.Move, float] = {}
         self._paces: dict[str, float] = {}
+        self._loads: dict[str, _SeenLoad] = {}
         self._works: dict[str, keyplan.Works] = collections.defaultdict(
             keyplan.Works
         )
@@ -91,17 +101,26 @@
             self._begin()
         return True
 
-    def add_reports(
-        self,
-        loads: tuple[messages.KeyLoad, ...],
-        paces: tuple[messages.UpstreamPace, ...],
-    ) -> None:
-        """Counts work and paces that an entry instance reported."""
-        for load in loads:
-            self._works[load.service].add(load.block, float(load.work_ms))
-        for each in paces:
+    def add_reports(self, request: messages.Follow) -> None:
+        """Counts what an entry instance has seen of keys and upstreams."""
+        now_s = self._clock.monotonic()
+        for work in request.works:
+            self._works[work.service].add(work.block, float(work.work_ms))
+        for each in request.paces:
             pace = self._paces.get(each.upstream, each.pace)
             self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
+        for load in request.loads:
+            self._loads[load.upstream] = _SeenLoad(load.requests, now_s)
+
+    def encode_loads(self) -> bytes:
+        """Returns the latest loads of all upstreams, a byte for each."""
+        now_s = self._clock.monotonic()
+        loads = bytearray()
+        for upstream in sorted(self._state.upstreams):
+            seen = self._loads.get(upstream)
+            is_known = seen is not None and now_s - seen.at_s < _LOAD_LIFE_S
+            loads.append(min(seen.requests, 255) if seen and is_known else 0)
+        return bytes(loads)
 
     async def handle_report(
         self, report: messages.UpstreamReport
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -353,14 +353,15 @@
             raise errors.HandlerError(
                 "not_leader", leader.address if leader else ""
             )
-        self.authority.add_reports(request.loads, request.paces)
+        self.authority.add_reports(request)
         reply = await self.feed.answer(request)
         if not self.authority.leads():
             raise errors.HandlerError("not_leader", "")
         return reply._replace(
             control_peers=tuple(
                 member.address for member in self.node.membership.members
-            )
+            ),
+            loads=self.authority.encode_loads(),
         )
 
     async def _on_join(
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+from typing import NamedTuple
 
 from returns.result import Failure
 from returns.result import Success
@@ -23,9 +24,13 @@
 
 _log = logs.get_logger("follower")
 
-TakeReports = Callable[
-    [], tuple[tuple[messages.KeyLoad, ...], tuple[messages.UpstreamPace, ...]]
-]
+
+class Reports(NamedTuple):
+    """What an entry instance has seen since its last question."""
+
+    works: tuple[messages.KeyWork, ...] = ()
+    paces: tuple[messages.UpstreamPace, ...] = ()
+    loads: tuple[messages.UpstreamLoad, ...] = ()
 
 
 class Follower:
@@ -43,13 +48,15 @@
         directory: peer.Directory,
         clock: clock_lib.Clock,
         list_seeds: Callable[[], tuple[str, ...]],
-        take_reports: TakeReports,
+        take_reports: Callable[[], Reports],
+        on_loads: Callable[[dict[str, int]], None],
     ) -> None:
         self._instance = instance
         self._directory = directory
         self._clock = clock
         self._list_seeds = list_seeds
         self._take_reports = take_reports
+        self._on_loads = on_loads
         self._known: tuple[str, ...] = ()
         self._leader = ""
         self._is_following = False
@@ -115,3 +122,8 @@
         for each in reply.commands:
             if each.revision > self.state.revision:
                 self.state.apply(each.revision, each.command)
+        upstreams = sorted(self.state.upstreams)
+        if reply.revision == self.state.revision and len(upstreams) == len(
+            reply.loads
+        ):
+            self._on_loads(dict(zip(upstreams, reply.loads, strict=True)))
--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -17,7 +17,13 @@
 _MIN_PACE = 0.3
 _MAX_PACE = 8.0
 # An upstream's report of its load counts for this long.
-_REPORT_LIFE_S = 1.0
+_REPORT_LIFE_S = 2.5
+# What other instances saw replaces an own view that is older than this.
+_FRESH_S = 0.4
+# With many entry instances, each one chooses among a few upstreams by lot;
+# otherwise all of them would send to the same one at the same time.
+_MANY_INSTANCES = 24
+_DRAWN = 3
 # An upstream that fails is left alone for this long at first, doubled with
 # each further failure in a row up to the longest time.
 _FIRST_REST_S = 0.5
@@ -33,10 +39,9 @@
 
 
 class Load(NamedTuple):
-    """What an upstream reported of itself."""
+    """Requests that an upstream had, and how many of them were ours."""
 
-    running: int
-    waiting: int
+    requests: int
     own: int
     at_s: float
 
@@ -67,7 +72,8 @@
         self.failures = 0
         self.rests_until_s = 0.0
         self._warm_at_s = clock.monotonic() + item.warmup_ms / 1000
-        self._load = Load(0, 0, 0, float("-inf"))
+        self._load = Load(0, 0, float("-inf"))
+        self._has_new_load = False
 
     @property
     def slots(self) -> int:
@@ -78,7 +84,7 @@
         """Returns the requests that it probably has now, in all."""
         age_s = self._clock.monotonic() - self._load.at_s
         weight = max(0.0, 1.0 - age_s / _REPORT_LIFE_S)
-        others = self._load.running + self._load.waiting - self._load.own
+        others = self._load.requests - self._load.own
         return self.in_flight + max(0, others) * weight
 
     def take_load(self, value: bytes) -> None:
@@ -87,10 +93,23 @@
         if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
             return
         running, waiting, _ = (int(part) for part in parts)
-        # The request that was just answered may still be counted.
-        self._load = Load(
-            running, waiting, self.in_flight, self._clock.monotonic()
-        )
+        self._has_new_load = True
+        self._set_load(running + waiting)
+
+    def take_shared_load(self, requests: int) -> None:
+        """Takes a load that any instance has seen lately."""
+        if self._clock.monotonic() - self._load.at_s > _FRESH_S:
+            self._set_load(requests)
+
+    def take_new_load(self) -> int | None:
+        """Returns the load if the upstream reported one since the last call."""
+        if not self._has_new_load:
+            return None
+        self._has_new_load = False
+        return self._load.requests
+
+    def _set_load(self, requests: int) -> None:
+        self._load = Load(requests, self.in_flight, self._clock.monotonic())
 
     def take_success(self) -> None:
         """Ends a rest."""
@@ -150,14 +169,26 @@
 
 
 def choose(
-    candidates: Iterable[Upstream], zone: str, rng: random.Random
+    candidates: Iterable[Upstream],
+    zone: str,
+    rng: random.Random,
+    instances: int,
 ) -> Upstream | None:
-    """Returns the most favourable upstream, or None if all are full."""
+    """Returns the most favourable upstream, or None if all are full.
+
+    Args:
+        candidates: Upstreams of one service.
+        zone: Own availability zone.
+        rng: Decides between equals.
+        instances: Number of entry instances that choose.
+    """
     usable = [each for each in candidates if not each.is_full()]
-    awake = [each for each in usable if not each.is_resting()]
-    if not (awake or usable):
+    awake = [each for each in usable if not each.is_resting()] or usable
+    if not awake:
         return None
-    return min(
-        awake or usable,
-        key=lambda each: (each.compute_cost(zone), rng.random()),
-    )
+    if instances >= _MANY_INSTANCES:
+        near = [each for each in awake if each.item.zone == zone]
+        if len(near) > _DRAWN:
+            awake = near
+        awake = rng.sample(awake, min(_DRAWN, len(awake)))
+    return min(awake, key=lambda each: (each.compute_cost(zone), rng.random()))
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -174,7 +174,10 @@
             each for each in candidates if each.item.upstream not in without
         ]
         found = balance.choose(
-            fresh or candidates, self._tools.zone, self._tools.rng
+            fresh or candidates,
+            self._tools.zone,
+            self._tools.rng,
+            self._entry_count,
         )
         if found is None:
             self._reason = "all upstreams are full" if candidates else "none"
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -67,25 +67,24 @@
         self._splitter = view_lib.routes_lib.Splitter()
         self._budgets: dict[str, budget_lib.Budget] = {}
         self._latencies: dict[str, latency_lib.Latency] = {}
-        self._loads: dict[tuple[str, int], float] = {}
+        self._works: dict[tuple[str, int], float] = {}
         self.in_flight = 0
 
-    def take_reports(
-        self,
-    ) -> tuple[tuple[messages.KeyLoad, ...], tuple[messages.UpstreamPace, ...]]:
-        """Returns the work by blocks of keys and the pace of upstreams.
-
-        Both are what has become known since the last call.
-        """
-        loads, self._loads = self._loads, {}
-        return (
+    def take_reports(self) -> follower_lib.Reports:
+        """Returns what has been seen since the last call."""
+        works, self._works = self._works, {}
+        return follower_lib.Reports(
             tuple(
-                messages.KeyLoad(service, block, int(work_ms))
-                for (service, block), work_ms in loads.items()
+                messages.KeyWork(service, block, int(work_ms))
+                for (service, block), work_ms in works.items()
             ),
             tuple(
                 messages.UpstreamPace(upstream, pace)
-                for upstream, pace in self._view.take_paces()
+                for upstream, pace in self._view.list_changed_paces()
+            ),
+            tuple(
+                messages.UpstreamLoad(upstream, requests)
+                for upstream, requests in self._view.list_new_loads()
             ),
         )
 
@@ -129,7 +128,7 @@
             block = (service, key // keyranges.BLOCK_KEYS)
             latency = self._latencies.get(route.name)
             work_ms = latency.mean_s * 1000 if latency else 0.0
-            self._loads[block] = self._loads.get(block, 0.0) + work_ms
+            self._works[block] = self._works.get(block, 0.0) + work_ms
         return await self._run(task)
 
     def _read_key(
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -59,7 +59,7 @@
         table = self.state.keys.get(service)
         return table.find(key).fence if table is not None else 0
 
-    def take_paces(self) -> Iterator[tuple[str, float]]:
+    def list_changed_paces(self) -> Iterator[tuple[str, float]]:
         """Yields the paces of holders of keys that have changed much."""
         for upstream in self._upstreams.values():
             if upstream.item.service in self.state.keys:
@@ -67,6 +67,20 @@
                 if pace is not None:
                     yield upstream.item.upstream, pace
 
+    def list_new_loads(self) -> Iterator[tuple[str, int]]:
+        """Yields the loads that upstreams reported since the last call."""
+        for upstream in self._upstreams.values():
+            requests = upstream.take_new_load()
+            if requests is not None:
+                yield upstream.item.upstream, requests
+
+    def take_loads(self, loads: dict[str, int]) -> None:
+        """Takes the loads that other instances have seen."""
+        for upstream in self._upstreams.values():
+            requests = loads.get(upstream.item.upstream)
+            if requests is not None:
+                upstream.take_shared_load(requests)
+
     def sweep(self) -> None:
         """Closes connections that are not used any more."""
         for upstream in self._upstreams.values():
