--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -34,6 +34,8 @@
 
 # A load that was seen longer ago counts as none.
 _LOAD_LIFE_S = 3.0
+# Weight of the newest load in the moving average of an upstream.
+_LOAD_GAIN = 0.15
 # Weight of the newest reported pace in the moving average of an upstream.
 _PACE_GAIN = 0.3
 # Slower upstreams get fewer keys; a faster one gets at most this many more.
@@ -50,9 +52,16 @@
 
 
 class _SeenLoad(NamedTuple):
-    """The latest load of an upstream that an entry instance saw."""
+    """The latest load of an upstream that an entry instance saw.
+
+    Attributes:
+        requests: Requests running and waiting.
+        mean: Moving average of them.
+        at_s: When it was reported.
+    """
 
     requests: int
+    mean: float
     at_s: float
 
 
@@ -110,7 +119,11 @@
             pace = self._paces.get(each.upstream, each.pace)
             self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
         for load in request.loads:
-            self._loads[load.upstream] = _SeenLoad(load.requests, now_s)
+            seen = self._loads.get(load.upstream)
+            mean = float(load.requests)
+            if seen is not None and now_s - seen.at_s < _LOAD_LIFE_S:
+                mean = seen.mean + _LOAD_GAIN * (load.requests - seen.mean)
+            self._loads[load.upstream] = _SeenLoad(load.requests, mean, now_s)
 
     def encode_loads(self) -> bytes:
         """Returns the latest loads of all upstreams, a byte for each."""
@@ -308,6 +321,19 @@
             capacities[life] = max(1, item.slots) / pace
         return capacities
 
+    def _get_busy(self, service: str) -> dict[state_lib.Life, float]:
+        """Returns recent requests for each slot of the holders of keys."""
+        now_s = self._clock.monotonic()
+        busy = {}
+        for life in self._get_capacities(service):
+            item = self._state.upstreams[life.upstream]
+            seen = self._loads.get(life.upstream)
+            if seen is None or now_s - seen.at_s > _LOAD_LIFE_S:
+                busy[life] = 0.0
+            else:
+                busy[life] = seen.mean / max(1, item.slots)
+        return busy
+
     async def _remove_silent(self, now_s: float) -> None:
         gone = []
         for item in self._state.upstreams.values():
@@ -370,7 +396,7 @@
         ):
             return
         moves = keyplan.plan_moves(
-            self._get_capacities(service), table, self._works[service]
+            self._get_busy(service), table, self._works[service]
         )
         if not moves:
             return
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -20,10 +20,12 @@
 _HALF_LIFE_S = 8.0
 # Part of the total work that counts as spread evenly over all keys.
 _EVEN_PART = 0.15
-# An upstream above the mean by this factor gives keys away.
+# An upstream with this many requests for each slot, and above the mean by
+# this factor, gives keys away: only then does a request wait.
+_BUSY = 1.0
 _OVERLOAD_RATIO = 1.3
-# One that would be above the mean by this factor takes none.
-_TAKER_RATIO = 1.05
+# Part of its surplus that it gives away in one step.
+_GIVEN_PART = 0.7
 # Most blocks of one upstream that move in one step.
 _MAX_MOVED_BLOCKS = 64
 # Most upstreams that give keys away in one step.
@@ -174,31 +176,35 @@
 
 
 def plan_moves(
-    capacities: dict[state_lib.Life, float],
+    busy: dict[state_lib.Life, float],
     table: keyranges.Table,
     works: Works,
 ) -> list[Move]:
-    """Returns the keys that overloaded upstreams should give away."""
-    if works.total < _MIN_WORK_MS or len(capacities) < 2:
+    """Returns the keys that overloaded upstreams should give away.
+
+    Args:
+        busy: Recent requests of each upstream for each of its slots.
+        table: Who holds what.
+        works: Recent work of the keys.
+    """
+    if works.total < _MIN_WORK_MS or len(busy) < 2:
         return []
     sums = sum_holders(table, works)
-    total = sum(sums.get(each, 0.0) for each in capacities)
-    share = total / sum(capacities.values())
-    # What others can take bounds what is given away.
+    mean = sum(busy.values()) / len(busy)
+    # What idler upstreams can take bounds what is given away.
     room = sum(
-        max(0.0, share * capacity * _TAKER_RATIO - sums.get(life, 0.0))
-        for life, capacity in capacities.items()
+        works.total / len(busy) * (1 - ratio / mean)
+        for ratio in busy.values()
+        if ratio < mean
     )
-    ratios = {
-        life: sums.get(life, 0.0) / (share * capacity)
-        for life, capacity in capacities.items()
-    }
     moves: list[Move] = []
-    for life in sorted(ratios, key=lambda each: -ratios[each])[:_MAX_GIVERS]:
-        if ratios[life] < _OVERLOAD_RATIO:
+    for life in sorted(busy, key=lambda each: -busy[each])[:_MAX_GIVERS]:
+        if busy[life] < max(_BUSY, mean * _OVERLOAD_RATIO):
             break
-        surplus = min(sums[life] - share * capacities[life], room)
-        blocks = _choose_blocks(table.list_held(*life), works, surplus)
+        surplus = sums.get(life, 0.0) * (1 - mean / busy[life])
+        blocks = _choose_blocks(
+            table.list_held(*life), works, min(surplus * _GIVEN_PART, room)
+        )
         room -= sum(works.get_block(block) for block in blocks)
         moves.extend(
             _make_move(life, first, last) for first, last in _join(blocks)
