Share which upstreams are silent; prefer the own zone more

Cause: each entry instance found a dead upstream by its own failed requests; bytes between zones were the largest price. Change: failures to connect and answers that never came go to the leader, which marks an upstream that is also late with its heartbeat (or that three instances report); another zone counts as 0.3 requests a slot.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -149,9 +149,11 @@
 }
 
 struct UpstreamLoad {
-  # Requests that an upstream ran or had waiting, as it reported last.
+  # Requests that an upstream ran or had waiting, as it reported last, or
+  # that it did not answer.
   upstream @0 :Text;
   requests @1 :UInt16;
+  isSilent @2 :Bool;
 }
 
 struct Follow {
@@ -176,7 +178,8 @@
   commands @2 :List(RevisedCommand);
   entryCount @3 :UInt32;
   controlPeers @4 :List(Text);
-  # One byte for each upstream of `revision`, in the order of their ids.
+  # One byte for each upstream of `revision`, in the order of their ids; 255
+  # for one that answers nobody.
   loads @5 :Data;
 }
 
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -16,6 +16,7 @@
 from bamboosilld.fleet import keyranges
 from bamboosilld.fleet import leases as leases_lib
 from bamboosilld.fleet import state as state_lib
+from bamboosilld.fleet import suspicion
 
 # Longest wait for a command to be committed. Upstreams and operators wait one
 # second for an answer before they ask another instance.
@@ -32,6 +33,8 @@
 # Shortest time between two moves of keys of one service.
 _MOVE_INTERVAL_S = 3.0
 
+# A heartbeat is late when this many were due since the last one.
+_LATE_HEARTBEATS = 1.6
 # A load that was seen longer ago counts as none.
 _LOAD_LIFE_S = 3.0
 # Weight of the newest load in the moving average of an upstream.
@@ -96,6 +99,7 @@
         self._revoked: dict[keyplan.Move, float] = {}
         self._paces: dict[str, float] = {}
         self._loads: dict[str, _SeenLoad] = {}
+        self._suspicions = suspicion.Suspicions(self._clock)
         self._works: dict[str, keyplan.Works] = collections.defaultdict(
             keyplan.Works
         )
@@ -119,6 +123,10 @@
             pace = self._paces.get(each.upstream, each.pace)
             self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
         for load in request.loads:
+            if load.is_silent:
+                self._suspicions.add(load.upstream, request.instance)
+                continue
+            self._suspicions.clear(load.upstream)
             seen = self._loads.get(load.upstream)
             mean = float(load.requests)
             if seen is not None and now_s - seen.at_s < _LOAD_LIFE_S:
@@ -129,10 +137,16 @@
         """Returns the latest loads of all upstreams, a byte for each."""
         now_s = self._clock.monotonic()
         loads = bytearray()
-        for upstream in sorted(self._state.upstreams):
-            seen = self._loads.get(upstream)
-            is_known = seen is not None and now_s - seen.at_s < _LOAD_LIFE_S
-            loads.append(min(seen.requests, 255) if seen and is_known else 0)
+        for upstream, item in sorted(self._state.upstreams.items()):
+            load = self._loads.get(upstream)
+            is_known = load is not None and now_s - load.at_s < _LOAD_LIFE_S
+            value = load.requests if load and is_known else 0
+            seen = self._seen.get(state_lib.Life(upstream, item.born_ms))
+            silence_s = now_s - (seen.at_s if seen else self._begun_s)
+            is_late = silence_s > _LATE_HEARTBEATS * self._heartbeat_s
+            if self._suspicions.is_suspect(upstream, is_late):
+                value = suspicion.SUSPECT_LOAD
+            loads.append(min(value, suspicion.SUSPECT_LOAD))
         return bytes(loads)
 
     async def handle_report(
--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -7,6 +7,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import suspicion
 from bamboosilld.gateway import upstream as upstream_lib
 
 # Weight of the newest latency in the moving average of an upstream's pace.
@@ -30,7 +31,7 @@
 _LONGEST_REST_S = 4.0
 # Upstreams of other zones count as loaded by this much more, in slots: bytes
 # between zones are costly.
-_OTHER_ZONE_LOAD = 0.15
+_OTHER_ZONE_LOAD = 0.3
 # Requests that may wait at an upstream for each slot: some upstreams never
 # answer a request that they cannot queue.
 _QUEUE_PER_SLOT = 2.5
@@ -71,9 +72,11 @@
         self._reported_pace = 1.0
         self.failures = 0
         self.rests_until_s = 0.0
+        self._is_silent = False
         self._warm_at_s = clock.monotonic() + item.warmup_ms / 1000
         self._load = Load(0, 0, float("-inf"))
         self._has_new_load = False
+        self._is_silent = False
 
     @property
     def slots(self) -> int:
@@ -98,7 +101,10 @@
 
     def take_shared_load(self, requests: int) -> None:
         """Takes a load that any instance has seen lately."""
-        if self._clock.monotonic() - self._load.at_s > _FRESH_S:
+        now_s = self._clock.monotonic()
+        if requests == suspicion.SUSPECT_LOAD:
+            self.rests_until_s = max(self.rests_until_s, now_s + _FIRST_REST_S)
+        elif now_s - self._load.at_s > _FRESH_S:
             self._set_load(requests)
 
     def take_new_load(self) -> int | None:
@@ -108,6 +114,11 @@
         self._has_new_load = False
         return self._load.requests
 
+    def take_silence(self) -> bool:
+        """Returns whether it did not answer at all since the last call."""
+        is_silent, self._is_silent = self._is_silent, False
+        return is_silent
+
     def _set_load(self, requests: int) -> None:
         self._load = Load(requests, self.in_flight, self._clock.monotonic())
 
@@ -115,6 +126,7 @@
         """Ends a rest."""
         self.failures = 0
         self.rests_until_s = 0.0
+        self._is_silent = False
 
     def take_pace(self, ratio: float) -> None:
         """Counts a latency.
@@ -126,8 +138,13 @@
         pace = self.pace + _PACE_GAIN * (ratio - self.pace)
         self.pace = min(_MAX_PACE, max(_MIN_PACE, pace))
 
-    def take_failure(self) -> None:
-        """Lets the upstream rest."""
+    def take_failure(self, is_silent: bool) -> None:
+        """Lets the upstream rest.
+
+        Args:
+            is_silent: Whether it did not answer at all.
+        """
+        self._is_silent = self._is_silent or is_silent
         self.failures += 1
         rest_s = min(_LONGEST_REST_S, _FIRST_REST_S * 2 ** (self.failures - 1))
         self.rests_until_s = self._clock.monotonic() + rest_s
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -26,6 +26,8 @@
 # Urgent requests may be answered this much later than their route aims at
 # before they are refused; each lower rank gets less.
 _LATE_PART_BY_PRIORITY = (1.6, 1.4, 1.0)
+# Failures that show that nobody answers at an address.
+_SILENT_CODES = frozenset(("connect", "refused"))
 _STATUS_MISDIRECTED = 421
 _FIRST_ERROR_STATUS = 500
 
@@ -256,7 +258,7 @@
         try:
             answer = await self._exchange(upstream)
         except upstream_lib.ExchangeError as error:
-            upstream.take_failure()
+            upstream.take_failure(error.code in _SILENT_CODES)
             self._fail(upstream, error.code)
             if error.sent:
                 self._count_run()
@@ -264,7 +266,7 @@
                 self._unsent += 1
             return None
         except TimeoutError:
-            upstream.take_failure()
+            upstream.take_failure(is_silent=True)
             self._fail(upstream, "timeout")
             self._count_run()
             return None
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -83,8 +83,10 @@
                 for upstream, pace in self._view.list_changed_paces()
             ),
             tuple(
-                messages.UpstreamLoad(upstream, requests)
-                for upstream, requests in self._view.list_new_loads()
+                messages.UpstreamLoad(upstream, requests, is_silent)
+                for upstream, requests, is_silent in (
+                    self._view.list_new_loads()
+                )
             ),
         )
 
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -67,12 +67,17 @@
                 if pace is not None:
                     yield upstream.item.upstream, pace
 
-    def list_new_loads(self) -> Iterator[tuple[str, int]]:
-        """Yields the loads that upstreams reported since the last call."""
+    def list_new_loads(self) -> Iterator[tuple[str, int, bool]]:
+        """Yields what upstreams reported since the last call.
+
+        Yields:
+            Id, requests, and whether it did not answer at all.
+        """
         for upstream in self._upstreams.values():
             requests = upstream.take_new_load()
-            if requests is not None:
-                yield upstream.item.upstream, requests
+            is_silent = upstream.take_silence()
+            if requests is not None or is_silent:
+                yield upstream.item.upstream, requests or 0, is_silent
 
     def take_loads(self, loads: dict[str, int]) -> None:
         """Takes the loads that other instances have seen."""
