--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -29,7 +29,6 @@
     """What an entry instance has seen since its last question."""
 
     works: tuple[messages.KeyWork, ...] = ()
-    paces: tuple[messages.UpstreamPace, ...] = ()
     loads: tuple[messages.UpstreamLoad, ...] = ()
 
 
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -23,13 +23,15 @@
 # An upstream with this many requests for each slot, and above the mean by
 # this factor, gives keys away: only then does a request wait.
 _BUSY = 1.0
+# Upstreams less busy than this count as equally idle.
+_LEAST_BUSY = 0.3
 _OVERLOAD_RATIO = 1.3
 # Part of its surplus that it gives away in one step.
 _GIVEN_PART = 0.7
 # Most blocks of one upstream that move in one step.
 _MAX_MOVED_BLOCKS = 64
 # Most upstreams that give keys away in one step.
-_MAX_GIVERS = 3
+_MAX_GIVERS = 5
 # Work that must have been reported before any key moves, in milliseconds.
 _MIN_WORK_MS = 30_000.0
 
@@ -121,40 +123,41 @@
 
 def choose_free(
     life: state_lib.Life,
-    capacities: dict[state_lib.Life, float],
+    busy: dict[state_lib.Life, float],
     table: keyranges.Table,
     works: Works,
+    given: float,
     slack: float,
 ) -> list[messages.KeyRange]:
     """Returns free ranges that a life should get now.
 
     Args:
         life: The upstream that can take keys at this moment.
-        capacities: Relative capacity of each upstream that may hold keys.
+        busy: Recent requests for each slot of the upstreams that may hold
+            keys.
         table: Who holds what.
         works: Recent work of the keys.
+        given: Work of keys that it got lately, which its load does not show.
         slack: Part of the mean load by which the upstream may exceed it;
             grows while keys wait.
     """
     free = [each for each in table.ranges if not each.upstream]
-    if not free or life not in capacities:
+    if not free or life not in busy:
         return []
-    sums = sum_holders(table, works)
-    held = sums.get(life, 0.0)
-    waiting = sum(works.sum_range(each.first, each.last) for each in free)
-    total = sum(sums.get(each, 0.0) for each in capacities) + waiting
-    fair = total * capacities[life] / sum(capacities.values())
+    mean = max(_LEAST_BUSY, sum(busy.values()) / len(busy))
+    work = max(works.total, 1.0) / len(busy)
+    room = work * (1 + slack - busy[life] / mean) - given
     chosen = []
     for each in free:
-        work = works.sum_range(each.first, each.last)
-        if held + work / 2 <= fair * (1 + slack):
+        size = works.sum_range(each.first, each.last)
+        if size / 2 <= room:
             chosen.append(each)
-            held += work
-        elif held < fair * (1 + slack):
-            part = _cut_work(each, fair * (1 + slack) - held, works)
+            room -= size
+        elif room > 0:
+            part = _cut_work(each, room, works)
             if part is not None:
                 chosen.append(part)
-                held += works.sum_range(part.first, part.last)
+                room -= works.sum_range(part.first, part.last)
     return chosen
 
 
