--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -142,6 +142,12 @@
   workMs @2 :UInt32;
 }
 
+struct UpstreamPace {
+  # How slow an upstream is, relative to the mean of its service.
+  upstream @0 :Text;
+  pace @1 :Float32;
+}
+
 struct UpstreamLoad {
   # Requests that an upstream ran or had waiting, as it reported last, or
   # that it did not answer.
@@ -155,7 +161,8 @@
   revision @0 :UInt64;
   instance @1 :Text;
   works @2 :List(KeyWork);
-  loads @3 :List(UpstreamLoad);
+  paces @3 :List(UpstreamPace);
+  loads @4 :List(UpstreamLoad);
 }
 
 struct RevisedCommand {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -30,10 +30,8 @@
 # Free keys go to upstreams that are this much more loaded for each second
 # that they wait.
 _SLACK_PER_S = 1.5
-# Time after which the load of an upstream shows the keys that it got.
-_GIVEN_LIFE_S = 1.5
 # Shortest time between two moves of keys of one service.
-_MOVE_INTERVAL_S = 2.0
+_MOVE_INTERVAL_S = 3.0
 
 # A heartbeat is late when this many were due since the last one.
 _LATE_HEARTBEATS = 1.6
@@ -41,6 +39,10 @@
 _LOAD_LIFE_S = 3.0
 # Weight of the newest load in the moving average of an upstream.
 _LOAD_GAIN = 0.15
+# Weight of the newest reported pace in the moving average of an upstream.
+_PACE_GAIN = 0.3
+# Slower upstreams get fewer keys; a faster one gets at most this many more.
+_MIN_PACE = 0.4
 
 _log = logs.get_logger("fleet")
 
@@ -66,13 +68,6 @@
     at_s: float
 
 
-class _Given(NamedTuple):
-    """Work of the keys that an upstream got lately."""
-
-    work: float
-    at_s: float
-
-
 class Authority:
     """Registers upstreams and grants keys while this member leads."""
 
@@ -102,8 +97,8 @@
         self._moved_s: dict[str, float] = collections.defaultdict(float)
         # Keys asked back from their holder, and when its lease on them ends.
         self._revoked: dict[keyplan.Move, float] = {}
+        self._paces: dict[str, float] = {}
         self._loads: dict[str, _SeenLoad] = {}
-        self._given: dict[state_lib.Life, _Given] = {}
         self._suspicions = suspicion.Suspicions(self._clock)
         self._works: dict[str, keyplan.Works] = collections.defaultdict(
             keyplan.Works
@@ -124,6 +119,9 @@
         now_s = self._clock.monotonic()
         for work in request.works:
             self._works[work.service].add(work.block, float(work.work_ms))
+        for each in request.paces:
+            pace = self._paces.get(each.upstream, each.pace)
+            self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
         for load in request.loads:
             if load.is_silent:
                 self._suspicions.add(load.upstream, request.instance)
@@ -306,24 +304,14 @@
             return
         now_s = self._clock.monotonic()
         since_s = self._free_since_s.setdefault(service, now_s)
-        works = self._works[service]
-        given = self._given.get(life, _Given(0.0, now_s))
-        is_recent = now_s - given.at_s < _GIVEN_LIFE_S
         chosen = keyplan.choose_free(
             life,
-            self._get_busy(service),
+            self._get_capacities(service),
             table,
-            works,
-            given.work if is_recent else 0.0,
+            self._works[service],
             (now_s - since_s) * _SLACK_PER_S,
         )
         if chosen:
-            work = sum(
-                works.sum_range(each.first, each.last) for each in chosen
-            )
-            self._given[life] = _Given(
-                work + (given.work if is_recent else 0.0), now_s
-            )
             await self._set_keys(
                 service,
                 [
@@ -332,10 +320,10 @@
                 ],
             )
 
-    def _list_candidates(self, service: str) -> list[state_lib.Life]:
-        """Returns the upstreams that may hold keys."""
+    def _get_capacities(self, service: str) -> dict[state_lib.Life, float]:
+        """Returns the upstreams that may hold keys, and their capacity."""
         now_s = self._clock.monotonic()
-        lives = []
+        capacities = {}
         for item in self._state.upstreams.values():
             life = state_lib.Life(item.upstream, item.born_ms)
             seen = self._seen.get(life)
@@ -343,14 +331,15 @@
                 continue
             if now_s - seen.at_s > self._leases.lease_s / 2:
                 continue
-            lives.append(life)
-        return sorted(lives)
+            pace = max(_MIN_PACE, self._paces.get(item.upstream, 1.0))
+            capacities[life] = max(1, item.slots) / pace
+        return capacities
 
     def _get_busy(self, service: str) -> dict[state_lib.Life, float]:
         """Returns recent requests for each slot of the holders of keys."""
         now_s = self._clock.monotonic()
         busy = {}
-        for life in self._list_candidates(service):
+        for life in self._get_capacities(service):
             item = self._state.upstreams[life.upstream]
             seen = self._loads.get(life.upstream)
             if seen is None or now_s - seen.at_s > _LOAD_LIFE_S:
@@ -407,7 +396,7 @@
         settle_s = _SETTLE_BEATS * self._heartbeat_s
         if joined_s is None or now_s - joined_s < settle_s:
             return
-        lives = self._list_candidates(service)
+        lives = sorted(self._get_capacities(service))
         if lives:
             await self._set_keys(service, keyplan.split_evenly(lives))
 
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -29,6 +29,7 @@
     """What an entry instance has seen since its last question."""
 
     works: tuple[messages.KeyWork, ...] = ()
+    paces: tuple[messages.UpstreamPace, ...] = ()
     loads: tuple[messages.UpstreamLoad, ...] = ()
 
 
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -23,15 +23,13 @@
 # An upstream with this many requests for each slot, and above the mean by
 # this factor, gives keys away: only then does a request wait.
 _BUSY = 1.0
-# Upstreams less busy than this count as equally idle.
-_LEAST_BUSY = 0.3
 _OVERLOAD_RATIO = 1.3
 # Part of its surplus that it gives away in one step.
 _GIVEN_PART = 0.7
 # Most blocks of one upstream that move in one step.
 _MAX_MOVED_BLOCKS = 64
 # Most upstreams that give keys away in one step.
-_MAX_GIVERS = 5
+_MAX_GIVERS = 3
 # Work that must have been reported before any key moves, in milliseconds.
 _MIN_WORK_MS = 30_000.0
 
@@ -123,41 +121,40 @@
 
 def choose_free(
     life: state_lib.Life,
-    busy: dict[state_lib.Life, float],
+    capacities: dict[state_lib.Life, float],
     table: keyranges.Table,
     works: Works,
-    given: float,
     slack: float,
 ) -> list[messages.KeyRange]:
     """Returns free ranges that a life should get now.
 
     Args:
         life: The upstream that can take keys at this moment.
-        busy: Recent requests for each slot of the upstreams that may hold
-            keys.
+        capacities: Relative capacity of each upstream that may hold keys.
         table: Who holds what.
         works: Recent work of the keys.
-        given: Work of keys that it got lately, which its load does not show.
         slack: Part of the mean load by which the upstream may exceed it;
             grows while keys wait.
     """
     free = [each for each in table.ranges if not each.upstream]
-    if not free or life not in busy:
+    if not free or life not in capacities:
         return []
-    mean = max(_LEAST_BUSY, sum(busy.values()) / len(busy))
-    work = max(works.total, 1.0) / len(busy)
-    room = work * (1 + slack - busy[life] / mean) - given
+    sums = sum_holders(table, works)
+    held = sums.get(life, 0.0)
+    waiting = sum(works.sum_range(each.first, each.last) for each in free)
+    total = sum(sums.get(each, 0.0) for each in capacities) + waiting
+    fair = total * capacities[life] / sum(capacities.values())
     chosen = []
     for each in free:
-        size = works.sum_range(each.first, each.last)
-        if size / 2 <= room:
+        work = works.sum_range(each.first, each.last)
+        if held + work / 2 <= fair * (1 + slack):
             chosen.append(each)
-            room -= size
-        elif room > 0:
-            part = _cut_work(each, room, works)
+            held += work
+        elif held < fair * (1 + slack):
+            part = _cut_work(each, fair * (1 + slack) - held, works)
             if part is not None:
                 chosen.append(part)
-                room -= works.sum_range(part.first, part.last)
+                held += works.sum_range(part.first, part.last)
     return chosen
 
 
--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -12,6 +12,8 @@
 
 # Weight of the newest latency in the moving average of an upstream's pace.
 _PACE_GAIN = 0.2
+# A pace is reported when it has changed by this part.
+_REPORTED_CHANGE = 0.1
 # Pace is kept within these bounds, so that no upstream is starved by it.
 _MIN_PACE = 0.3
 _MAX_PACE = 8.0
@@ -67,6 +69,7 @@
         self.pool = upstream_lib.Pool(item.address, request_id_name)
         self.in_flight = 0
         self.pace = 1.0
+        self._reported_pace = 1.0
         self.failures = 0
         self.rests_until_s = 0.0
         self._is_silent = False
@@ -155,6 +158,14 @@
         """Returns whether another request would probably wait too long."""
         return self.estimate_load() >= self.slots * (1 + _QUEUE_PER_SLOT)
 
+    def take_changed_pace(self) -> float | None:
+        """Returns the pace if it has changed much since the last call."""
+        change = abs(self.pace - self._reported_pace) / self._reported_pace
+        if change < _REPORTED_CHANGE:
+            return None
+        self._reported_pace = self.pace
+        return self.pace
+
     def estimate_latency(self, usual_s: float) -> float:
         """Returns how long another request would probably take, in seconds.
 
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -59,6 +59,14 @@
         table = self.state.keys.get(service)
         return table.find(key).fence if table is not None else 0
 
+    def list_changed_paces(self) -> Iterator[tuple[str, float]]:
+        """Yields the paces of holders of keys that have changed much."""
+        for upstream in self._upstreams.values():
+            if upstream.item.service in self.state.keys:
+                pace = upstream.take_changed_pace()
+                if pace is not None:
+                    yield upstream.item.upstream, pace
+
     def list_new_loads(self) -> Iterator[tuple[str, int, bool]]:
         """Yields what upstreams reported since the last call.
 
