--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,14 @@
 	$(BIN)/python -m bamboosill_dev.generate
 
 format: install
-	$(BIN)/python -m ruff format packages
-	$(BIN)/python -m ruff check --fix packages
+	$(BIN)/python -m ruff format packages platform
+	$(BIN)/python -m ruff check --fix packages platform
 
 lint: install
-	$(BIN)/python -m ruff format --check packages
-	$(BIN)/python -m ruff check packages
+	$(BIN)/python -m ruff format --check packages platform
+	$(BIN)/python -m ruff check packages platform
 	$(BIN)/python -m mypy packages/*/src
+	$(BIN)/python -m mypy platform/*.py
 	$(BIN)/python -m bamboosill_dev.generate --check
 
 test: lint
--- /dev/null
+++ b/packages/daemon/tests/fleet/conftest.py
@@ -0,0 +1,138 @@
+"""A leader without a group, and reports of upstreams."""
+
+import asyncio
+
+import pytest
+from returns.result import Success
+
+from bamboosill_common import wire
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.consensus import core as core_lib
+from bamboosilld.fleet import authority as authority_lib
+from bamboosilld.fleet import state as state_lib
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def monotonic(self):
+        return self.now_s
+
+    def wall_ms(self):
+        return int(self.now_s * 1000)
+
+    async def sleep(self, seconds):
+        self.now_s += seconds
+        await asyncio.sleep(0)
+
+
+class Node:
+    """A node that commits at once, or when the test lets it."""
+
+    def __init__(self, state):
+        self._state = state
+        self._index = 0
+        self.is_leader = True
+        self.elected_at_s = 1.0
+        self.commits = asyncio.Event()
+        self.commits.set()
+
+    def has_leader_lease(self):
+        return self.is_leader
+
+    def has_applied_barrier(self):
+        return True
+
+    async def propose(self, command, deadline_s):
+        await self.commits.wait()
+        self._index += 1
+        value = self._state.apply(self._index, command)
+        return Success(core_lib.Applied(self._index, 1, value))
+
+
+def make_configuration(version=1, base=0, **changes):
+    """Returns a whole configuration with one plain and one sharded service."""
+    change = messages.ChangeConfiguration(
+        version=version,
+        base=base,
+        digest=f"{version}/{base}/{sorted(changes)}".encode(),
+        whole=True,
+        routes=(
+            messages.RouteItem(
+                name="r1",
+                host="shop.example",
+                path_prefix="/a/",
+                idempotent=True,
+                timeout_ms=1000,
+                target_latency_ms=500,
+                max_upstreams=2,
+                service="plain",
+            ),
+        ),
+        services=(
+            messages.ServiceItem(name="plain"),
+            messages.ServiceItem(name="keyed", sharded=True),
+        ),
+        limits=messages.CallerLimits(16384, 1 << 20, 3000, 15000),
+        has_limits=True,
+    )
+    return change._replace(**changes)
+
+
+def make_item(upstream, born_ms=1, **changes):
+    """Returns an upstream of the sharded service."""
+    item = messages.UpstreamItem(
+        upstream=upstream,
+        born_ms=born_ms,
+        address=f"10.0.0.{sum(upstream.encode()) % 250}:80",
+        service="keyed",
+        zone="z1",
+        slots=4,
+    )
+    return item._replace(**changes)
+
+
+class Fleet:
+    """A leading authority and its state."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.state = state_lib.FleetState()
+        self.node = Node(self.state)
+        self.authority = authority_lib.Authority(
+            self.node, self.state, self.clock, lease_s=4.0, heartbeat_s=1.0
+        )
+        self.sequence = 0
+        self.state.apply(0, wire.pack(make_configuration()))
+        assert self.authority.leads()
+
+    async def report(self, item, holds=(), released=(), sequence=None):
+        self.sequence += 1
+        return await self.authority.handle_report(
+            messages.UpstreamReport(
+                item,
+                self.sequence if sequence is None else sequence,
+                tuple(holds),
+                tuple(released),
+            )
+        )
+
+    async def distribute(self, *items):
+        """Lets upstreams join and returns what each one holds."""
+        for item in items:
+            await self.report(item)
+        self.clock.now_s += 2.5
+        for item in items:
+            await self.report(item)
+        await self.authority.tick()
+        return {
+            item.upstream: (await self.report(item)).grants for item in items
+        }
+
+
+@pytest.fixture
+async def fleet():
+    return Fleet()
--- /dev/null
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -0,0 +1,181 @@
+"""Registration and grants of the leader."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from bamboosill_common import errors
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import state as state_lib
+
+from .conftest import make_item
+
+_LEASE_S = 4.0
+
+
+def _list_keys(grants):
+    return {(each.first, each.last) for each in grants}
+
+
+async def test_each_key_is_granted_once(fleet):
+    """Guards against two holders of one key."""
+    grants = await fleet.distribute(make_item("u1"), make_item("u2"))
+    rows = sorted(
+        (each.first, each.last) for held in grants.values() for each in held
+    )
+    assert rows[0][0] == 0
+    assert rows[-1][1] == 65535
+    for before, after in itertools.pairwise(rows):
+        assert before[1] + 1 == after[0]
+
+
+async def test_reports_at_the_same_time_do_not_get_the_same_keys(fleet):
+    """Guards against a free range that two waiting reports both take."""
+    items = [make_item("u1"), make_item("u2"), make_item("u3")]
+    grants = await fleet.distribute(*items)
+    released = [
+        messages.ReleasedRange(each.first, each.last, "token")
+        for each in grants["u3"]
+    ]
+    await fleet.report(items[2]._replace(draining=True), grants["u3"], released)
+    fleet.clock.now_s += 1.0
+    fleet.node.commits.clear()
+    waiting = [asyncio.create_task(fleet.report(item)) for item in items[:2]]
+    await asyncio.sleep(0.01)
+    fleet.node.commits.set()
+    first, second = await asyncio.gather(*waiting)
+    assert not _list_keys(first.grants) & _list_keys(second.grants)
+
+
+async def test_a_late_report_renews_nothing(fleet):
+    """Guards against a lease from a heartbeat that was held up on its way."""
+    item = make_item("u1")
+    await fleet.distribute(item)
+    reply = await fleet.report(item, sequence=1)
+    assert reply.accepted
+    assert not reply.renewed
+
+
+async def test_a_draining_upstream_gets_no_keys(fleet):
+    """Guards against keys that stay with an upstream that leaves."""
+    items = [make_item("u1"), make_item("u2")]
+    grants = await fleet.distribute(*items)
+    leaving = items[0]._replace(draining=True)
+    reply = await fleet.report(leaving, grants["u1"])
+    assert reply.renewed
+    assert not reply.grants
+    released = [
+        messages.ReleasedRange(each.first, each.last, "token")
+        for each in grants["u1"]
+    ]
+    await fleet.report(leaving, (), released)
+    fleet.clock.now_s += 1.0
+    reply = await fleet.report(items[1])
+    assert _list_keys(grants["u1"]) <= _list_keys(reply.grants) | {
+        (each.first, each.last) for each in fleet.state.keys["keyed"].ranges
+    }
+    assert "token" in {each.handover for each in reply.grants}
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "is_free"), [(3.0, False), (_LEASE_S * 1.02 + 0.4, True)]
+)
+async def test_keys_of_a_silent_upstream_are_freed_when_its_lease_has_ended(
+    fleet, silence_s, is_free
+):
+    """Guards against a second holder while the first may still run."""
+    items = [make_item("u1"), make_item("u2")]
+    await fleet.distribute(*items)
+    fleet.clock.now_s += silence_s
+    await fleet.report(items[1])
+    await fleet.authority.tick()
+    held = fleet.state.keys["keyed"].list_held("u1", 1)
+    assert (not held) == is_free
+
+
+async def test_a_new_leader_frees_nothing_before_older_leases_have_ended(
+    fleet,
+):
+    """Guards against a leader that knows nothing of earlier renewals."""
+    items = [make_item("u1"), make_item("u2")]
+    await fleet.distribute(*items)
+    fleet.clock.now_s += 100.0
+    fleet.node.elected_at_s = 2.0
+    assert fleet.authority.leads()
+    await fleet.authority.tick()
+    assert fleet.state.keys["keyed"].list_held("u1", 1)
+    fleet.clock.now_s += _LEASE_S + 0.5
+    await fleet.authority.tick()
+    assert not fleet.state.keys["keyed"].list_held("u1", 1)
+
+
+async def test_a_later_life_takes_nothing_over_with_the_same_fence(fleet):
+    """Guards against a restarted upstream that goes on with old grants."""
+    items = [make_item("u1"), make_item("u2")]
+    grants = await fleet.distribute(*items)
+    fences = {each.fence for each in grants["u1"]}
+    again = make_item("u1", born_ms=9)
+    reply = await fleet.report(again)
+    assert not reply.grants
+    await fleet.authority.tick()
+    assert not fleet.state.keys["keyed"].list_held("u1", 1)
+    fleet.clock.now_s += 1.0
+    reply = await fleet.report(again)
+    assert reply.grants
+    assert not {each.fence for each in reply.grants} & fences
+
+
+async def test_an_earlier_life_is_refused(fleet):
+    """Guards against a heartbeat of a process that is gone."""
+    await fleet.report(make_item("u1", born_ms=9))
+    reply = await fleet.report(make_item("u1", born_ms=3))
+    assert not reply.accepted
+
+
+async def test_a_leader_that_lost_its_lease_renews_nothing(fleet):
+    """Guards against leases of a deposed leader."""
+    item = make_item("u1")
+    await fleet.distribute(item)
+    fleet.node.is_leader = False
+    with pytest.raises(errors.HandlerError):
+        await fleet.report(item)
+
+
+async def test_a_leaving_upstream_is_gone_for_all(fleet):
+    """Guards against new requests to an upstream that said it ends."""
+    item = make_item("u1")
+    await fleet.report(item)
+    await fleet.authority.handle_leave(messages.UpstreamLife("u1", 1))
+    assert not fleet.state.upstreams
+    assert not (await fleet.report(item)).accepted
+
+
+async def test_only_upstreams_silent_for_long_are_removed(fleet):
+    """Guards against dropping upstreams that a partition hides."""
+    await fleet.report(make_item("u1"))
+    fleet.clock.now_s += 12.0
+    await fleet.authority.tick()
+    assert "u1" in fleet.state.upstreams
+    fleet.clock.now_s += 12.0
+    await fleet.authority.tick()
+    assert "u1" not in fleet.state.upstreams
+    assert not fleet.state.has_ended(state_lib.Life("u1", 1))
+
+
+@pytest.mark.parametrize(
+    ("instances", "late", "is_shown"),
+    [(1, False, False), (3, False, True), (1, True, True)],
+)
+async def test_one_instance_alone_does_not_make_an_upstream_suspect(
+    fleet, instances, late, is_shown
+):
+    """Guards against an entry instance that is itself cut off."""
+    await fleet.report(make_item("u1"))
+    fleet.clock.now_s += 2.0 if late else 0.1
+    load = messages.UpstreamLoad("u1", 0, True)
+    for number in range(instances):
+        fleet.authority.add_reports(
+            messages.Follow(instance=f"e{number}", loads=(load,))
+        )
+    assert (fleet.authority.encode_loads() == b"\xff") == is_shown
--- /dev/null
+++ b/packages/daemon/tests/fleet/test_follower.py
@@ -0,0 +1,121 @@
+"""The copy of the state at an entry instance."""
+
+import asyncio
+
+import pytest
+from returns.result import Failure
+from returns.result import Success
+
+from bamboosill_common import errors
+from bamboosill_common import wire
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.consensus import signals
+from bamboosilld.fleet import feed as feed_lib
+from bamboosilld.fleet import follower as follower_lib
+from bamboosilld.fleet import state as state_lib
+
+from .conftest import Clock
+from .conftest import make_configuration
+from .conftest import make_item
+
+
+class _Directory:
+    """Control instances by address: a feed, a refusal or nothing."""
+
+    def __init__(self, members):
+        self.members = members
+        self.asked = []
+
+    async def call(self, address, request, reply_type, deadline_s):
+        self.asked.append(address)
+        await asyncio.sleep(0)
+        member = self.members.get(address)
+        if member is None:
+            return Failure(errors.PeerError("timeout", address, True))
+        if isinstance(member, str):
+            return Failure(
+                errors.PeerError("not_leader", f"not_leader: {member}", True)
+            )
+        return Success(await member.answer(request))
+
+
+def _make_leader(*commands):
+    state = state_lib.FleetState()
+    for index, command in enumerate(commands, 1):
+        state.apply(index, wire.pack(command))
+    return state, feed_lib.Feed(state, signals.Signal(), Clock())
+
+
+def _make_follower(directory):
+    return follower_lib.Follower(
+        "e1",
+        directory,
+        Clock(),
+        lambda: ("c1", "c2", "c3"),
+        follower_lib.Reports,
+        lambda loads: None,
+    )
+
+
+async def _run_until(follower, predicate):
+    task = asyncio.create_task(follower.run())
+    try:
+        async with asyncio.timeout(10):
+            while not predicate():
+                await asyncio.sleep(0.001)
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+@pytest.mark.parametrize(
+    "others", [{"c2": "c1", "c3": "c1"}, {"c2": "c3", "c3": "c1"}, {}]
+)
+async def test_the_leader_is_found_from_any_member(others):
+    """Guards against an entry instance that stays without configuration."""
+    state, feed = _make_leader(make_configuration())
+    follower = _make_follower(_Directory({"c1": feed, **others}))
+    await _run_until(follower, lambda: follower.is_synced)
+    assert follower.state.snapshot() == state.snapshot()
+
+
+async def test_a_copy_does_not_go_back():
+    """Guards against an older configuration shown by another member."""
+    _, old = _make_leader(make_configuration())
+    state, new = _make_leader(
+        make_configuration(),
+        make_configuration(2, 1),
+        messages.SetUpstreams(upstreams=(make_item("u1"),)),
+    )
+    directory = _Directory({"c1": new, "c2": "c1", "c3": "c1"})
+    follower = _make_follower(directory)
+    await _run_until(follower, lambda: follower.state.revision == 3)
+    directory.members = {"c1": old, "c2": old, "c3": old}
+    directory.asked.clear()
+    await _run_until(follower, lambda: len(directory.asked) > 2)
+    assert follower.state.snapshot() == state.snapshot()
+
+
+async def test_changes_arrive_as_commands():
+    """Guards against whole states that are sent for each change."""
+    state, feed = _make_leader(make_configuration())
+    follower = _make_follower(_Directory({"c1": feed}))
+    await _run_until(follower, lambda: follower.is_synced)
+    change = messages.SetUpstreams(upstreams=(make_item("u1"),))
+    state.apply(2, wire.pack(change))
+    reply = await feed.answer(messages.Follow(revision=1, instance="e1"))
+    assert not reply.snapshot
+    assert [each.revision for each in reply.commands] == [2]
+    assert reply.entry_count == 1
+
+
+async def test_a_copy_far_behind_gets_a_snapshot():
+    """Guards against commands that no longer exist."""
+    state, feed = _make_leader(make_configuration())
+    for index in range(2, 700):
+        item = make_item("u1", slots=index)
+        change = messages.SetUpstreams(upstreams=(item,))
+        state.apply(index, wire.pack(change))
+    reply = await feed.answer(messages.Follow(revision=1, instance="e1"))
+    assert reply.snapshot
+    assert not reply.commands
--- /dev/null
+++ b/packages/daemon/tests/fleet/test_keyranges.py
@@ -0,0 +1,64 @@
+"""Tables of key ranges, against a naive table with an entry for each key."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies
+
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import keyranges
+
+_SIZE = keyranges.KEY_COUNT
+_STEP = 2048
+
+_puts = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, _SIZE // _STEP - 1),
+        strategies.integers(1, 8),
+        strategies.integers(0, 2),
+        strategies.sampled_from(["", "a", "b"]),
+        strategies.sampled_from(["", "token"]),
+    ),
+    max_size=30,
+)
+
+
+@given(_puts)
+def test_a_table_says_the_same_as_an_entry_for_each_key(puts):
+    """Guards against keys that are lost, doubled or given to another."""
+    table = keyranges.Table()
+    naive = dict.fromkeys(range(_SIZE // _STEP), ("", 0, ""))
+    for start, length, fence, upstream, handover in puts:
+        end = min(start + length, _SIZE // _STEP)
+        table.put(
+            messages.KeyRange(
+                start * _STEP,
+                end * _STEP - 1,
+                fence,
+                upstream,
+                0,
+                handover,
+            )
+        )
+        for step in range(start, end):
+            naive[step] = (upstream, fence, handover)
+    assert table.ranges[0].first == 0
+    assert table.ranges[-1].last == _SIZE - 1
+    for before, after in itertools.pairwise(table.ranges):
+        assert before.last + 1 == after.first
+    for step, expected in naive.items():
+        for key in (step * _STEP, (step + 1) * _STEP - 1):
+            found = table.find(key)
+            assert found.first <= key <= found.last
+            assert (found.upstream, found.fence, found.handover) == expected
+
+
+def test_a_cut_has_only_the_keys_asked_for():
+    """Guards against a release that frees neighbouring keys."""
+    table = keyranges.Table()
+    table.put(messages.KeyRange(100, 199, 1, "a"))
+    parts = table.cut(150, 250)
+    assert [(each.first, each.last, each.upstream) for each in parts] == [
+        (150, 199, "a"),
+        (200, 250, ""),
+    ]
--- /dev/null
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -0,0 +1,92 @@
+"""Upstreams that answer with scripted bytes."""
+
+import asyncio
+
+import pytest
+
+from bamboosilld.gateway import messages
+
+NAMES = messages.HeaderNames(
+    request_id=b"x-id",
+    deadline_ms=b"x-deadline",
+    expected_upstream=b"x-expected",
+    signature=b"x-signature",
+    not_run=b"x-not-run",
+    load=b"x-load",
+    key=b"x-key",
+)
+
+
+class Scripted:
+    """A server whose connections run a script of the test."""
+
+    def __init__(self, script):
+        self._script = script
+        self.requests = []
+        self.connections = 0
+        self._arrived = asyncio.Event()
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def _accept(self, reader, writer):
+        self.connections += 1
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = head.decode("latin-1").split("\r\n")
+                headers = dict(
+                    line.split(": ", 1) for line in lines[1:] if line
+                )
+                length = int(headers.get("Content-Length", "0"))
+                body = await reader.readexactly(length)
+                self.requests.append((lines[0], headers, body))
+                self._arrived.set()
+                await self._script(self, headers, writer)
+                if writer.is_closing():
+                    return
+        except (EOFError, OSError):
+            return
+        finally:
+            writer.close()
+            self._tasks.discard(task)
+
+    async def wait_request(self):
+        """Waits for the first request."""
+        async with asyncio.timeout(10):
+            await self._arrived.wait()
+
+    async def stop(self):
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def make_answer(request_id, body=b"whole", status="200 OK", extra=""):
+    """Returns the bytes of an answer."""
+    return (
+        f"HTTP/1.1 {status}\r\nx-id: {request_id}\r\nx-signature: s\r\n"
+        f"{extra}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+@pytest.fixture
+async def serve():
+    """Starts scripted servers and stops them after the test."""
+    servers = []
+
+    async def start(script):
+        server = await Scripted(script).start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        await server.stop()
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -0,0 +1,159 @@
+"""Requests as callers send them."""
+
+import asyncio
+
+import pytest
+
+from bamboosilld.gateway import listener as listener_lib
+from bamboosilld.gateway import messages
+
+
+class _Server:
+    """A listener whose handler a test states."""
+
+    def __init__(self, handle):
+        self.listener = listener_lib.Listener(handle)
+
+    async def connect(self):
+        await self.listener.start("127.0.0.1", 0)
+        port = self.listener._server.sockets[0].getsockname()[1]
+        return await asyncio.open_connection("127.0.0.1", port)
+
+
+async def _echo(request):
+    return messages.Response(200, [], request.target.encode())
+
+
+async def _read(reader):
+    async with asyncio.timeout(10):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(
+            head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]
+        )
+        body = await reader.readexactly(length)
+    return int(head.split()[1]), body, b"connection: close" in head.lower()
+
+
+def _format(path, more=""):
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\n{more}\r\n".encode()
+
+
+async def test_answers_come_in_the_order_of_the_requests():
+    """Guards against crossed answers on a connection with requests ahead."""
+    delays = {"/1": 0.05, "/2": 0.0, "/3": 0.02}
+
+    async def handle(request):
+        await asyncio.sleep(delays[request.target])
+        return await _echo(request)
+
+    reader, writer = await _Server(handle).connect()
+    writer.write(b"".join(_format(path) for path in delays))
+    bodies = [(await _read(reader))[1] for _ in delays]
+    assert bodies == [b"/1", b"/2", b"/3"]
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x16\x03\x01 not http\r\n\r\n", 400),
+        (_format("/a", f"X: {'a' * 300}\r\n"), 431),
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n"
+            + b"a" * 99,
+            413,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+    ],
+)
+async def test_bad_requests_get_a_status_and_end_the_connection(data, status):
+    """Guards against bytes that are read as another request."""
+    server = _Server(_echo)
+    reader, writer = await server.connect()
+    server.listener.limits = listener_lib.Limits(200, 50, 1.0, 5.0)
+    writer.write(data)
+    found, _, closes = await _read(reader)
+    assert found == status
+    assert closes
+    assert await reader.read() == b""
+
+
+async def test_a_chunked_body_arrives_whole():
+    """Guards against a body that is changed on its way."""
+    bodies = []
+
+    async def handle(request):
+        bodies.append(request.body)
+        return await _echo(request)
+
+    reader, writer = await _Server(handle).connect()
+    writer.write(
+        b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n"
+    )
+    await _read(reader)
+    assert bodies == [b"abcde"]
+
+
+async def test_a_caller_that_leaves_cancels_its_requests():
+    """Guards against work for nobody."""
+    cancelled = asyncio.Event()
+
+    async def handle(request):
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    _, writer = await _Server(handle).connect()
+    writer.write(_format("/a"))
+    await asyncio.sleep(0.05)
+    writer.close()
+    async with asyncio.timeout(10):
+        await cancelled.wait()
+
+
+async def test_slow_and_idle_callers_are_ended():
+    """Guards against connections that are held open without a request."""
+    server = _Server(_echo)
+    reader, writer = await server.connect()
+    writer.write(b"GET /a HTTP/1.1\r\nHost")
+    await asyncio.sleep(0.05)
+    (connection,) = server.listener.connections
+    loop = asyncio.get_running_loop()
+    connection.check_times(loop.time() + 11.0)
+    assert (await _read(reader))[0] == 408
+
+
+async def test_the_last_answer_of_a_stopping_listener_says_so():
+    """Guards against requests on a connection that is about to close."""
+    server = _Server(_echo)
+    reader, writer = await server.connect()
+    server.listener.is_closing = True
+    writer.write(_format("/a"))
+    _, body, closes = await _read(reader)
+    assert body == b"/a"
+    assert closes
+
+
+async def test_a_request_in_progress_is_not_idle():
+    """Guards against a stop that cuts a request."""
+    release = asyncio.Event()
+
+    async def handle(request):
+        await release.wait()
+        return await _echo(request)
+
+    server = _Server(handle)
+    reader, writer = await server.connect()
+    writer.write(_format("/a"))
+    await asyncio.sleep(0.05)
+    server.listener.close_idle()
+    release.set()
+    assert (await _read(reader))[1] == b"/a"
+    server.listener.close_idle()
+    assert await reader.read() == b""
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_parts.py
@@ -0,0 +1,164 @@
+"""Routes, shares, the retry budget, latencies and the choice of upstreams."""
+
+import collections
+import random
+
+import pytest
+
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.gateway import balance
+from bamboosilld.gateway import budget as budget_lib
+from bamboosilld.gateway import latency as latency_lib
+from bamboosilld.gateway import routes as routes_lib
+
+
+class _Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def monotonic(self):
+        return self.now_s
+
+
+def _make_route(name, prefix, host="shop.example", **changes):
+    return messages.RouteItem(
+        name=name, host=host, path_prefix=prefix, service="s"
+    )._replace(**changes)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("shop.example", "/a/x", "r1"),
+        ("shop.example", "/a/b/x", "r2"),
+        ("SHOP.example", "/a/x", "r1"),
+        ("shop.example:8080", "/a/x", "r1"),
+        ("shop.example", "/ab", None),
+        ("other.example", "/a/x", "r3"),
+        ("none.example", "/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_decides(host, path, name):
+    """Guards against requests that go to a service they are not for."""
+    routes = routes_lib.Routes(
+        (
+            _make_route("r1", "/a/"),
+            _make_route("r2", "/a/b/"),
+            _make_route("r3", "/", host="other.example"),
+        )
+    )
+    found = routes.find(host, path)
+    assert (found.name if found else None) == name
+
+
+def test_shares_hold_over_few_requests():
+    """Guards against a small share that gets nothing for long."""
+    shares = (
+        messages.TrafficShare("a", 90),
+        messages.TrafficShare("b", 10),
+        messages.TrafficShare("c", 0),
+    )
+    splitter = routes_lib.Splitter()
+    route = _make_route("r1", "/a/", service="", shares=shares)
+    counts = collections.Counter(splitter.choose(route) for _ in range(50))
+    assert counts == {"a": 45, "b": 5}
+
+
+def test_repeats_stay_under_the_shared_limit():
+    """Guards against retries that multiply the load of a failing service."""
+    clock = _Clock()
+    budgets = [budget_lib.Budget(clock, 0.2, 50, 10.0) for _ in range(8)]
+    repeats = 0
+    for budget in budgets:
+        for _ in range(100):
+            budget.count_request()
+            repeats += budget.try_spend(len(budgets))
+    assert 0 < repeats <= 0.2 * 800 + 50
+
+
+def test_a_spent_budget_comes_back_with_time():
+    """Guards against an instance that never retries again."""
+    clock = _Clock()
+    budget = budget_lib.Budget(clock, 0.0, 10, 10.0)
+    while budget.try_spend(1):
+        pass
+    clock.now_s += 10.1
+    assert budget.try_spend(1)
+
+
+def test_the_quantile_is_above_most_latencies():
+    """Guards against second sends of ordinary requests."""
+    rng = random.Random(1)
+    latency = latency_lib.Latency()
+    values = [rng.lognormvariate(-2, 0.5) for _ in range(3000)]
+    above = 0
+    for value in values:
+        above += value > latency.quantile_s > 0
+        latency.take(value, False)
+    assert 0.03 * len(values) < above < 0.08 * len(values)
+
+
+def _make_upstream(name, clock, zone="z1", **changes):
+    item = messages.UpstreamItem(
+        upstream=name, address="127.0.0.1:1", zone=zone, slots=4
+    )
+    return balance.Upstream(item._replace(**changes), clock, b"x-id")
+
+
+def _choose(candidates, instances=8):
+    found = balance.choose(candidates, "z1", random.Random(1), instances)
+    return found.item.upstream if found else None
+
+
+def test_the_least_loaded_upstream_of_the_own_zone_is_chosen():
+    """Guards against bytes between zones without need, and against queues."""
+    clock = _Clock()
+    near, far = _make_upstream("a", clock), _make_upstream("b", clock, "z2")
+    assert _choose([far, near]) == "a"
+    near.take_load(b"4,2,4")
+    assert _choose([far, near]) == "b"
+
+
+def test_full_and_resting_upstreams_are_avoided():
+    """Guards against requests that an upstream cannot queue."""
+    clock = _Clock()
+    first, second = _make_upstream("a", clock), _make_upstream("b", clock)
+    first.take_failure(is_silent=True)
+    assert _choose([first, second]) == "b"
+    second.in_flight = 100
+    assert _choose([first, second]) == "a"
+    first.in_flight = 100
+    assert _choose([first, second]) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"1,2", b"a,b,c", b"-1,0,4"])
+def test_an_unreadable_load_is_ignored(value):
+    """Guards against a faulty header that fails a request."""
+    upstream = _make_upstream("a", _Clock())
+    upstream.take_load(value)
+    assert upstream.estimate_load() == 0
+
+
+def test_a_shared_load_does_not_replace_a_fresh_own_view():
+    """Guards against older news that hides what an upstream just said."""
+    clock = _Clock()
+    upstream = _make_upstream("a", clock)
+    upstream.take_load(b"4,2,4")
+    upstream.take_shared_load(0)
+    assert upstream.estimate_load() > 5
+    clock.now_s += 1.0
+    upstream.take_shared_load(3)
+    assert upstream.estimate_load() == 3
+
+
+def test_many_instances_do_not_all_choose_the_same_upstream():
+    """Guards against a herd that follows one report of an idle upstream."""
+    clock = _Clock()
+    upstreams = [_make_upstream(f"u{number}", clock) for number in range(20)]
+    for each in upstreams[1:]:
+        each.take_load(b"1,0,4")
+    chosen = {
+        balance.choose(upstreams, "z1", random.Random(seed), 80)
+        for seed in range(30)
+    }
+    assert len(chosen) > 5
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_upstream.py
@@ -0,0 +1,150 @@
+"""Answers that are late, crossed, cut off or followed by other bytes."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from bamboosilld.gateway import upstream as upstream_lib
+
+from .conftest import make_answer
+
+_REQUEST = b"GET /a HTTP/1.1\r\nHost: x\r\nx-id: r1\r\n\r\n"
+_RESET = struct.pack("ii", 1, 0)
+
+
+def _reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    writer.transport.abort()
+
+
+def _send(data, then=None):
+    async def script(server, headers, writer):
+        writer.write(data)
+        await writer.drain()
+        if then is not None:
+            await asyncio.sleep(0.05)
+            then(writer)
+
+    return script
+
+
+def _close(writer):
+    writer.close()
+
+
+async def _exchange(address, request_id=b"r1"):
+    pool = upstream_lib.Pool(address, b"x-id")
+    connection = await pool.acquire()
+    async with asyncio.timeout(10):
+        answer = await connection.exchange(_REQUEST, request_id)
+    return pool, connection, answer
+
+
+_UNFRAMED = b"HTTP/1.1 200 OK\r\nx-id: r1\r\n\r\nwhole"
+_CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nx-id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("data", "then", "is_reusable"),
+    [
+        (make_answer("r1"), None, True),
+        (_CHUNKED, None, True),
+        (_UNFRAMED, _close, False),
+        (make_answer("r1") + make_answer("r1"), None, False),
+        (make_answer("r1") + b"garbage", None, False),
+        (make_answer("r0", b"other") + make_answer("r1"), None, True),
+        (make_answer("r1", extra="Connection: close\r\n"), None, False),
+    ],
+)
+async def test_the_own_whole_answer_is_found(serve, data, then, is_reusable):
+    """Guards against bytes of another answer, now or on the next request."""
+    server = await serve(_send(data, then))
+    _, connection, answer = await _exchange(server.address)
+    assert answer.body == b"whole"
+    assert connection.is_reusable == is_reusable
+
+
+@pytest.mark.parametrize(
+    ("data", "then", "code"),
+    [
+        (b"", _close, "closed"),
+        (b"", _reset, "reset"),
+        (make_answer("r1")[:-2], _close, "truncated"),
+        (_UNFRAMED, _reset, "truncated"),
+        (_CHUNKED[:-7], _close, "truncated"),
+        (b"\x00\x01 not an answer\r\n\r\n", None, "malformed"),
+        (make_answer("r0"), _close, "closed"),
+    ],
+)
+async def test_an_answer_that_is_not_whole_is_an_error(serve, data, then, code):
+    """Guards against a part of an answer that looks complete."""
+    server = await serve(_send(data, then))
+    with pytest.raises(upstream_lib.ExchangeError) as caught:
+        await _exchange(server.address)
+    assert caught.value.sent
+    assert caught.value.code == code
+
+
+async def test_bytes_on_an_idle_connection_end_it(serve):
+    """Guards against a second answer taken for that of the next request."""
+
+    async def script(server, headers, writer):
+        writer.write(make_answer("r1"))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(make_answer("r1", b"second"))
+
+    server = await serve(script)
+    pool, connection, _ = await _exchange(server.address)
+    pool.release(connection)
+    for _ in range(500):
+        if not connection.is_open:
+            break
+        await asyncio.sleep(0.01)
+    assert not connection.is_reusable
+
+
+async def test_a_refused_connection_was_not_sent():
+    """Guards against "may have run" where nothing was written."""
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{free.getsockname()[1]}"
+    with pytest.raises(upstream_lib.ExchangeError) as caught:
+        await upstream_lib.Pool(address, b"x-id").acquire()
+    assert caught.value.code == "refused"
+    assert not caught.value.sent
+
+
+async def test_a_cancelled_exchange_closes_its_connection(serve):
+    """Guards against work that goes on for a caller who has left."""
+
+    async def script(server, headers, writer):
+        await writer.wait_closed()
+
+    server = await serve(script)
+    pool = upstream_lib.Pool(server.address, b"x-id")
+    connection = await pool.acquire()
+    task = asyncio.create_task(connection.exchange(_REQUEST, b"r1"))
+    await asyncio.sleep(0.05)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert not connection.is_open
+
+
+async def test_a_connection_is_not_used_near_its_idle_limit(serve):
+    """Guards against a request that crosses the close of an upstream."""
+    data = make_answer("r1", extra="Keep-Alive: timeout=10\r\n")
+    server = await serve(_send(data))
+    pool, connection, _ = await _exchange(server.address)
+    assert connection.idle_limit_s == 6.0
+    pool.release(connection)
+    assert await pool.acquire() is connection
+    connection.used_s -= 7.0
+    pool.release(connection)
+    assert await pool.acquire() is not connection
