Neither free nor renew keys while the other is on its way

The reverse was possible too: a renewal while the command that frees was on its way. Ruled out: an old leader (one leader throughout), late heartbeats (sequence), clocks. Change: a lease counts before the grant is proposed; keys whose release or freeing is on its way are not renewed; one list for each service. Three tests, each seen red.

--- a/packages/common/src/bamboosill_common/logsink.py
+++ b/packages/common/src/bamboosill_common/logsink.py
@@ -12,6 +12,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from bamboosill_common import metrics
+
 # Lines that wait for a slow reader: about a second's worth at full load.
 _MAX_LINES = 2000
 # Most lines of one call site in one second; more of them say little.
@@ -43,10 +45,10 @@
         count = self._counts.get(site, 0) + 1
         self._counts[site] = count
         if count > _MAX_LINES_PER_SECOND and record.levelno < logging.ERROR:
-            self._dropped += 1
+            self._count_dropped()
             return
         if len(self._lines) >= _MAX_LINES:
-            self._dropped += 1
+            self._count_dropped()
             if record.levelno < logging.WARNING:
                 return
             self._lines.popleft()
@@ -54,6 +56,10 @@
         self._lines.append((record.levelno, line.encode("utf-8", "replace")))
         self._wake.set()
 
+    def _count_dropped(self) -> None:
+        self._dropped += 1
+        metrics.log_lines_dropped.inc()
+
     def flush_within(self, seconds: float) -> None:
         """Waits until the buffer is written, or for the given time."""
         step_s = 0.02
--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -152,3 +152,51 @@
     "TLS handshakes that failed, by port.",
     ["port"],
 )
+
+# Fleet of routed services: request path of an entry instance.
+gateway_requests = prometheus_client.Counter(
+    "bamboosill_gateway_requests_total",
+    "Answers to callers of routed services, by status class.",
+    ["status"],
+)
+gateway_duration = prometheus_client.Histogram(
+    "bamboosill_gateway_request_duration_seconds",
+    "Time from a whole request to its answer, by outcome.",
+    ["outcome"],
+    buckets=_DURATION_BUCKETS_S,
+)
+gateway_failed_sends = prometheus_client.Counter(
+    "bamboosill_gateway_failed_sends_total",
+    "Sends to upstreams without an answer to pass on, by fault.",
+    ["fault"],
+)
+gateway_repeats = prometheus_client.Counter(
+    "bamboosill_gateway_repeats_total",
+    "Requests sent to another upstream, by cause.",
+    ["cause"],
+)
+gateway_sync_age = prometheus_client.Gauge(
+    "bamboosill_gateway_sync_age_seconds",
+    "Time since the leader last answered this entry instance.",
+)
+fleet_revision = prometheus_client.Gauge(
+    "bamboosill_fleet_revision", "Log index of the state in force here."
+)
+fleet_configuration_version = prometheus_client.Gauge(
+    "bamboosill_fleet_configuration_version",
+    "Version of the configuration in force here.",
+)
+fleet_reports = prometheus_client.Counter(
+    "bamboosill_fleet_reports_total",
+    "Heartbeats of upstreams that this leader answered, by outcome.",
+    ["outcome"],
+)
+fleet_key_changes = prometheus_client.Counter(
+    "bamboosill_fleet_key_changes_total",
+    "Ranges of keys that this leader freed or granted.",
+    ["change"],
+)
+log_lines_dropped = prometheus_client.Counter(
+    "bamboosill_log_lines_dropped_total",
+    "Log lines that were left out to bound their volume.",
+)
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -1,6 +1,7 @@
 """Duties of the leader towards upstreams: registration and leases on keys."""
 
 import collections
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from returns.result import Failure
@@ -9,6 +10,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import errors
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
@@ -95,8 +97,10 @@
         self._joined_s: dict[str, float] = {}
         self._free_since_s: dict[str, float] = {}
         self._moved_s: dict[str, float] = collections.defaultdict(float)
-        # Keys asked back from their holder, and when its lease on them ends.
-        self._revoked: dict[keyplan.Move, float] = {}
+        # By service, keys that are not renewed, and when the lease ends.
+        self._revoked: dict[str, dict[keyplan.Move, float]] = (
+            collections.defaultdict(dict)
+        )
         self._paces: dict[str, float] = {}
         self._loads: dict[str, _SeenLoad] = {}
         self._suspicions = suspicion.Suspicions(self._clock)
@@ -166,10 +170,12 @@
                 life.born_ms,
                 self._state.gone.get(life, "a later one has its place"),
             )
+            metrics.fleet_reports.labels("superseded").inc()
             return messages.ReportReply(reason="superseded")
         seen = self._seen.get(life)
         is_late = seen is not None and report.sequence <= seen.sequence
         if is_late:
+            metrics.fleet_reports.labels("late").inc()
             return messages.ReportReply(accepted=True)
         now_s = self._clock.monotonic()
         self._seen[life] = _Seen(report.sequence, now_s)
@@ -183,6 +189,7 @@
                 item.service,
                 item.address,
                 "draining" if item.draining else "ready",
+                extra={"upstream": item.upstream, "service": item.service},
             )
             await self._commit(messages.SetUpstreams(upstreams=(item,)))
         table = self._state.keys.get(item.service)
@@ -190,10 +197,14 @@
             return messages.ReportReply(accepted=True)
         await self._take_released(life, report)
         if not item.draining:
+            # Counted before the commit, too: keys are granted from the moment
+            # at which their command is applied.
+            self._leases.renew(life)
             await self._grant_free(life, item.service)
         self._check_leads()
         grants = self._list_grants(life, item)
         self._leases.renew(life)
+        metrics.fleet_reports.labels("renewed").inc()
         return messages.ReportReply(
             accepted=True,
             renewed=True,
@@ -209,7 +220,12 @@
         """
         item = self._state.upstreams.get(life.upstream)
         born_ms = life.born_ms or (item.born_ms if item else 0)
-        _log.info("Upstream %s leaves. Born: %d.", life.upstream, born_ms)
+        _log.info(
+            "Upstream %s leaves. Born: %d.",
+            life.upstream,
+            born_ms,
+            extra={"upstream": life.upstream},
+        )
         gone = life._replace(born_ms=born_ms, reason="left")
         await self._commit(messages.SetUpstreams(gone=(gone,)))
 
@@ -245,7 +261,7 @@
         if item.draining:
             return []
         grants = self._state.keys[item.service].list_held(*life)
-        for move in self._revoked:
+        for move in self._revoked[item.service]:
             if move.life == life:
                 grants = [
                     part
@@ -267,30 +283,42 @@
         ]
         if not freed:
             return
+        for part in freed:
+            # Not renewed while the command is on its way.
+            move = keyplan.Move(life, part.first, part.last)
+            self._revoked[service].setdefault(move, self._leases.get_end(life))
         await self._set_keys(service, freed)
         for part in freed:
-            self._forget_revoked(life, part.first, part.last)
+            self._forget_revoked(service, life, part)
 
     def _forget_revoked(
-        self, life: state_lib.Life, first: int, last: int
+        self, service: str, life: state_lib.Life, freed: messages.KeyRange
     ) -> None:
-        for move in list(self._revoked):
-            if move.life == life and move.first >= first and move.last <= last:
-                del self._revoked[move]
+        revoked = self._revoked[service]
+        for move in list(revoked):
+            is_inside = freed.first <= move.first and move.last <= freed.last
+            if move.life == life and is_inside:
+                del revoked[move]
 
     async def _set_keys(
         self, service: str, ranges: list[messages.KeyRange]
     ) -> None:
         for holder in dict.fromkeys(each.upstream for each in ranges):
+            metrics.fleet_key_changes.labels(
+                "granted" if holder else "freed"
+            ).inc()
             _log.info(
-                "Keys of %s. Holder: %s. Ranges: %s.",
+                "Keys of %s. Holder: %s.",
                 service,
                 holder or "none",
-                " ".join(
-                    f"{each.first}-{each.last}"
-                    for each in ranges
-                    if each.upstream == holder
-                ),
+                extra={
+                    "service": service,
+                    "upstream": holder,
+                    "revision": self._state.revision,
+                    "ranges": _format_ranges(
+                        each for each in ranges if each.upstream == holder
+                    ),
+                },
             )
         await self._commit(messages.SetKeys(service, tuple(ranges)))
 
@@ -359,32 +387,38 @@
                     messages.UpstreamLife(item.upstream, item.born_ms, "silent")
                 )
         if gone:
-            _log.info("Removing %d silent upstreams.", len(gone))
+            for each in gone:
+                _log.info(
+                    "Upstream %s is silent; removing it.",
+                    each.upstream,
+                    extra={"upstream": each.upstream},
+                )
             await self._commit(messages.SetUpstreams(gone=tuple(gone)))
 
     async def _free_ended(
         self, service: str, table: keyranges.Table, now_s: float
     ) -> None:
         """Frees keys whose holder can no longer use them."""
-        freed = []
+        revoked = self._revoked[service]
         for each in table.ranges:
             life = state_lib.Life(each.upstream, each.born_ms)
-            if not each.upstream:
-                continue
             is_replaced = self._state.gone.get(life) == "replaced"
-            if is_replaced or self._leases.has_ended(life):
-                freed.append(each._replace(upstream="", born_ms=0, handover=""))
-        for move, end_s in list(self._revoked.items()):
-            if now_s < end_s:
-                continue
-            del self._revoked[move]
-            freed.extend(
-                part._replace(upstream="", born_ms=0, handover="")
-                for part in table.cut(move.first, move.last)
-                if (part.upstream, part.born_ms) == move.life
-            )
+            if each.upstream and (is_replaced or self._leases.has_ended(life)):
+                # Not renewed while the command is on its way, should the
+                # holder come back meanwhile.
+                move = keyplan.Move(life, each.first, each.last)
+                revoked[move] = now_s
+        ended = [move for move, end_s in revoked.items() if now_s >= end_s]
+        freed = [
+            part._replace(upstream="", born_ms=0, handover="")
+            for move in ended
+            for part in table.cut(move.first, move.last)
+            if (part.upstream, part.born_ms) == move.life
+        ]
         if freed:
             await self._set_keys(service, freed)
+        for move in ended:
+            revoked.pop(move, None)
 
     async def _distribute(
         self, service: str, table: keyranges.Table, now_s: float
@@ -405,7 +439,7 @@
     ) -> None:
         if any(not each.upstream for each in table.ranges):
             return
-        if any(move for move in self._revoked) or (
+        if self._revoked[service] or (
             now_s - self._moved_s[service] < _MOVE_INTERVAL_S
         ):
             return
@@ -416,12 +450,23 @@
             return
         self._moved_s[service] = now_s
         for move in moves:
-            self._revoked[move] = self._leases.get_end(move.life)
-        _log.info(
-            "Keys of %s asked back. Ranges: %s.",
-            service,
-            " ".join(
-                f"{move.first}-{move.last}({move.life.upstream})"
-                for move in moves
-            ),
-        )
+            self._revoked[service][move] = self._leases.get_end(move.life)
+        for life in dict.fromkeys(move.life for move in moves):
+            _log.info(
+                "Keys of %s asked back. Holder: %s.",
+                service,
+                life.upstream,
+                extra={
+                    "service": service,
+                    "upstream": life.upstream,
+                    "ranges": _format_ranges(
+                        move for move in moves if move.life == life
+                    ),
+                },
+            )
+
+
+def _format_ranges(
+    ranges: Iterable[messages.KeyRange | keyplan.Move],
+) -> str:
+    return " ".join(f"{each.first}-{each.last}" for each in ranges)
--- a/packages/daemon/src/bamboosilld/fleet/controlprocess.py
+++ b/packages/daemon/src/bamboosilld/fleet/controlprocess.py
@@ -55,6 +55,7 @@
         )
         await process.start(serves_peers=True)
         await member.start()
+        metrics_lib.connect_state(lambda: member.state)
         host, _, port = control.api_address.rpartition(":")
         api = listener_lib.Listener(make_api(member))
         await api.start(host, int(port))
--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -114,6 +114,11 @@
         self._has_new_load = False
         return self._load.requests
 
+    def get_load_age_ms(self) -> int:
+        """Returns the age of the last load in milliseconds, or -1."""
+        age_s = self._clock.monotonic() - self._load.at_s
+        return int(age_s * 1000) if age_s < 1e9 else -1
+
     def take_silence(self) -> bool:
         """Returns whether it did not answer at all since the last call."""
         is_silent, self._is_silent = self._is_silent, False
--- a/packages/daemon/src/bamboosilld/gateway/metrics.py
+++ b/packages/daemon/src/bamboosilld/gateway/metrics.py
@@ -1,12 +1,24 @@
 """Serves the metrics of a process as text."""
 
+from collections.abc import Callable
+
 import prometheus_client
 
+from bamboosill_common import metrics
+from bamboosilld.fleet import state as state_lib
 from bamboosilld.gateway import messages
 
 PATH = "/metrics"
 
 
+def connect_state(get_state: Callable[[], state_lib.FleetState]) -> None:
+    """Lets the gauges of the fleet show a state."""
+    metrics.fleet_revision.set_function(lambda: get_state().revision)
+    metrics.fleet_configuration_version.set_function(
+        lambda: get_state().configuration.version
+    )
+
+
 async def handle(request: messages.Request) -> messages.Response:
     """Returns all metrics."""
     if request.target != PATH:
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import process as process_lib
 from bamboosilld.fleet import settings as settings_lib
@@ -76,6 +77,10 @@
         self._probes = listener_lib.Listener(self._handle_probe)
         self._metrics = listener_lib.Listener(metrics_lib.handle)
         self._follower.state.add_listener(self._take_limits)
+        metrics.gateway_sync_age.set_function(
+            lambda: process.clock.monotonic() - self._follower.synced_s
+        )
+        metrics_lib.connect_state(lambda: self._follower.state)
 
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -6,6 +6,7 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.gateway import balance
 from bamboosilld.gateway import budget as budget_lib
@@ -63,11 +64,13 @@
         answer: The upstream's answer, or None.
         reason: Why there is none.
         may_have_run: Whether an upstream may have run the request.
+        upstream: Id of the upstream that was tried last, or empty.
     """
 
     answer: upstream_lib.Answer | None
     reason: str
     may_have_run: bool
+    upstream: str
 
 
 class Tools(NamedTuple):
@@ -102,6 +105,7 @@
         self._unsent = 0
         self._may_have_run = False
         self._reason = "no upstream"
+        self._upstream = ""
         self._error_answer: upstream_lib.Answer | None = None
 
     async def run(self) -> Outcome:
@@ -112,12 +116,12 @@
                 break
             answer = await self._send_hedged(upstream)
             if answer is not None:
-                return Outcome(answer, "", True)
+                return Outcome(answer, "", True, self._upstream)
             if self._is_exhausted():
                 break
         if self._error_answer is not None:
-            return Outcome(self._error_answer, "", True)
-        return Outcome(None, self._reason, self._may_have_run)
+            return Outcome(self._error_answer, "", True, self._upstream)
+        return Outcome(None, self._reason, self._may_have_run, self._upstream)
 
     def _may_send(self) -> bool:
         if self._get_left_s() < _MIN_SEND_S:
@@ -128,6 +132,8 @@
         ):
             self._reason = f"{self._reason}, no retry budget"
             return False
+        if self._sends + self._rejections:
+            metrics.gateway_repeats.labels("failure").inc()
         return True
 
     def _is_exhausted(self) -> bool:
@@ -249,6 +255,7 @@
             or not self._budget.try_spend(self._entry_count)
         ):
             return None
+        metrics.gateway_repeats.labels("slow").inc()
         return second
 
     async def _try(
@@ -302,15 +309,21 @@
         if task.key != NO_KEY and reason.startswith("rejected"):
             fence = self._tools.view.get_fence(task.service, task.key)
             self._failed.add(f"{upstream.item.upstream}/{fence}")
+        metrics.gateway_failed_sends.labels(reason.partition(" ")[0]).inc()
         _log.info(
-            "Send failed. Upstream: %s. Reason: %s. Load: %.1f of %d. "
-            "Left: %.0f ms.",
+            "Send failed. Upstream: %s. Reason: %s.",
             upstream.item.upstream,
             reason,
-            upstream.estimate_load(),
-            upstream.slots,
-            self._get_left_s() * 1000,
-            extra={"request": task.request_id.decode("latin-1")},
+            extra={
+                "request": task.request_id.decode("latin-1"),
+                "upstream": upstream.item.upstream,
+                "address": upstream.item.address,
+                "load": round(upstream.estimate_load(), 1),
+                "load_age_ms": upstream.get_load_age_ms(),
+                "slots": upstream.slots,
+                "failures": upstream.failures,
+                "left_ms": int(self._get_left_s() * 1000),
+            },
         )
 
     async def _exchange(
@@ -323,6 +336,7 @@
             TimeoutError: The deadline has passed.
         """
         clock = self._tools.clock
+        self._upstream = upstream.item.upstream
         has_waited = upstream.estimate_load() >= upstream.slots
         upstream.in_flight += 1
         connection: upstream_lib.Connection | None = None
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -5,6 +5,7 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import keyranges
@@ -96,7 +97,9 @@
         """Returns the answer to a request."""
         self.in_flight += 1
         try:
-            return await self._handle(request)
+            response = await self._handle(request)
+            metrics.gateway_requests.labels(f"{response.status // 100}xx").inc()
+            return response
         finally:
             self.in_flight -= 1
 
@@ -105,16 +108,16 @@
     ) -> http_messages.Response:
         begun_s = self._clock.monotonic()
         if not self._follower.is_synced:
-            return self._refuse(503, request, "no configuration yet")
+            return self._refuse_early(503, request, "no configuration yet")
         host = (request.get(b"host") or b"").decode("latin-1")
         path = request.target.partition("?")[0]
         route = self._view.routes.find(host, path)
         if route is None:
-            return self._refuse(404, request, "no route")
+            return self._refuse_early(404, request, "no route")
         service = self._splitter.choose(route)
         key = self._read_key(request, service)
         if key is None:
-            return self._refuse(400, request, "no valid key")
+            return self._refuse_early(400, request, "no valid key")
         deadline_s = self._read_deadline(request)
         task = sending.Task(
             request,
@@ -171,11 +174,40 @@
             self._follower.entry_count,
         ).run()
         if outcome.answer is not None:
-            return self._pass_on(outcome.answer)
-        status = 503
-        if outcome.may_have_run:
-            status = 504 if outcome.reason == "timeout" else 502
-        return self._refuse(status, task.request, outcome.reason, task)
+            response = self._pass_on(outcome.answer)
+        else:
+            status = 503
+            if outcome.may_have_run:
+                status = 504 if outcome.reason == "timeout" else 502
+            response = self._refuse(status, task.request, task)
+        self._log_outcome(task, outcome, response.status)
+        return response
+
+    def _log_outcome(
+        self, task: sending.Task, outcome: sending.Outcome, status: int
+    ) -> None:
+        now_s = self._clock.monotonic()
+        metrics.gateway_duration.labels(
+            "answered" if outcome.answer is not None else "failed"
+        ).observe(now_s - task.begun_s)
+        _log.info(
+            "Request ended. Status: %d. Reason: %s.",
+            status,
+            outcome.reason or "answered",
+            extra={
+                "request": task.request_id.decode("latin-1"),
+                "status": status,
+                "route": task.route.name,
+                "service": task.service,
+                "key": task.key,
+                "upstream": outcome.upstream,
+                "took_ms": int((now_s - task.begun_s) * 1000),
+                "left_ms": int((task.until_s - now_s) * 1000),
+                "version": self._view.state.configuration.version,
+                "revision": self._view.state.revision,
+                "synced_ms_ago": int((now_s - self._follower.synced_s) * 1000),
+            },
+        )
 
     def _pass_on(self, answer: upstream_lib.Answer) -> http_messages.Response:
         headers = http_messages.list_end_to_end(
@@ -183,12 +215,29 @@
         )
         return http_messages.Response(answer.status, headers, answer.body)
 
+    def _refuse_early(
+        self, status: int, request: http_messages.Request, reason: str
+    ) -> http_messages.Response:
+        """Refuses a request that has no route."""
+        request_id = request.get(self._names.request_id) or b""
+        _log.info(
+            "Request refused. Status: %d. Reason: %s.",
+            status,
+            reason,
+            extra={
+                "request": request_id.decode("latin-1"),
+                "status": status,
+                "version": self._view.state.configuration.version,
+                "revision": self._view.state.revision,
+            },
+        )
+        return self._refuse(status, request, None)
+
     def _refuse(
         self,
         status: int,
         request: http_messages.Request,
-        reason: str,
-        task: sending.Task | None = None,
+        task: sending.Task | None,
     ) -> http_messages.Response:
         request_id = request.get(self._names.request_id) or b""
         headers: http_messages.Headers = []
@@ -200,10 +249,4 @@
                 aim_s = task.route.target_latency_ms / 1000
                 after_s = max(_MIN_RETRY_AFTER_S, aim_s * _RETRY_AFTER_PART)
             headers.append((b"Retry-After", b"%.2f" % after_s))
-        _log.info(
-            "Request not served. Status: %d. Reason: %s.",
-            status,
-            reason,
-            extra={"request": request_id.decode("latin-1")},
-        )
         return http_messages.Response(status, headers, b"")
--- a/packages/daemon/tests/fleet/conftest.py
+++ b/packages/daemon/tests/fleet/conftest.py
@@ -37,6 +37,7 @@
         self._index = 0
         self.is_leader = True
         self.elected_at_s = 1.0
+        self.gap_s = 0.0
         self.commits = asyncio.Event()
         self.commits.set()
 
@@ -49,8 +50,10 @@
     async def propose(self, command, deadline_s):
         await self.commits.wait()
         self._index += 1
-        value = self._state.apply(self._index, command)
-        return Success(core_lib.Applied(self._index, 1, value))
+        index, value = self._index, self._state.apply(self._index, command)
+        # Others run between the commit and the proposer's next step.
+        await asyncio.sleep(self.gap_s)
+        return Success(core_lib.Applied(index, 1, value))
 
 
 def make_configuration(version=1, base=0, **changes):
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -179,3 +179,55 @@
             messages.Follow(instance=f"e{number}", loads=(load,))
         )
     assert (fleet.authority.encode_loads() == b"\xff") == is_shown
+
+
+async def test_keys_are_not_freed_while_their_new_holder_is_told(fleet):
+    """Guards against a tick that frees a grant whose commit is slow.
+
+    Found by sillon-norte trouble-1: an upstream whose lease had ended came
+    back and got keys; the tick saw them held without a lease.
+    """
+    items = [make_item("u1"), make_item("u2")]
+    grants = await fleet.distribute(*items)
+    fleet.clock.now_s += _LEASE_S + 1.0
+    await fleet.report(items[1])
+    await fleet.authority.tick()
+    fleet.clock.now_s += 1.0
+    fleet.node.gap_s = 0.05
+    waiting = asyncio.create_task(fleet.report(items[0]))
+    await asyncio.sleep(0.01)
+    await fleet.authority.tick()
+    reply = await waiting
+    await fleet.authority.tick()
+    held = fleet.state.keys["keyed"].list_held("u1", 1)
+    assert reply.grants
+    assert _list_keys(reply.grants) == _list_keys(held)
+    assert grants["u1"]
+
+
+@pytest.mark.parametrize("cause", ["lease", "release"])
+async def test_keys_that_are_being_freed_are_not_renewed(fleet, cause):
+    """Guards against a renewal while the command that frees is on its way."""
+    items = [make_item("u1"), make_item("u2")]
+    grants = await fleet.distribute(*items)
+    if cause == "lease":
+        fleet.clock.now_s += _LEASE_S + 1.0
+        await fleet.report(items[1])
+    fleet.node.commits.clear()
+    if cause == "lease":
+        freeing = asyncio.create_task(fleet.authority.tick())
+    else:
+        released = [
+            messages.ReleasedRange(each.first, each.last, "token")
+            for each in grants["u1"]
+        ]
+        freeing = asyncio.create_task(fleet.report(items[0], (), released))
+    await asyncio.sleep(0.01)
+    renewing = asyncio.create_task(fleet.report(items[0]))
+    await asyncio.sleep(0.01)
+    assert not renewing.done() or not renewing.result().grants
+    fleet.node.commits.set()
+    await freeing
+    reply = await renewing
+    held = fleet.state.keys["keyed"].list_held("u1", 1)
+    assert _list_keys(reply.grants) <= _list_keys(held)
--- a/packages/daemon/tests/test_gauges.py
+++ b/packages/daemon/tests/test_gauges.py
@@ -14,7 +14,18 @@
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "metrics.md"
 # Labels whose values the code defines. A customer or key is none of them.
-LABELS = {"outcome", "reason", "class", "stage", "fault", "group", "port"}
+LABELS = {
+    "cause",
+    "change",
+    "status",
+    "outcome",
+    "reason",
+    "class",
+    "stage",
+    "fault",
+    "group",
+    "port",
+}
 UNITS = ("_seconds", "_total")
 PLAIN_GAUGES = {"gauge"}
 
