Begin nothing that the stop of an instance would cut

Ruled out: new connections (none are accepted then), idle ones (closed). Change: behind an answer that closes its connection nothing is begun; after the balancer has noticed, requests that have not begun are refused.

--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -30,6 +30,14 @@
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
+# What a caller of a stopping instance is told: another one takes its request.
+_STOPPING_HEADERS = [(b"Retry-After", b"0.05")]
+
+
+async def _refuse(request: messages.Request) -> messages.Response:
+    return messages.Response(503, _STOPPING_HEADERS, b"", True)
+
+
 class Limits(NamedTuple):
     """What callers may send, and how long they may take or stay idle."""
 
@@ -134,6 +142,11 @@
         self._in_message = False
         if self._fault:
             return
+        if self._listener.is_closing and self._pending:
+            # The answer before it closes the connection: its caller sends it
+            # again, because it was not read.
+            self._reset()
+            return
         keep_alive = self._parser.should_keep_alive()
         request = messages.Request(
             self._parser.get_method().decode("ascii"),
@@ -143,9 +156,10 @@
             keep_alive,
         )
         self._reset()
-        self._pending.append(
-            self._loop.create_task(self._listener.handle(request))
-        )
+        handle = self._listener.handle
+        if self._listener.is_refusing:
+            handle = _refuse
+        self._pending.append(self._loop.create_task(handle(request)))
         self._keep_alive.append(keep_alive)
         self._arrived.set()
         if len(self._pending) >= _MAX_AHEAD:
@@ -229,6 +243,7 @@
         limits: What callers may send; replaced when the configuration is.
         connections: Open connections.
         is_closing: Whether each answer is the last one on its connection.
+        is_refusing: Whether requests are refused that have not begun.
     """
 
     def __init__(self, handle: Handler) -> None:
@@ -236,6 +251,7 @@
         self.limits = Limits()
         self.connections: set[_Connection] = set()
         self.is_closing = False
+        self.is_refusing = False
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -115,6 +115,7 @@
         self._callers.is_closing = True
         await asyncio.sleep(_LEAVE_ROTATION_S)
         self._callers.stop_accepting()
+        self._callers.is_refusing = True
         while self._callers.connections and loop.time() < until_s:
             self._callers.close_idle()
             await asyncio.sleep(_POLL_S)
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -157,3 +157,47 @@
     assert (await _read(reader))[1] == b"/a"
     server.listener.close_idle()
     assert await reader.read() == b""
+
+
+async def test_a_stopping_listener_begins_nothing_behind_a_last_answer():
+    """Guards against a request that is passed on and then cut off.
+
+    Found by pca-pilon-grown trouble-2: a caller sent ahead to an instance
+    that was stopping, and the request was cut at the end of the grace.
+    """
+    release = asyncio.Event()
+    begun = []
+
+    async def handle(request):
+        begun.append(request.target)
+        await release.wait()
+        return await _echo(request)
+
+    server = _Server(handle)
+    reader, writer = await server.connect()
+    writer.write(_format("/1"))
+    await asyncio.sleep(0.05)
+    server.listener.is_closing = True
+    writer.write(_format("/2"))
+    await asyncio.sleep(0.05)
+    release.set()
+    _, body, closes = await _read(reader)
+    assert (body, closes) == (b"/1", True)
+    assert await reader.read() == b""
+    assert begun == ["/1"]
+
+
+async def test_a_listener_near_its_end_refuses_what_has_not_begun():
+    """Guards against a request that the end of the process cuts."""
+    begun = []
+
+    async def handle(request):
+        begun.append(request.target)
+        return await _echo(request)
+
+    server = _Server(handle)
+    reader, writer = await server.connect()
+    server.listener.is_closing = server.listener.is_refusing = True
+    writer.write(_format("/1"))
+    status, _, closes = await _read(reader)
+    assert (status, closes, begun) == (503, True, [])
