Count a request as not run when no connection was open

Callers cannot send an order again after 504. Ruled out: requests lost on open connections (those may have run). Change: a deadline before the connection is open says not run. Measured: a test, seen red.

--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -35,6 +35,10 @@
 _log = logs.get_logger("gateway")
 
 
+class _NotWrittenError(Exception):
+    """The deadline passed before any byte was written."""
+
+
 class Task(NamedTuple):
     """One request on its way.
 
@@ -277,6 +281,11 @@
             self._fail(upstream, "timeout")
             self._count_run()
             return None
+        except _NotWrittenError:
+            upstream.take_failure(is_silent=True)
+            self._fail(upstream, "connect")
+            self._unsent += 1
+            return None
         if (
             answer.get(self._tools.names.not_run) is not None
             or answer.status == _STATUS_MISDIRECTED
@@ -334,9 +343,9 @@
         Raises:
             upstream_lib.ExchangeError: There was no whole answer.
             TimeoutError: The deadline has passed.
+            _NotWrittenError: It has passed before a connection was open.
         """
         clock = self._tools.clock
-        self._upstream = upstream.item.upstream
         has_waited = upstream.estimate_load() >= upstream.slots
         upstream.in_flight += 1
         connection: upstream_lib.Connection | None = None
@@ -344,9 +353,14 @@
         try:
             async with asyncio.timeout(self._get_left_s()):
                 connection = await upstream.pool.acquire()
+                self._upstream = upstream.item.upstream
                 answer = await connection.exchange(
                     self._format(upstream), self._task.request_id
                 )
+        except TimeoutError as error:
+            if connection is None:
+                raise _NotWrittenError from error
+            raise
         finally:
             upstream.in_flight -= 1
             if connection is not None:
--- a/packages/daemon/tests/gateway/test_sending.py
+++ b/packages/daemon/tests/gateway/test_sending.py
@@ -13,6 +13,7 @@
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import messages
 from bamboosilld.gateway import sending
+from bamboosilld.gateway import upstream as upstream_lib
 from bamboosilld.gateway import view as view_lib
 
 from .conftest import NAMES
@@ -186,6 +187,23 @@
     assert sends == 1
 
 
+async def test_a_deadline_before_a_connection_means_not_run(serve, monkeypatch):
+    """Guards against "may have run" for a request that was never written.
+
+    Found by sillon-norte inc-9537: orders got 504 behind a cut zone although
+    no connection was open, so their callers could not send them again.
+    """
+
+    async def hang(pool):
+        await asyncio.sleep(60)
+
+    monkeypatch.setattr(upstream_lib.Pool, "acquire", hang)
+    outcome, _ = await _run(
+        _Fleet(), serve, [_answer], idempotent=False, left_s=0.2
+    )
+    assert not outcome.may_have_run
+
+
 @pytest.mark.parametrize(("idempotent", "sends"), [(True, 2), (False, 1)])
 async def test_a_slow_request_is_also_sent_to_another(serve, idempotent, sends):
     """Guards against a slow upstream that makes its callers late."""
