--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: install generate format lint test demo faults bench report measure-hop slopes
+.PHONY: install generate format lint test demo faults soak bench report measure-hop slopes
 
 $(VENV)/installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -45,6 +45,9 @@
 faults: install
 	$(BIN)/python -m bamboosill_dev.faults --seed $(SEED)
 
+soak: install
+	$(BIN)/python -m bamboosill_dev.fleetsoak --seed $(SEED)
+
 bench: install
 	mkdir -p out
 	$(BIN)/python -m bamboosill_dev.bench --seed $(SEED) | tee out/bench.txt
--- a/packages/cli/src/bamboosill/commands/logs_explain.py
+++ b/packages/cli/src/bamboosill/commands/logs_explain.py
@@ -3,6 +3,7 @@
 import argparse
 from collections.abc import Iterable
 from collections.abc import Iterator
+import datetime
 import json
 import pathlib
 import sys
@@ -58,7 +59,7 @@
         {"lines": found},
         (
             (
-                f"{float(line.get('time', 0)):.3f}",
+                _format_time(float(line.get("time", 0))),
                 line.get("instance", ""),
                 line.get("message", ""),
                 " ".join(
@@ -71,6 +72,11 @@
     )
 
 
+def _format_time(time_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(time_s, datetime.UTC)
+    return moment.strftime("%H:%M:%S.%f")[:-3]
+
+
 def _read_all(files: list[str]) -> Iterator[Line]:
     if not files:
         yield from _parse(sys.stdin)
@@ -92,12 +98,14 @@
 
 
 def _select(lines: list[Line], flags: argparse.Namespace) -> Iterator[Line]:
-    own = [line for line in lines if line.get("request") == flags.request]
+    own = []
+    if flags.request:
+        own = [line for line in lines if line.get("request") == flags.request]
     upstreams = {flags.upstream, *(line.get("upstream") for line in own)}
     keys = {flags.key, *(line.get("key") for line in own)} - {None, -1}
     upstreams -= {None, ""}
     since, until = flags.since, flags.until
-    if flags.request and own:
+    if own:
         times = [float(line["time"]) for line in own]
         since, until = min(times) - _BEFORE_S, max(times)
     for line in lines:
--- /dev/null
+++ b/packages/cli/tests/test_logs_explain.py
@@ -0,0 +1,76 @@
+"""The command that joins the log lines around one request."""
+
+import json
+
+import pytest
+
+from bamboosill import exits
+from bamboosill import main
+
+
+def _make_line(time_s, instance, message, **fields):
+    document = {"time": time_s, "instance": instance, "message": message}
+    return json.dumps(document | fields)
+
+
+@pytest.fixture
+def logs(tmp_path):
+    """Two files, one of them as a collector writes it."""
+    entry = [
+        _make_line(
+            20.5, "e1", "Send failed.", request="r1", upstream="u1", load=3
+        ),
+        _make_line(
+            21.0, "e1", "Request ended.", request="r1", key=70, status=503
+        ),
+        _make_line(20.7, "e1", "Request ended.", request="r2", key=70),
+        "not a line",
+        "[]",
+    ]
+    control = [
+        _make_line(19.0, "c1", "Keys.", ranges="0-63 64-99", upstream="u2"),
+        _make_line(19.5, "c1", "Keys.", ranges="100-199", upstream="u3"),
+        _make_line(20.0, "c1", "Upstream u1 leaves.", upstream="u1"),
+        _make_line(1.0, "c1", "Upstream u1.", upstream="u1"),
+    ]
+    (tmp_path / "entry.log").write_text("\n".join(entry))
+    (tmp_path / "control.log").write_text(
+        "\n".join(f"  1.5 c1 {line}" for line in control)
+    )
+    return [str(tmp_path / "entry.log"), str(tmp_path / "control.log")]
+
+
+def _run(capsys, *arguments):
+    code = main.main(["logs", "explain", *arguments, "--json"])
+    output = capsys.readouterr().out
+    found = json.loads(output)["lines"] if output else []
+    return code, [line["time"] for line in found]
+
+
+def test_a_request_is_shown_with_its_keys_and_upstreams(logs, capsys):
+    """Guards against a cause that stands in the log of another process."""
+    code, times = _run(capsys, *logs, "--request", "r1")
+    assert code == exits.OK
+    assert times == [19.0, 20.0, 20.5, 21.0]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "expected"),
+    [
+        (("--upstream", "u1"), [1.0, 20.0, 20.5]),
+        (("--upstream", "u1", "--since", "2"), [20.0, 20.5]),
+        (("--key", "150"), [19.5]),
+        (("--key", "70", "--until", "20.8"), [19.0, 20.7]),
+    ],
+)
+def test_lines_are_found_by_upstream_key_and_time(
+    logs, capsys, arguments, expected
+):
+    """Guards against a history that misses a process."""
+    assert _run(capsys, *logs, *arguments) == (exits.OK, expected)
+
+
+def test_an_unknown_request_is_said_so(logs, capsys):
+    """Guards against an empty answer that looks like "nothing happened"."""
+    code, _ = _run(capsys, *logs, "--request", "r9")
+    assert code == exits.REFUSED
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
@@ -0,0 +1,30 @@
+"""Command `python -m bamboosill_dev.fleetsoak --seed N --seconds S`."""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+
+from bamboosill_dev.fleetsoak import run
+
+
+def main() -> int:
+    """Runs one seed, prints its figures and returns the exit code."""
+    parser = argparse.ArgumentParser(prog="bamboosill_dev.fleetsoak")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--keep", default="", help="Folder for logs and data.")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="bamboosill-soak-") as scratch:
+        folder = pathlib.Path(options.keep or scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        soak = run.Soak(folder, options.seed)
+        result = asyncio.run(soak.run(options.seconds))
+    print(json.dumps({"seed": options.seed, **result._asdict()}))
+    return 1 if result.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/run.py
@@ -0,0 +1,306 @@
+"""One seeded run: load, faults, and the promises that must hold."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import time
+from typing import NamedTuple
+
+import aiohttp
+
+from bamboosill_dev import relay as relay_lib
+from bamboosill_dev.fleetsoak import processes
+from bamboosill_dev.fleetsoak import upstream as upstream_lib
+from bamboosilld.gateway import upstream as client_lib
+
+_CONTROL = 3
+_ENTRIES = 3
+_UPSTREAMS = 5
+_CALLERS = 12
+_START_TIMEOUT_S = 30.0
+# Time without faults at the end, within which requests must be served again.
+_RECOVERY_S = 8.0
+_MEASURED_S = 2.0
+_SERVED_PART = 0.8
+_NOT_RUN = frozenset((408, 421, 429, 503))
+
+
+class Result(NamedTuple):
+    """Figures of a run and what broke."""
+
+    answered: int
+    refused: int
+    unknown: int
+    acknowledged: int
+    faults: tuple[str, ...]
+    violations: tuple[str, ...]
+
+
+class Soak:
+    """All processes and stand-ins of one run."""
+
+    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+        self._rng = random.Random(seed)
+        # A network of its own, so that runs beside each other do not meet.
+        network = f"127.{100 + seed % 100}.{time.time_ns() // 1000 % 250}"
+        self._control = [
+            processes.Process(folder, number + 1, "control", network)
+            for number in range(_CONTROL)
+        ]
+        self._entries = [
+            processes.Process(folder, number + 101, "entry", network)
+            for number in range(_ENTRIES)
+        ]
+        self._seeds = [each.api for each in self._control]
+        self._record = upstream_lib.Record()
+        self._upstreams = [
+            upstream_lib.Upstream(f"u{number}", self._record, self._seeds)
+            for number in range(_UPSTREAMS)
+        ]
+        self._relays: list[relay_lib.Relay] = []
+        self._statuses: list[tuple[float, int]] = []
+        self._version = self._acknowledged = 0
+        self._faults: list[str] = []
+        self._is_over = False
+
+    async def run(self, seconds: float) -> Result:
+        """Plays the run and returns what was found."""
+        for process in (*self._control, *self._entries):
+            process.start(self._seeds)
+        try:
+            async with aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=1.0)
+            ) as session:
+                await self._play(session, seconds)
+        finally:
+            for process in (*self._control, *self._entries):
+                process.end()
+            for upstream in self._upstreams:
+                if upstream.is_up:
+                    await upstream.crash()
+            for relay in self._relays:
+                await relay.stop()
+        statuses = [status for _, status in self._statuses]
+        return Result(
+            statuses.count(200),
+            sum(status in _NOT_RUN for status in statuses),
+            sum(status in (0, 502, 504) for status in statuses),
+            self._acknowledged,
+            tuple(self._faults),
+            tuple(dict.fromkeys(self._record.violations)),
+        )
+
+    async def _play(
+        self, session: aiohttp.ClientSession, seconds: float
+    ) -> None:
+        until_s = time.monotonic() + _START_TIMEOUT_S
+        while not await self._change(session):
+            if time.monotonic() > until_s:
+                self._record.violations.append("no configuration accepted")
+                return
+            await asyncio.sleep(0.1)
+        for upstream in self._upstreams:
+            await self._start_upstream(upstream)
+        await asyncio.sleep(6 * upstream_lib.HEARTBEAT_S)
+        tasks = [
+            asyncio.create_task(self._run_caller(number))
+            for number in range(_CALLERS)
+        ]
+        tasks.append(asyncio.create_task(self._run_operator(session)))
+        end_s = time.monotonic() + seconds
+        while time.monotonic() < end_s:
+            await self._inject()
+            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+        await self._heal()
+        await asyncio.sleep(_RECOVERY_S)
+        self._is_over = True
+        await asyncio.gather(*tasks)
+        await self._check_end(session)
+
+    async def _start_upstream(self, upstream: upstream_lib.Upstream) -> None:
+        await upstream.start()
+        relay = relay_lib.Relay(upstream.address)
+        upstream.announced = await relay.start("127.0.0.1:0")
+        self._relays.append(relay)
+
+    async def _run_caller(self, number: int) -> None:
+        pools = [
+            client_lib.Pool(entry.front, b"attempt-id")
+            for entry in self._entries
+        ]
+        count = 0
+        while not self._is_over:
+            count += 1
+            attempt = f"a{number}x{count}"
+            is_order = self._rng.random() < 0.4
+            pool = self._rng.choice(pools)
+            status = 0
+            try:
+                async with asyncio.timeout(3.0):
+                    status = await self._ask(pool, attempt, is_order)
+            except (client_lib.ExchangeError, TimeoutError):
+                await asyncio.sleep(0.05)
+            self._check_answer(attempt, is_order, status)
+            await asyncio.sleep(self._rng.uniform(0.0, 0.06))
+
+    async def _ask(
+        self, pool: client_lib.Pool, attempt: str, is_order: bool
+    ) -> int:
+        kind = "order" if is_order else "safe"
+        data = (
+            f"GET /{kind}/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {attempt}\r\n"
+            f"Deadline-Ms: 2000\r\nShard-Key: {self._rng.randrange(65536)}\r\n"
+            "\r\n"
+        )
+        connection = await pool.acquire()
+        try:
+            answer = await connection.exchange(data.encode(), attempt.encode())
+        finally:
+            pool.release(connection)
+        if answer.status == 200 and (
+            answer.body.decode() != attempt
+            or not answer.get(b"response-signature")
+        ):
+            self._record.violations.append(f"{attempt}: answer of another")
+        return answer.status
+
+    def _check_answer(self, attempt: str, is_order: bool, status: int) -> None:
+        runs = self._record.runs.get(attempt, 0)
+        if is_order and runs > 1:
+            self._record.violations.append(f"{attempt}: order ran {runs} times")
+        if is_order and status in _NOT_RUN and runs:
+            self._record.violations.append(f"{attempt}: refused but ran")
+        if status == 200 and not runs:
+            self._record.violations.append(f"{attempt}: answered but not run")
+        self._statuses.append((time.monotonic(), status))
+
+    async def _run_operator(self, session: aiohttp.ClientSession) -> None:
+        while not self._is_over:
+            await self._change(session)
+            before = self._acknowledged
+            found = await self._read(session, self._rng.choice(self._seeds))
+            if found is not None and found < before:
+                self._record.violations.append(
+                    f"version {found} was read after {before} was acknowledged"
+                )
+            await asyncio.sleep(0.4)
+
+    async def _change(self, session: aiohttp.ClientSession) -> bool:
+        """Sends the next version until its outcome is clear."""
+        version = self._version + 1
+        for address in self._rng.sample(self._seeds, len(self._seeds)):
+            try:
+                async with session.put(
+                    f"http://{address}/v1/configuration",
+                    data=upstream_lib.make_configuration(version),
+                    headers={"If-Match": f"r{self._version}"},
+                ) as answer:
+                    status = answer.status
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+            if status == 200:
+                self._version = self._acknowledged = version
+                return True
+            if status in (400, 412, 422):
+                self._record.violations.append(
+                    f"version {version} was refused with {status}"
+                )
+                return False
+        return False
+
+    async def _read(
+        self, session: aiohttp.ClientSession, address: str
+    ) -> int | None:
+        try:
+            async with session.get(
+                f"http://{address}/v1/configuration"
+            ) as answer:
+                if answer.status != 200:
+                    return None
+                document = await answer.json()
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+        return int(document["version"].removeprefix("r"))
+
+    async def _inject(self) -> None:
+        """Does one fault; processes that are down or paused return later."""
+        fault = self._rng.choice(
+            (
+                *("kill control", "pause control", "stop control"),
+                *("kill entry", "pause entry", "stop entry"),
+                *("crash upstream", "relay", "kill all control"),
+            )
+        )
+        self._faults.append(fault)
+        if fault == "crash upstream":
+            upstream = self._rng.choice(self._upstreams)
+            if upstream.is_up:
+                await upstream.crash()
+                await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+                await self._start_upstream(upstream)
+        elif fault == "relay":
+            self._spoil_relay()
+        elif fault == "kill all control":
+            for process in self._control:
+                process.end()
+            for process in self._control:
+                process.start(self._seeds)
+        else:
+            group = self._control if "control" in fault else self._entries
+            await self._disturb(fault.split()[0], self._rng.choice(group))
+
+    async def _disturb(self, how: str, process: processes.Process) -> None:
+        if how == "pause":
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.3, 3.0))
+            process.signal(signal.SIGCONT)
+        elif how == "stop":
+            process.signal(signal.SIGTERM)
+            code = await asyncio.to_thread(process.wait)
+            if code:
+                self._record.violations.append(
+                    f"{process.name} ended with {code} after SIGTERM"
+                )
+            process.start(self._seeds)
+        else:
+            process.end()
+            await asyncio.sleep(self._rng.uniform(0.0, 1.5))
+            process.start(self._seeds)
+
+    def _spoil_relay(self) -> None:
+        relay = self._rng.choice(self._relays)
+        how = self._rng.choice(("delay", "one way", "silence", "reset", "heal"))
+        if how == "silence":
+            relay.silence()
+        elif how == "reset":
+            relay.reset()
+        else:
+            relay.set_faults(
+                delay_s=0.1 if how == "delay" else 0.0,
+                cut_to_client=how == "one way",
+            )
+
+    async def _heal(self) -> None:
+        for relay in self._relays:
+            relay.heal()
+            relay.reset()
+        for process in (*self._control, *self._entries):
+            process.signal(signal.SIGCONT)
+            if not process.is_running:
+                process.start(self._seeds)
+
+    async def _check_end(self, session: aiohttp.ClientSession) -> None:
+        since_s = time.monotonic() - _MEASURED_S
+        last = [status for at_s, status in self._statuses if at_s >= since_s]
+        served = last.count(200) / max(1, len(last))
+        if served < _SERVED_PART:
+            self._record.violations.append(
+                f"only {served:.2f} are served after the faults"
+            )
+        versions = [await self._read(session, each) for each in self._seeds]
+        known = [version for version in versions if version is not None]
+        if not known or min(known) < self._acknowledged:
+            self._record.violations.append(
+                f"acknowledged {self._acknowledged}, read {versions}"
+            )
