--- a/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
@@ -28,6 +28,8 @@
         self._network = network
         self._child: subprocess.Popen[bytes] | None = None
         self._is_first = True
+        self._log = folder / f"{self.name}.log"
+        self._log_start = 0
 
     def start(self, seeds: list[str]) -> None:
         """Starts the process."""
@@ -54,7 +56,8 @@
         path = self._folder / f"{self.name}.conf"
         path.write_text("\n".join(lines) + "\n")
         self._is_first = False
-        log = (self._folder / f"{self.name}.log").open("ab")
+        log = self._log.open("ab")
+        self._log_start = log.tell()
         self._child = subprocess.Popen(
             [sys.executable, str(_ROOT / "platform" / "main.py"), self._role],
             env={**os.environ, "BAMBOOSILL_SETTINGS": str(path)},
@@ -68,6 +71,12 @@
         """Whether the process exists."""
         return self._child is not None and self._child.poll() is None
 
+    def has_started(self) -> bool:
+        """Returns whether the process has said that it handles signals."""
+        with self._log.open("rb") as log:
+            log.seek(self._log_start)
+            return b"process: Started." in log.read()
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process exists."""
         if self._child is not None and self.is_running:
--- a/packages/dev/src/bamboosill_dev/fleetsoak/run.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/run.py
@@ -41,7 +41,9 @@
     """All processes and stand-ins of one run."""
 
     def __init__(self, folder: pathlib.Path, seed: int) -> None:
+        # Faults do not depend on how many requests there were before them.
         self._rng = random.Random(seed)
+        self._caller_rng = random.Random(seed)
         # A network of its own, so that runs beside each other do not meet.
         network = f"127.{100 + seed % 100}.{time.time_ns() // 1000 % 250}"
         self._control = [
@@ -133,8 +135,8 @@
         while not self._is_over:
             count += 1
             attempt = f"a{number}x{count}"
-            is_order = self._rng.random() < 0.4
-            pool = self._rng.choice(pools)
+            is_order = self._caller_rng.random() < 0.4
+            pool = self._caller_rng.choice(pools)
             status = 0
             try:
                 async with asyncio.timeout(3.0):
@@ -142,16 +144,16 @@
             except (client_lib.ExchangeError, TimeoutError):
                 await asyncio.sleep(0.05)
             self._check_answer(attempt, is_order, status)
-            await asyncio.sleep(self._rng.uniform(0.0, 0.06))
+            await asyncio.sleep(self._caller_rng.uniform(0.0, 0.06))
 
     async def _ask(
         self, pool: client_lib.Pool, attempt: str, is_order: bool
     ) -> int:
         kind = "order" if is_order else "safe"
+        key = self._caller_rng.randrange(65536)
         data = (
             f"GET /{kind}/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {attempt}\r\n"
-            f"Deadline-Ms: 2000\r\nShard-Key: {self._rng.randrange(65536)}\r\n"
-            "\r\n"
+            f"Deadline-Ms: 2000\r\nShard-Key: {key}\r\n\r\n"
         )
         connection = await pool.acquire()
         try:
@@ -179,7 +181,9 @@
         while not self._is_over:
             await self._change(session)
             before = self._acknowledged
-            found = await self._read(session, self._rng.choice(self._seeds))
+            found = await self._read(
+                session, self._caller_rng.choice(self._seeds)
+            )
             if found is not None and found < before:
                 self._record.violations.append(
                     f"version {found} was read after {before} was acknowledged"
@@ -189,7 +193,7 @@
     async def _change(self, session: aiohttp.ClientSession) -> bool:
         """Sends the next version until its outcome is clear."""
         version = self._version + 1
-        for address in self._rng.sample(self._seeds, len(self._seeds)):
+        for address in self._caller_rng.sample(self._seeds, len(self._seeds)):
             try:
                 async with session.put(
                     f"http://{address}/v1/configuration",
@@ -256,9 +260,12 @@
             await asyncio.sleep(self._rng.uniform(0.3, 3.0))
             process.signal(signal.SIGCONT)
         elif how == "stop":
+            has_started = process.has_started()
             process.signal(signal.SIGTERM)
             code = await asyncio.to_thread(process.wait)
-            if code:
+            # Before it handles signals, a process ends by the signal itself.
+            is_early = code == -signal.SIGTERM and not has_started
+            if code and not is_early:
                 self._record.violations.append(
                     f"{process.name} ended with {code} after SIGTERM"
                 )
--- a/packages/dev/src/bamboosill_dev/slopes/__main__.py
+++ b/packages/dev/src/bamboosill_dev/slopes/__main__.py
@@ -13,6 +13,7 @@
 import tabulate
 
 from bamboosill_common import wire
+from bamboosill_dev.slopes import fleet as _fleet  # noqa: F401
 from bamboosill_dev.slopes import subjects
 
 # The last slope over the first; above it growth is worse than linear.
