Split observations and exchanges from large modules

Change: what entry instances report has a module of its own, and so have the bytes of an exchange; loads are shown as 254 at most; an unused setting and an unused method are gone. No decision changed.

--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -17,8 +17,8 @@
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import keyranges
 from bamboosilld.fleet import leases as leases_lib
+from bamboosilld.fleet import observations as observations_lib
 from bamboosilld.fleet import state as state_lib
-from bamboosilld.fleet import suspicion
 
 # Longest wait for a command to be committed. Upstreams and operators wait one
 # second for an answer before they ask another instance.
@@ -37,14 +37,6 @@
 
 # A heartbeat is late when this many were due since the last one.
 _LATE_HEARTBEATS = 1.6
-# A load that was seen longer ago counts as none.
-_LOAD_LIFE_S = 3.0
-# Weight of the newest load in the moving average of an upstream.
-_LOAD_GAIN = 0.15
-# Weight of the newest reported pace in the moving average of an upstream.
-_PACE_GAIN = 0.3
-# Slower upstreams get fewer keys; a faster one gets at most this many more.
-_MIN_PACE = 0.4
 
 _log = logs.get_logger("fleet")
 
@@ -56,23 +48,13 @@
     at_s: float
 
 
-class _SeenLoad(NamedTuple):
-    """The latest load of an upstream that an entry instance saw.
+class Authority:
+    """Registers upstreams and grants keys while this member leads.
 
     Attributes:
-        requests: Requests running and waiting.
-        mean: Moving average of them.
-        at_s: When it was reported.
+        observations: What entry instances have seen since the election.
     """
 
-    requests: int
-    mean: float
-    at_s: float
-
-
-class Authority:
-    """Registers upstreams and grants keys while this member leads."""
-
     def __init__(
         self,
         node: interfaces.Node,
@@ -101,12 +83,7 @@
         self._revoked: dict[str, dict[keyplan.Move, float]] = (
             collections.defaultdict(dict)
         )
-        self._paces: dict[str, float] = {}
-        self._loads: dict[str, _SeenLoad] = {}
-        self._suspicions = suspicion.Suspicions(self._clock)
-        self._works: dict[str, keyplan.Works] = collections.defaultdict(
-            keyplan.Works
-        )
+        self.observations = observations_lib.Observations(self._clock)
 
     def leads(self) -> bool:
         """Returns whether this member may act as leader now."""
@@ -118,40 +95,16 @@
             self._begin()
         return True
 
-    def add_reports(self, request: messages.Follow) -> None:
-        """Counts what an entry instance has seen of keys and upstreams."""
-        now_s = self._clock.monotonic()
-        for work in request.works:
-            self._works[work.service].add(work.block, float(work.work_ms))
-        for each in request.paces:
-            pace = self._paces.get(each.upstream, each.pace)
-            self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
-        for load in request.loads:
-            if load.is_silent:
-                self._suspicions.add(load.upstream, request.instance)
-                continue
-            self._suspicions.clear(load.upstream)
-            seen = self._loads.get(load.upstream)
-            mean = float(load.requests)
-            if seen is not None and now_s - seen.at_s < _LOAD_LIFE_S:
-                mean = seen.mean + _LOAD_GAIN * (load.requests - seen.mean)
-            self._loads[load.upstream] = _SeenLoad(load.requests, mean, now_s)
-
     def encode_loads(self) -> bytes:
         """Returns the latest loads of all upstreams, a byte for each."""
         now_s = self._clock.monotonic()
-        loads = bytearray()
+        late_s = _LATE_HEARTBEATS * self._heartbeat_s
+        upstreams = []
         for upstream, item in sorted(self._state.upstreams.items()):
-            load = self._loads.get(upstream)
-            is_known = load is not None and now_s - load.at_s < _LOAD_LIFE_S
-            value = load.requests if load and is_known else 0
             seen = self._seen.get(state_lib.Life(upstream, item.born_ms))
             silence_s = now_s - (seen.at_s if seen else self._begun_s)
-            is_late = silence_s > _LATE_HEARTBEATS * self._heartbeat_s
-            if self._suspicions.is_suspect(upstream, is_late):
-                value = suspicion.SUSPECT_LOAD
-            loads.append(min(value, suspicion.SUSPECT_LOAD))
-        return bytes(loads)
+            upstreams.append((upstream, silence_s > late_s))
+        return self.observations.encode_loads(upstreams)
 
     async def handle_report(
         self, report: messages.UpstreamReport
@@ -234,7 +187,7 @@
         now_s = self._clock.monotonic()
         await self._remove_silent(now_s)
         for service, table in list(self._state.keys.items()):
-            self._works[service].decay(now_s)
+            self.observations.works[service].decay(now_s)
             await self._free_ended(service, table, now_s)
             await self._distribute(service, table, now_s)
             self._plan_moves(service, table, now_s)
@@ -336,7 +289,7 @@
             life,
             self._get_capacities(service),
             table,
-            self._works[service],
+            self.observations.works[service],
             (now_s - since_s) * _SLACK_PER_S,
         )
         if chosen:
@@ -359,21 +312,17 @@
                 continue
             if now_s - seen.at_s > self._leases.lease_s / 2:
                 continue
-            pace = max(_MIN_PACE, self._paces.get(item.upstream, 1.0))
+            pace = self.observations.get_pace(item.upstream)
             capacities[life] = max(1, item.slots) / pace
         return capacities
 
     def _get_busy(self, service: str) -> dict[state_lib.Life, float]:
         """Returns recent requests for each slot of the holders of keys."""
-        now_s = self._clock.monotonic()
         busy = {}
         for life in self._get_capacities(service):
-            item = self._state.upstreams[life.upstream]
-            seen = self._loads.get(life.upstream)
-            if seen is None or now_s - seen.at_s > _LOAD_LIFE_S:
-                busy[life] = 0.0
-            else:
-                busy[life] = seen.mean / max(1, item.slots)
+            slots = max(1, self._state.upstreams[life.upstream].slots)
+            load = self.observations.get_mean_load(life.upstream)
+            busy[life] = load / slots
         return busy
 
     async def _remove_silent(self, now_s: float) -> None:
@@ -444,7 +393,7 @@
         ):
             return
         moves = keyplan.plan_moves(
-            self._get_busy(service), table, self._works[service]
+            self._get_busy(service), table, self.observations.works[service]
         )
         if not moves:
             return
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -353,7 +353,7 @@
             raise errors.HandlerError(
                 "not_leader", leader.address if leader else ""
             )
-        self.authority.add_reports(request)
+        self.authority.observations.add(request)
         reply = await self.feed.answer(request)
         if not self.authority.leads():
             raise errors.HandlerError("not_leader", "")
--- a/packages/daemon/src/bamboosilld/fleet/leases.py
+++ b/packages/daemon/src/bamboosilld/fleet/leases.py
@@ -36,10 +36,6 @@
         """Returns the monotonic time at which a lease has certainly ended."""
         return self._ends.get(life, self._unknown_end)
 
-    def drop(self, life: state_lib.Life) -> None:
-        """Forgets the lease of a life that is known to be over."""
-        self._ends[life] = 0.0
-
     def has_ended(self, life: state_lib.Life) -> bool:
         """Returns whether a lease has certainly ended."""
         return self._clock.monotonic() >= self.get_end(life)
--- a/packages/daemon/src/bamboosilld/fleet/settings.py
+++ b/packages/daemon/src/bamboosilld/fleet/settings.py
@@ -15,7 +15,6 @@
         founds: Whether the whole system starts for the first time.
         data_dir: Folder of the control role; empty for others.
         max_lease_ms: Longest lease on keys that upstreams accept.
-        drain_ms: How soon a leaving upstream must get no more requests.
         heartbeat_ms: About how often upstreams report.
     """
 
@@ -26,5 +25,4 @@
     founds: bool
     data_dir: str
     max_lease_ms: int
-    drain_ms: int
     heartbeat_ms: int
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -10,6 +10,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.gateway import balance
 from bamboosilld.gateway import budget as budget_lib
+from bamboosilld.gateway import exchange
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import messages as http_messages
 from bamboosilld.gateway import upstream as upstream_lib
@@ -29,7 +30,6 @@
 _LATE_PART_BY_PRIORITY = (1.6, 1.4, 1.0)
 # Failures that show that nobody answers at an address.
 _SILENT_CODES = frozenset(("connect", "refused"))
-_STATUS_MISDIRECTED = 421
 _FIRST_ERROR_STATUS = 500
 
 _log = logs.get_logger("gateway")
@@ -286,14 +286,11 @@
             self._fail(upstream, "connect")
             self._unsent += 1
             return None
-        if (
-            answer.get(self._tools.names.not_run) is not None
-            or answer.status == _STATUS_MISDIRECTED
-        ):
+        if exchange.is_rejection(answer, self._tools.names):
             self._rejections += 1
             self._fail(upstream, f"rejected with {answer.status}")
             return None
-        fault = self._find_fault(answer)
+        fault = exchange.find_fault(answer, self._tools.names)
         if fault:
             self._count_run()
             self._fail(upstream, fault)
@@ -355,7 +352,13 @@
                 connection = await upstream.pool.acquire()
                 self._upstream = upstream.item.upstream
                 answer = await connection.exchange(
-                    self._format(upstream), self._task.request_id
+                    exchange.format_request(
+                        self._task.request,
+                        self._tools.names,
+                        upstream.item.upstream,
+                        self._get_left_s(),
+                    ),
+                    self._task.request_id,
                 )
         except TimeoutError as error:
             if connection is None:
@@ -368,8 +371,8 @@
         load = answer.get(self._tools.names.load)
         if load is not None:
             upstream.take_load(load)
-        if answer.status < _FIRST_ERROR_STATUS and (
-            answer.status != _STATUS_MISDIRECTED
+        if answer.status < _FIRST_ERROR_STATUS and not exchange.is_rejection(
+            answer, self._tools.names
         ):
             self._take_latency(
                 upstream, clock.monotonic() - begun_s, has_waited
@@ -386,30 +389,3 @@
 
     def _get_left_s(self) -> float:
         return self._task.until_s - self._tools.clock.monotonic()
-
-    def _format(self, upstream: balance.Upstream) -> bytes:
-        names = self._tools.names
-        request = self._task.request
-        own = frozenset((names.deadline_ms, names.expected_upstream))
-        headers = http_messages.list_end_to_end(request.headers, own)
-        left_ms = max(1, int(self._get_left_s() * 1000))
-        head = f"{request.method} {request.target} HTTP/1.1\r\n"
-        data = head.encode("latin-1") + http_messages.format_headers(headers)
-        data += b"%s: %d\r\n" % (names.deadline_ms, left_ms)
-        data += b"%s: %s\r\n" % (
-            names.expected_upstream,
-            upstream.item.upstream.encode("latin-1"),
-        )
-        if request.body or request.method not in ("GET", "HEAD"):
-            data += b"Content-Length: %d\r\n" % len(request.body)
-        return data + b"\r\n" + request.body
-
-    def _find_fault(self, answer: upstream_lib.Answer) -> str:
-        """Returns why an answer is not the upstream's own, or nothing."""
-        if answer.get(b"content-encoding") is not None:
-            return "encoded answer"
-        if answer.status < 300 and (
-            answer.get(self._tools.names.signature) is None
-        ):
-            return "unsigned answer"
-        return ""
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -175,7 +175,7 @@
     fleet.clock.now_s += 2.0 if late else 0.1
     load = messages.UpstreamLoad("u1", 0, True)
     for number in range(instances):
-        fleet.authority.add_reports(
+        fleet.authority.observations.add(
             messages.Follow(instance=f"e{number}", loads=(load,))
         )
     assert (fleet.authority.encode_loads() == b"\xff") == is_shown
@@ -231,3 +231,13 @@
     reply = await renewing
     held = fleet.state.keys["keyed"].list_held("u1", 1)
     assert _list_keys(reply.grants) <= _list_keys(held)
+
+
+async def test_a_high_load_does_not_look_like_silence(fleet):
+    """Guards against a busy upstream that is taken for a dead one."""
+    await fleet.report(make_item("u1"))
+    load = messages.UpstreamLoad("u1", 300)
+    fleet.authority.observations.add(
+        messages.Follow(instance="e1", loads=(load,))
+    )
+    assert fleet.authority.encode_loads() == b"\xfe"
