--- a/packages/dev/tests/fleetsoak/test_soak.py
+++ b/packages/dev/tests/fleetsoak/test_soak.py
@@ -10,7 +10,8 @@
 _SECONDS = 6.0
 
 
-@pytest.mark.parametrize("seed", [1])
+# 10: processes told to stop before they handle signals end by the signal.
+@pytest.mark.parametrize("seed", [1, 10])
 def test_the_promises_hold_while_processes_fail(tmp_path, seed):
     """Guards against broken promises under kills, pauses and bad links."""
     result = asyncio.run(run.Soak(tmp_path, seed).run(_SECONDS))
