Place keys by the measured pace and utilisation of upstreams

Upstreams differ by a factor of four in speed; the slowest third of the holders got as many requests as the fastest and refused 40% of them. Keys were given by a pace that each entry instance learned from few answers, and moved only after a holder had queued.

Ruled out: stale loads (the refusing holders were slow in all seconds), hot keys alone (refusals stayed outside of them).

Change: entry instances report latencies and what is usual, the leader adds them up and sends paces back to all; keys are placed and moved to lower the time that all requests take by a queueing formula; each free or moved range is claimed for one upstream; blocks are 8 keys; an upstream holds at most 72 ranges, so that an answer to a heartbeat stays below 4 KiB.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -143,9 +143,11 @@
 }
 
 struct UpstreamPace {
-  # How slow an upstream is, relative to the mean of its service.
+  # How slow an upstream was, relative to the mean of its service, over answers
+  # that usually take `usualMs` together.
   upstream @0 :Text;
   pace @1 :Float32;
+  usualMs @2 :Float32;
 }
 
 struct UpstreamLoad {
@@ -181,6 +183,8 @@
   # One byte for each upstream of `revision`, in the order of their ids; 255
   # for one that answers nobody.
   loads @5 :Data;
+  # Paces in the same order, on a logarithmic scale; 0 for an unknown one.
+  paces @6 :Data;
 }
 
 struct ReleasedRange {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -1,7 +1,5 @@
-"""Duties of the leader towards upstreams: registration and leases on keys."""
+"""Duties of the leader towards upstreams: registration and heartbeats."""
 
-import collections
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from returns.result import Failure
@@ -14,9 +12,8 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
+from bamboosilld.fleet import granting
 from bamboosilld.fleet import keyplan
-from bamboosilld.fleet import keyranges
-from bamboosilld.fleet import leases as leases_lib
 from bamboosilld.fleet import observations as observations_lib
 from bamboosilld.fleet import state as state_lib
 
@@ -26,15 +23,8 @@
 # Upstreams that are silent for this long are removed. Entry instances notice
 # a dead one themselves, and one that is only cut off still serves.
 _SILENCE_LIMIT_S = 20.0
-# The first distribution of a service's keys waits until no upstream has joined
-# for this many heartbeats.
-_SETTLE_BEATS = 2.0
-# Free keys go to upstreams that are this much more loaded for each second
-# that they wait.
-_SLACK_PER_S = 1.5
-# Shortest time between two moves of keys of one service.
-_MOVE_INTERVAL_S = 3.0
-
+# Part of a lease after which a silent upstream gets no more keys.
+_SILENT_PART = 0.5
 # A heartbeat is late when this many were due since the last one.
 _LATE_HEARTBEATS = 1.6
 
@@ -67,22 +57,23 @@
         self._state = state
         self._clock = clock
         self._heartbeat_s = heartbeat_s
-        self._leases = leases_lib.Leases(clock, lease_s)
+        self._granter = granting.Granter(
+            state,
+            clock,
+            lease_s,
+            heartbeat_s,
+            self._commit,
+            self._list_holders,
+        )
         self._elected_at_s: float | None = None
         self._begin()
 
     def _begin(self) -> None:
         now_s = self._clock.monotonic()
         self._begun_s = now_s
-        self._leases.begin()
+        self._granter.begin()
         self._seen: dict[state_lib.Life, _Seen] = {}
         self._joined_s: dict[str, float] = {}
-        self._free_since_s: dict[str, float] = {}
-        self._moved_s: dict[str, float] = collections.defaultdict(float)
-        # By service, keys that are not renewed, and when the lease ends.
-        self._revoked: dict[str, dict[keyplan.Move, float]] = (
-            collections.defaultdict(dict)
-        )
         self.observations = observations_lib.Observations(self._clock)
 
     def leads(self) -> bool:
@@ -106,6 +97,10 @@
             upstreams.append((upstream, silence_s > late_s))
         return self.observations.encode_loads(upstreams)
 
+    def encode_paces(self) -> bytes:
+        """Returns the paces of all upstreams, a byte for each."""
+        return self.observations.paces.encode(sorted(self._state.upstreams))
+
     async def handle_report(
         self, report: messages.UpstreamReport
     ) -> messages.ReportReply:
@@ -148,20 +143,16 @@
         table = self._state.keys.get(item.service)
         if table is None:
             return messages.ReportReply(accepted=True)
-        await self._take_released(life, report)
-        if not item.draining:
-            # Counted before the commit, too: keys are granted from the moment
-            # at which their command is applied.
-            self._leases.renew(life)
-            await self._grant_free(life, item.service)
+        grants = await self._granter.answer(
+            life, report, self.observations.works[item.service]
+        )
         self._check_leads()
-        grants = self._list_grants(life, item)
-        self._leases.renew(life)
+        self._granter.leases.renew(life)
         metrics.fleet_reports.labels("renewed").inc()
         return messages.ReportReply(
             accepted=True,
             renewed=True,
-            lease_ms=int(self._leases.lease_s * 1000),
+            lease_ms=int(self._granter.leases.lease_s * 1000),
             grants=tuple(grants),
         )
 
@@ -186,11 +177,12 @@
         """Removes silent upstreams, frees ended leases and plans moves."""
         now_s = self._clock.monotonic()
         await self._remove_silent(now_s)
-        for service, table in list(self._state.keys.items()):
-            self.observations.works[service].decay(now_s)
-            await self._free_ended(service, table, now_s)
-            await self._distribute(service, table, now_s)
-            self._plan_moves(service, table, now_s)
+        for service in list(self._state.keys):
+            works = self.observations.works[service]
+            works.decay(now_s)
+            await self._granter.tick(
+                service, works, self._joined_s.get(service)
+            )
 
     def _check_leads(self) -> None:
         if not self.leads():
@@ -208,122 +200,25 @@
         known = self._state.upstreams.get(item.upstream)
         return known is None or known._replace(warmup_ms=item.warmup_ms) != item
 
-    def _list_grants(
-        self, life: state_lib.Life, item: messages.UpstreamItem
-    ) -> list[messages.KeyRange]:
-        if item.draining:
-            return []
-        grants = self._state.keys[item.service].list_held(*life)
-        for move in self._revoked[item.service]:
-            if move.life == life:
-                grants = [
-                    part
-                    for each in grants
-                    for part in keyranges.subtract(each, move.first, move.last)
-                ]
-        return grants
-
-    async def _take_released(
-        self, life: state_lib.Life, report: messages.UpstreamReport
-    ) -> None:
-        service = report.item.service
-        table = self._state.keys[service]
-        freed = [
-            part._replace(upstream="", born_ms=0, handover=released.handover)
-            for released in report.released
-            for part in table.cut(released.first, released.last)
-            if (part.upstream, part.born_ms) == life
-        ]
-        if not freed:
-            return
-        for part in freed:
-            # Not renewed while the command is on its way.
-            move = keyplan.Move(life, part.first, part.last)
-            self._revoked[service].setdefault(move, self._leases.get_end(life))
-        await self._set_keys(service, freed)
-        for part in freed:
-            self._forget_revoked(service, life, part)
-
-    def _forget_revoked(
-        self, service: str, life: state_lib.Life, freed: messages.KeyRange
-    ) -> None:
-        revoked = self._revoked[service]
-        for move in list(revoked):
-            is_inside = freed.first <= move.first and move.last <= freed.last
-            if move.life == life and is_inside:
-                del revoked[move]
-
-    async def _set_keys(
-        self, service: str, ranges: list[messages.KeyRange]
-    ) -> None:
-        for holder in dict.fromkeys(each.upstream for each in ranges):
-            metrics.fleet_key_changes.labels(
-                "granted" if holder else "freed"
-            ).inc()
-            _log.info(
-                "Keys of %s. Holder: %s.",
-                service,
-                holder or "none",
-                extra={
-                    "service": service,
-                    "upstream": holder,
-                    "revision": self._state.revision,
-                    "ranges": _format_ranges(
-                        each for each in ranges if each.upstream == holder
-                    ),
-                },
-            )
-        await self._commit(messages.SetKeys(service, tuple(ranges)))
-
-    async def _grant_free(self, life: state_lib.Life, service: str) -> None:
-        table = self._state.keys[service]
-        if not any(each.upstream for each in table.ranges):
-            # The first distribution waits until all have reported.
-            return
-        if all(each.upstream for each in table.ranges):
-            self._free_since_s.pop(service, None)
-            return
-        now_s = self._clock.monotonic()
-        since_s = self._free_since_s.setdefault(service, now_s)
-        chosen = keyplan.choose_free(
-            life,
-            self._get_capacities(service),
-            table,
-            self.observations.works[service],
-            (now_s - since_s) * _SLACK_PER_S,
-        )
-        if chosen:
-            await self._set_keys(
-                service,
-                [
-                    each._replace(upstream=life.upstream, born_ms=life.born_ms)
-                    for each in chosen
-                ],
-            )
-
-    def _get_capacities(self, service: str) -> dict[state_lib.Life, float]:
-        """Returns the upstreams that may hold keys, and their capacity."""
+    def _list_holders(
+        self, service: str
+    ) -> dict[state_lib.Life, keyplan.Holder]:
+        """Returns the upstreams that may hold keys of a service."""
         now_s = self._clock.monotonic()
-        capacities = {}
+        holders = {}
         for item in self._state.upstreams.values():
             life = state_lib.Life(item.upstream, item.born_ms)
             seen = self._seen.get(life)
             if item.service != service or item.draining or seen is None:
                 continue
-            if now_s - seen.at_s > self._leases.lease_s / 2:
-                continue
-            pace = self.observations.get_pace(item.upstream)
-            capacities[life] = max(1, item.slots) / pace
-        return capacities
-
-    def _get_busy(self, service: str) -> dict[state_lib.Life, float]:
-        """Returns recent requests for each slot of the holders of keys."""
-        busy = {}
-        for life in self._get_capacities(service):
-            slots = max(1, self._state.upstreams[life.upstream].slots)
-            load = self.observations.get_mean_load(life.upstream)
-            busy[life] = load / slots
-        return busy
+            silence_s = now_s - seen.at_s
+            if silence_s <= self._granter.leases.lease_s * _SILENT_PART:
+                holders[life] = keyplan.Holder(
+                    slots=max(1, item.slots),
+                    pace=self.observations.paces.get(item.upstream),
+                    due_s=abs(self._heartbeat_s - silence_s),
+                )
+        return holders
 
     async def _remove_silent(self, now_s: float) -> None:
         gone = []
@@ -343,79 +238,3 @@
                     extra={"upstream": each.upstream},
                 )
             await self._commit(messages.SetUpstreams(gone=tuple(gone)))
-
-    async def _free_ended(
-        self, service: str, table: keyranges.Table, now_s: float
-    ) -> None:
-        """Frees keys whose holder can no longer use them."""
-        revoked = self._revoked[service]
-        for each in table.ranges:
-            life = state_lib.Life(each.upstream, each.born_ms)
-            is_replaced = self._state.gone.get(life) == "replaced"
-            if each.upstream and (is_replaced or self._leases.has_ended(life)):
-                # Not renewed while the command is on its way, should the
-                # holder come back meanwhile.
-                move = keyplan.Move(life, each.first, each.last)
-                revoked[move] = now_s
-        ended = [move for move, end_s in revoked.items() if now_s >= end_s]
-        freed = [
-            part._replace(upstream="", born_ms=0, handover="")
-            for move in ended
-            for part in table.cut(move.first, move.last)
-            if (part.upstream, part.born_ms) == move.life
-        ]
-        if freed:
-            await self._set_keys(service, freed)
-        for move in ended:
-            revoked.pop(move, None)
-
-    async def _distribute(
-        self, service: str, table: keyranges.Table, now_s: float
-    ) -> None:
-        """Distributes all keys of a service that nobody holds yet."""
-        if any(each.upstream for each in table.ranges):
-            return
-        joined_s = self._joined_s.get(service)
-        settle_s = _SETTLE_BEATS * self._heartbeat_s
-        if joined_s is None or now_s - joined_s < settle_s:
-            return
-        lives = sorted(self._get_capacities(service))
-        if lives:
-            await self._set_keys(service, keyplan.split_evenly(lives))
-
-    def _plan_moves(
-        self, service: str, table: keyranges.Table, now_s: float
-    ) -> None:
-        if any(not each.upstream for each in table.ranges):
-            return
-        if self._revoked[service] or (
-            now_s - self._moved_s[service] < _MOVE_INTERVAL_S
-        ):
-            return
-        moves = keyplan.plan_moves(
-            self._get_busy(service), table, self.observations.works[service]
-        )
-        if not moves:
-            return
-        self._moved_s[service] = now_s
-        for move in moves:
-            self._revoked[service][move] = self._leases.get_end(move.life)
-        for life in dict.fromkeys(move.life for move in moves):
-            _log.info(
-                "Keys of %s asked back. Holder: %s.",
-                service,
-                life.upstream,
-                extra={
-                    "service": service,
-                    "upstream": life.upstream,
-                    "ranges": _format_ranges(
-                        move for move in moves if move.life == life
-                    ),
-                },
-            )
-
-
-def _format_ranges(
-    ranges: Iterable[messages.KeyRange | keyplan.Move],
-) -> str:
-    return " ".join(f"{each.first}-{each.last}" for each in ranges)
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -362,6 +362,7 @@
                 member.address for member in self.node.membership.members
             ),
             loads=self.authority.encode_loads(),
+            paces=self.authority.encode_paces(),
         )
 
     async def _on_join(
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -13,6 +13,7 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import paces as paces_lib
 from bamboosilld.fleet import state as state_lib
 
 # The leader answers within half a second when nothing changes.
@@ -33,6 +34,18 @@
     loads: tuple[messages.UpstreamLoad, ...] = ()
 
 
+class Sight(NamedTuple):
+    """What all entry instances together have seen of an upstream.
+
+    Attributes:
+        requests: Requests that it has, or `suspicion.SUSPECT_LOAD`.
+        pace: How slow it is, or None if unknown.
+    """
+
+    requests: int
+    pace: float | None
+
+
 class Follower:
     """Follows the leader and applies its commands.
 
@@ -49,14 +62,14 @@
         clock: clock_lib.Clock,
         list_seeds: Callable[[], tuple[str, ...]],
         take_reports: Callable[[], Reports],
-        on_loads: Callable[[dict[str, int]], None],
+        on_sights: Callable[[dict[str, Sight]], None],
     ) -> None:
         self._instance = instance
         self._directory = directory
         self._clock = clock
         self._list_seeds = list_seeds
         self._take_reports = take_reports
-        self._on_loads = on_loads
+        self._on_sights = on_sights
         self._known: tuple[str, ...] = ()
         self._leader = ""
         self._is_following = False
@@ -122,8 +135,18 @@
         for each in reply.commands:
             if each.revision > self.state.revision:
                 self.state.apply(each.revision, each.command)
+        if reply.revision == self.state.revision:
+            self._take_sights(reply)
+
+    def _take_sights(self, reply: messages.FollowReply) -> None:
         upstreams = sorted(self.state.upstreams)
-        if reply.revision == self.state.revision and len(upstreams) == len(
-            reply.loads
-        ):
-            self._on_loads(dict(zip(upstreams, reply.loads, strict=True)))
+        if not len(upstreams) == len(reply.loads) == len(reply.paces):
+            return
+        self._on_sights(
+            {
+                upstream: Sight(requests, paces_lib.decode(step))
+                for upstream, requests, step in zip(
+                    upstreams, reply.loads, reply.paces, strict=True
+                )
+            }
+        )
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -1,105 +1,148 @@
 """Decides which upstream gets free keys, and which keys should move.
 
-Work is counted by blocks of keys, as entry instances saw it; a share of it
-is spread evenly, so that keys nobody has asked for yet count as well.
+The aim is the least time that requests spend at the upstreams in all: it
+grows with the pace of an upstream, and steeply with its utilisation. Keys are
+counted and moved by blocks.
 """
 
-import collections
 from collections.abc import Iterable
-import itertools
+import heapq
+import math
 from typing import NamedTuple
 
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import keyranges
+from bamboosilld.fleet import keywork
 from bamboosilld.fleet import state as state_lib
 
 # Ranges of one upstream in the first distribution. Busy keys are often
 # neighbours, so each upstream gets several short ranges.
 _RANGES_PER_UPSTREAM = 8
-# Reported work counts for about this long.
-_HALF_LIFE_S = 8.0
-# Part of the total work that counts as spread evenly over all keys.
-_EVEN_PART = 0.15
-# An upstream with this many requests for each slot, and above the mean by
-# this factor, gives keys away: only then does a request wait.
-_BUSY = 1.0
-_OVERLOAD_RATIO = 1.3
-# Part of its surplus that it gives away in one step.
-_GIVEN_PART = 0.7
-# Most blocks of one upstream that move in one step.
-_MAX_MOVED_BLOCKS = 64
-# Most upstreams that give keys away in one step.
-_MAX_GIVERS = 3
-# Work that must have been reported before any key moves, in milliseconds.
-_MIN_WORK_MS = 30_000.0
+# Ranges that one upstream may hold: the answer to a heartbeat names them all
+# and has to stay below 4 KiB, at up to 45 bytes a range.
+MAX_RANGES = 72
+# Free keys are given out in parts with at most this part of the work that one
+# upstream has on average.
+_PART_OF_MEAN = 0.2
+# Above this utilisation, time is extrapolated in a straight line: the formula
+# for queues has no bound there, and requests are refused.
+_STEEP_UTILISATION = 0.92
+# A move makes its keys wait for about a heartbeat; it must save at least this
+# much time for each unit of moved work, and this much in all.
+_GAIN_PER_WORK = 0.15
+_MIN_GAIN = 0.04
+# Most moves of one plan, and most that go to one upstream: what is known of
+# an upstream changes with each move.
+_MAX_MOVES = 12
+_MAX_MOVES_TO_ONE = 3
+# Busy blocks of a giver that are weighed one by one.
+_WEIGHED_BLOCKS = 12
+# Upstreams that are weighed for each part of free keys.
+_WEIGHED_TAKERS = 8
+# Work that must have been seen before any key moves, in slots: less says
+# nothing about which keys are busy.
+_MIN_WORK = 0.5
+# Cost of a second of wait for an upstream's next heartbeat, for each unit of
+# work that waits.
+_WAIT_COST_PER_S = 0.3
+
+
+class Holder(NamedTuple):
+    """An upstream that may hold keys.
+
+    Attributes:
+        slots: Requests that it runs at a time.
+        pace: How slow it is; 1 is the mean of its service.
+        due_s: Time until its next heartbeat.
+    """
+
+    slots: int
+    pace: float
+    due_s: float = 0.0
 
 
 class Move(NamedTuple):
-    """Keys that one life of an upstream should give away."""
+    """Keys that one life of an upstream should give to another."""
 
     life: state_lib.Life
     first: int
     last: int
+    taker: state_lib.Life | None = None
 
 
-class Works:
-    """Recent work of the blocks of keys of one service.
+class Claim(NamedTuple):
+    """Free keys that one life of an upstream should get."""
 
-    Sums are those of the last call of `decay`; what was added since counts
-    from the next one on.
-    """
+    life: state_lib.Life
+    first: int
+    last: int
 
-    def __init__(self) -> None:
-        self._blocks = [0.0] * keyranges.BLOCK_COUNT
-        self._updated_s = 0.0
-        self.total = 0.0
-        self._sums = [0.0] * (keyranges.BLOCK_COUNT + 1)
-
-    def add(self, block: int, work_ms: float) -> None:
-        """Counts work of one block."""
-        if 0 <= block < keyranges.BLOCK_COUNT:
-            self._blocks[block] += work_ms
-
-    def decay(self, now_s: float) -> None:
-        """Lets older work count less."""
-        factor = 0.5 ** ((now_s - self._updated_s) / _HALF_LIFE_S)
-        self._updated_s = now_s
-        self._blocks = [work * factor for work in self._blocks]
-        self.total = sum(self._blocks)
-        even = max(self.total, 1.0) * _EVEN_PART / keyranges.BLOCK_COUNT
-        self._sums = [0.0]
-        self._sums.extend(
-            itertools.accumulate(
-                work * (1 - _EVEN_PART) + even for work in self._blocks
-            )
-        )
 
-    def get_block(self, block: int) -> float:
-        """Returns the work of a block with its part of the even share."""
-        return self._sums[block + 1] - self._sums[block]
-
-    def sum_range(self, first: int, last: int) -> float:
-        """Returns the work of a range of keys."""
-        return self._sum_below(last + 1) - self._sum_below(first)
-
-    def _sum_below(self, key: int) -> float:
-        block, rest = divmod(key, keyranges.BLOCK_KEYS)
-        if not rest:
-            return self._sums[block]
-        part = rest / keyranges.BLOCK_KEYS
-        return self._sums[block] + part * self.get_block(block)
-
-
-def sum_holders(
-    table: keyranges.Table, works: Works
-) -> dict[state_lib.Life, float]:
-    """Returns the work of each holder of keys."""
-    sums: dict[state_lib.Life, float] = collections.defaultdict(float)
-    for each in table.ranges:
-        if each.upstream:
+class _Plan:
+    """Work and number of ranges of each holder, and what changes cost."""
+
+    def __init__(
+        self,
+        holders: dict[state_lib.Life, Holder],
+        table: keyranges.Table,
+        works: keywork.Works,
+    ) -> None:
+        self.holders = holders
+        self.work = dict.fromkeys(holders, 0.0)
+        self.ranges = dict.fromkeys(holders, 0)
+        for each in table.ranges:
             life = state_lib.Life(each.upstream, each.born_ms)
-            sums[life] += works.sum_range(each.first, each.last)
-    return sums
+            if life in self.work:
+                self.work[life] += works.sum_range(each.first, each.last)
+                self.ranges[life] += 1
+        self._slopes = {life: self._compute_slope(life) for life in holders}
+
+    def compute_change(self, life: state_lib.Life, work: float) -> float:
+        """Returns how much more time all requests of a holder would take."""
+        holder = self.holders[life]
+        before = self.work[life]
+        return _compute_time(holder, before + work) - _compute_time(
+            holder, before
+        )
+
+    def add(self, life: state_lib.Life, work: float, ranges: int) -> None:
+        """Counts work and ranges that a holder gets or loses."""
+        self.work[life] = max(0.0, self.work[life] + work)
+        self.ranges[life] += ranges
+        self._slopes[life] = self._compute_slope(life)
+
+    def find_busiest(
+        self, lives: Iterable[state_lib.Life]
+    ) -> state_lib.Life | None:
+        """Returns the holder that gains most by giving work away."""
+        return max(lives, key=lambda life: self._slopes[life], default=None)
+
+    def list_idlest(
+        self, count: int, lives: Iterable[state_lib.Life]
+    ) -> list[state_lib.Life]:
+        """Returns the holders at which more work takes the least time."""
+        return heapq.nsmallest(count, lives, key=lambda x: self._slopes[x])
+
+    def _compute_slope(self, life: state_lib.Life) -> float:
+        step = 0.01 * self.holders[life].slots
+        return self.compute_change(life, step) / step
+
+
+def _compute_time(holder: Holder, work: float) -> float:
+    """Returns the time that a rate of work takes, waits included, per second.
+
+    The wait is Sakasegawa's approximation for a queue with several servers.
+    """
+    utilisation = work * holder.pace / holder.slots
+    bounded = min(utilisation, _STEEP_UTILISATION)
+    exponent = math.sqrt(2.0 * (holder.slots + 1)) - 1.0
+    wait = bounded**exponent / (holder.slots * (1.0 - bounded))
+    if utilisation > bounded:
+        # Slope of the wait at the bound, the exponent left out.
+        wait += (utilisation - bounded) / (
+            holder.slots * (1.0 - _STEEP_UTILISATION) ** 2
+        )
+    return work * holder.pace * (1.0 + wait)
 
 
 def split_evenly(
@@ -119,134 +162,185 @@
     ]
 
 
-def choose_free(
-    life: state_lib.Life,
-    capacities: dict[state_lib.Life, float],
+def claim_free(
+    free: list[messages.KeyRange],
+    holders: dict[state_lib.Life, Holder],
     table: keyranges.Table,
-    works: Works,
-    slack: float,
-) -> list[messages.KeyRange]:
-    """Returns free ranges that a life should get now.
+    works: keywork.Works,
+    claims: Iterable[Claim] = (),
+) -> list[Claim]:
+    """Returns which upstream should get which free keys.
 
     Args:
-        life: The upstream that can take keys at this moment.
-        capacities: Relative capacity of each upstream that may hold keys.
+        free: The keys.
+        holders: Upstreams that may hold keys.
         table: Who holds what.
         works: Recent work of the keys.
-        slack: Part of the mean load by which the upstream may exceed it;
-            grows while keys wait.
+        claims: Other free keys that are already claimed.
     """
-    free = [each for each in table.ranges if not each.upstream]
-    if not free or life not in capacities:
+    if not holders:
         return []
-    sums = sum_holders(table, works)
-    held = sums.get(life, 0.0)
-    waiting = sum(works.sum_range(each.first, each.last) for each in free)
-    total = sum(sums.get(each, 0.0) for each in capacities) + waiting
-    fair = total * capacities[life] / sum(capacities.values())
-    chosen = []
-    for each in free:
-        work = works.sum_range(each.first, each.last)
-        if held + work / 2 <= fair * (1 + slack):
-            chosen.append(each)
-            held += work
-        elif held < fair * (1 + slack):
-            part = _cut_work(each, fair * (1 + slack) - held, works)
-            if part is not None:
-                chosen.append(part)
-                held += works.sum_range(part.first, part.last)
-    return chosen
-
-
-def _cut_work(
-    each: messages.KeyRange, room: float, works: Works
-) -> messages.KeyRange | None:
-    """Returns the first blocks of a range that fit into the room."""
-    work = 0.0
-    last = each.first - 1
-    while last < each.last:
-        end = min(each.last, last - last % keyranges.BLOCK_KEYS + 63)
-        work += works.sum_range(last + 1, end)
-        if work > room:
-            break
-        last = end
-    if last < each.first:
-        return None
-    return each._replace(last=last)
+    plan = _Plan(holders, table, works)
+    for each in claims:
+        if each.life in holders:
+            plan.add(each.life, works.sum_range(each.first, each.last), 1)
+    mean = (sum(plan.work.values()) + sum(map(works.sum_of, free))) / len(
+        holders
+    )
+    parts = [
+        (works.sum_range(first, last), first, last)
+        for each in free
+        for first, last in works.split(
+            each.first, each.last, mean * _PART_OF_MEAN
+        )
+    ]
+    found = []
+    for work, first, last in sorted(parts, reverse=True):
+        life = _choose_taker(plan, work)
+        plan.add(life, work, 1)
+        found.append(Claim(life, first, last))
+    return _join_claims(found)
+
+
+def _choose_taker(plan: _Plan, work: float) -> state_lib.Life:
+    room = [life for life, count in plan.ranges.items() if count < MAX_RANGES]
+    if not room:
+        return min(plan.ranges, key=lambda life: plan.ranges[life])
+    return min(
+        plan.list_idlest(_WEIGHED_TAKERS, room),
+        key=lambda life: (
+            plan.compute_change(life, work)
+            + plan.holders[life].due_s * work * _WAIT_COST_PER_S,
+            plan.ranges[life],
+        ),
+    )
+
+
+def _join_claims(claims: list[Claim]) -> list[Claim]:
+    joined: list[Claim] = []
+    for each in sorted(claims, key=lambda claim: claim.first):
+        last = joined[-1] if joined else None
+        if last and last.life == each.life and last.last + 1 == each.first:
+            joined[-1] = last._replace(last=each.last)
+        else:
+            joined.append(each)
+    return joined
 
 
 def plan_moves(
-    busy: dict[state_lib.Life, float],
+    holders: dict[state_lib.Life, Holder],
     table: keyranges.Table,
-    works: Works,
+    works: keywork.Works,
 ) -> list[Move]:
-    """Returns the keys that overloaded upstreams should give away.
+    """Returns the moves of keys that save more time than they cost.
 
     Args:
-        busy: Recent requests of each upstream for each of its slots.
+        holders: Upstreams that may hold keys; others neither give nor take.
         table: Who holds what.
         works: Recent work of the keys.
     """
-    if works.total < _MIN_WORK_MS or len(busy) < 2:
+    if len(holders) < 2 or works.total < _MIN_WORK:
         return []
-    sums = sum_holders(table, works)
-    mean = sum(busy.values()) / len(busy)
-    # What idler upstreams can take bounds what is given away.
-    room = sum(
-        works.total / len(busy) * (1 - ratio / mean)
-        for ratio in busy.values()
-        if ratio < mean
-    )
+    plan = _Plan(holders, table, works)
+    givers = set(holders)
+    takers = dict.fromkeys(holders, _MAX_MOVES_TO_ONE)
     moves: list[Move] = []
-    for life in sorted(busy, key=lambda each: -busy[each])[:_MAX_GIVERS]:
-        if busy[life] < max(_BUSY, mean * _OVERLOAD_RATIO):
+    while givers and len(moves) < _MAX_MOVES:
+        giver = plan.find_busiest(givers)
+        if giver is None:
             break
-        surplus = sums.get(life, 0.0) * (1 - mean / busy[life])
-        blocks = _choose_blocks(
-            table.list_held(*life), works, min(surplus * _GIVEN_PART, room)
-        )
-        room -= sum(works.get_block(block) for block in blocks)
-        moves.extend(
-            _make_move(life, first, last) for first, last in _join(blocks)
-        )
+        free = [
+            life
+            for life, count in takers.items()
+            if count and life != giver and plan.ranges[life] < MAX_RANGES
+        ]
+        move = _find_move(plan, giver, free, table, works, moves)
+        if move is None or move.taker is None:
+            givers.discard(giver)
+            continue
+        work = works.sum_range(move.first, move.last)
+        # Cutting the middle out of a range leaves two.
+        plan.add(giver, -work, 1)
+        plan.add(move.taker, work, 1)
+        # An upstream that takes keys does not give any in the same plan.
+        givers.discard(move.taker)
+        takers.pop(giver, None)
+        takers[move.taker] -= 1
+        moves.append(move)
     return moves
 
 
-def _choose_blocks(
-    held: list[messages.KeyRange], works: Works, surplus: float
-) -> list[int]:
-    """Returns the busiest blocks that together do not exceed a surplus."""
-    chosen: list[int] = []
-    blocks = _list_blocks(held)
-    for block in sorted(blocks, key=lambda each: -works.get_block(each)):
-        work = works.get_block(block)
-        if work <= surplus and len(chosen) < _MAX_MOVED_BLOCKS:
-            chosen.append(block)
-            surplus -= work
-    return chosen
-
-
-def _list_blocks(ranges: Iterable[messages.KeyRange]) -> list[int]:
-    return [
-        block
-        for each in ranges
-        for block in range(
-            -(-each.first // keyranges.BLOCK_KEYS),
-            (each.last + 1) // keyranges.BLOCK_KEYS,
-        )
-    ]
-
-
-def _join(blocks: list[int]) -> list[tuple[int, int]]:
-    joined: list[tuple[int, int]] = []
-    for block in sorted(blocks):
-        if joined and joined[-1][1] + 1 == block:
-            joined[-1] = (joined[-1][0], block)
+def _find_move(
+    plan: _Plan,
+    giver: state_lib.Life,
+    takers: list[state_lib.Life],
+    table: keyranges.Table,
+    works: keywork.Works,
+    planned: list[Move],
+) -> Move | None:
+    """Returns the best move of one giver, or None if none is worth it."""
+    found = plan.list_idlest(1, takers)
+    if not found or plan.ranges[giver] >= MAX_RANGES:
+        return None
+    taker = found[0]
+    wanted = _find_amount(plan, giver, taker)
+    best: Move | None = None
+    best_gain = _MIN_GAIN
+    for first, last in _list_candidates(giver, table, works, wanted, planned):
+        work = works.sum_range(first, last)
+        gain = -plan.compute_change(giver, -work)
+        gain -= plan.compute_change(taker, work) + work * _GAIN_PER_WORK
+        if gain > best_gain:
+            best, best_gain = Move(giver, first, last, taker), gain
+    return best
+
+
+def _find_amount(
+    plan: _Plan, giver: state_lib.Life, taker: state_lib.Life
+) -> float:
+    """Returns the work whose move from one to the other saves most time."""
+    low, high = 0.0, plan.work[giver]
+    for _ in range(8):
+        middle, step = (low + high) / 2, (high - low) / 100
+        gains = [
+            -plan.compute_change(giver, -work)
+            - plan.compute_change(taker, work)
+            for work in (middle, middle + step)
+        ]
+        if gains[1] > gains[0]:
+            low = middle
         else:
-            joined.append((block, block))
-    return joined
+            high = middle
+    return (low + high) / 2
 
 
-def _make_move(life: state_lib.Life, first: int, last: int) -> Move:
-    size = keyranges.BLOCK_KEYS
-    return Move(life, first * size, (last + 1) * size - 1)
+def _list_candidates(
+    giver: state_lib.Life,
+    table: keyranges.Table,
+    works: keywork.Works,
+    wanted: float,
+    planned: list[Move],
+) -> list[tuple[int, int]]:
+    """Returns parts of what a giver holds that may move.
+
+    These are the start of each range, as much as is wanted, and the busiest
+    blocks.
+    """
+    held = table.list_held(*giver)
+    for move in planned:
+        if move.life == giver:
+            held = [
+                part
+                for each in held
+                for part in keyranges.subtract(each, move.first, move.last)
+            ]
+    found = []
+    blocks: list[tuple[float, int]] = []
+    for each in held:
+        first, last = each.first, each.last
+        found.append((first, works.find_end(first, last, wanted)))
+        blocks.extend(works.list_busy(first, last))
+    for _, block in heapq.nlargest(_WEIGHED_BLOCKS, blocks):
+        first = block * keyranges.BLOCK_KEYS
+        found.append((first, first + keyranges.BLOCK_KEYS - 1))
+    return found
--- a/packages/daemon/src/bamboosilld/fleet/keyranges.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyranges.py
@@ -7,7 +7,7 @@
 
 KEY_COUNT = 65536
 # Keys are counted, moved and reported by blocks of this size.
-BLOCK_KEYS = 32
+BLOCK_KEYS = 8
 BLOCK_COUNT = KEY_COUNT // BLOCK_KEYS
 
 
--- a/packages/daemon/src/bamboosilld/fleet/observations.py
+++ b/packages/daemon/src/bamboosilld/fleet/observations.py
@@ -6,17 +6,12 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import fleet as messages
-from bamboosilld.fleet import keyplan
+from bamboosilld.fleet import keywork
+from bamboosilld.fleet import paces as paces_lib
 from bamboosilld.fleet import suspicion
 
 # A load that was seen longer ago counts as none.
 _LOAD_LIFE_S = 3.0
-# Weight of the newest load in the moving average of an upstream.
-_LOAD_GAIN = 0.15
-# Weight of the newest reported pace in the moving average of an upstream.
-_PACE_GAIN = 0.3
-# A fast upstream counts as at most this much faster than the mean.
-_MIN_PACE = 0.4
 
 
 class _Load(NamedTuple):
@@ -24,12 +19,10 @@
 
     Attributes:
         requests: Requests running and waiting.
-        mean: Moving average of them.
         at_s: When it was reported.
     """
 
     requests: int
-    mean: float
     at_s: float
 
 
@@ -38,14 +31,15 @@
 
     Attributes:
         works: Work of keys, by service.
+        paces: How slow upstreams are.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
-        self.works: dict[str, keyplan.Works] = collections.defaultdict(
-            keyplan.Works
+        self.works: dict[str, keywork.Works] = collections.defaultdict(
+            keywork.Works
         )
-        self._paces: dict[str, float] = {}
+        self.paces = paces_lib.Paces(clock)
         self._loads: dict[str, _Load] = {}
         self._suspicions = suspicion.Suspicions(clock)
 
@@ -54,8 +48,7 @@
         for work in request.works:
             self.works[work.service].add(work.block, float(work.work_ms))
         for each in request.paces:
-            pace = self._paces.get(each.upstream, each.pace)
-            self._paces[each.upstream] = pace + _PACE_GAIN * (each.pace - pace)
+            self.paces.add(each.upstream, each.pace, each.usual_ms)
         for load in request.loads:
             if load.is_silent:
                 self._suspicions.add(load.upstream, request.instance)
@@ -63,15 +56,6 @@
                 self._suspicions.clear(load.upstream)
                 self._add_load(load.upstream, load.requests)
 
-    def get_pace(self, upstream: str) -> float:
-        """Returns how slow an upstream is; 1 is the mean of its service."""
-        return max(_MIN_PACE, self._paces.get(upstream, 1.0))
-
-    def get_mean_load(self, upstream: str) -> float:
-        """Returns the recent requests of an upstream, 0 if unknown."""
-        load = self._get_load(upstream)
-        return load.mean if load is not None else 0.0
-
     def encode_loads(self, upstreams: Iterable[tuple[str, bool]]) -> bytes:
         """Returns the latest loads of upstreams, a byte for each.
 
@@ -89,12 +73,7 @@
         return bytes(loads)
 
     def _add_load(self, upstream: str, requests: int) -> None:
-        before = self._get_load(upstream)
-        mean = float(requests)
-        if before is not None:
-            mean = before.mean + _LOAD_GAIN * (requests - before.mean)
-        now_s = self._clock.monotonic()
-        self._loads[upstream] = _Load(requests, mean, now_s)
+        self._loads[upstream] = _Load(requests, self._clock.monotonic())
 
     def _get_load(self, upstream: str) -> _Load | None:
         load = self._loads.get(upstream)
--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -12,8 +12,6 @@
 
 # Weight of the newest latency in the moving average of an upstream's pace.
 _PACE_GAIN = 0.2
-# A pace is reported when it has changed by this part.
-_REPORTED_CHANGE = 0.1
 # Pace is kept within these bounds, so that no upstream is starved by it.
 _MIN_PACE = 0.3
 _MAX_PACE = 8.0
@@ -69,10 +67,10 @@
         self.pool = upstream_lib.Pool(item.address, request_id_name)
         self.in_flight = 0
         self.pace = 1.0
-        self._reported_pace = 1.0
+        self._answers_took_s = 0.0
+        self._answers_usual_s = 0.0
         self.failures = 0
         self.rests_until_s = 0.0
-        self._is_silent = False
         self._warm_at_s = clock.monotonic() + item.warmup_ms / 1000
         self._load = Load(0, 0, float("-inf"))
         self._has_new_load = False
@@ -133,16 +131,34 @@
         self.rests_until_s = 0.0
         self._is_silent = False
 
-    def take_pace(self, ratio: float) -> None:
-        """Counts a latency.
+    def take_latency(self, latency_s: float, usual_s: float) -> None:
+        """Counts an answer.
 
         Args:
-            ratio: Latency without a wait for a slot, relative to what is
-                usual for its route.
+            latency_s: Its latency without the wait for a slot.
+            usual_s: What is usual for its route.
         """
+        self._answers_took_s += latency_s
+        self._answers_usual_s += usual_s
+        ratio = latency_s / usual_s
         pace = self.pace + _PACE_GAIN * (ratio - self.pace)
         self.pace = min(_MAX_PACE, max(_MIN_PACE, pace))
 
+    def take_shared_pace(self, pace: float | None) -> None:
+        """Takes the pace that follows from the answers to all instances."""
+        if pace is not None:
+            self.pace = min(_MAX_PACE, max(_MIN_PACE, pace))
+
+    def take_answers(self) -> tuple[float, float]:
+        """Returns the pace of the answers since the last call.
+
+        Returns:
+            The pace, and what these answers usually take together in seconds.
+        """
+        took_s, usual_s = self._answers_took_s, self._answers_usual_s
+        self._answers_took_s = self._answers_usual_s = 0.0
+        return (took_s / usual_s if usual_s else 1.0), usual_s
+
     def take_failure(self, is_silent: bool) -> None:
         """Lets the upstream rest.
 
@@ -163,22 +179,18 @@
         """Returns whether another request would probably wait too long."""
         return self.estimate_load() >= self.slots * (1 + _QUEUE_PER_SLOT)
 
-    def take_changed_pace(self) -> float | None:
-        """Returns the pace if it has changed much since the last call."""
-        change = abs(self.pace - self._reported_pace) / self._reported_pace
-        if change < _REPORTED_CHANGE:
-            return None
-        self._reported_pace = self.pace
-        return self.pace
-
     def estimate_latency(self, usual_s: float) -> float:
         """Returns how long another request would probably take, in seconds.
 
         Args:
             usual_s: Usual latency of the request's route without a wait.
         """
+        return usual_s * self.pace * self.estimate_wait_factor()
+
+    def estimate_wait_factor(self) -> float:
+        """Returns by how much a wait for a slot would lengthen a request."""
         ahead = max(0.0, self.estimate_load() + 1.0 - self.slots)
-        return usual_s * self.pace * (1.0 + ahead / self.slots)
+        return 1.0 + ahead / self.slots
 
     def compute_cost(self, zone: str) -> float:
         """Returns how unfavourable another request is here."""
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -59,7 +59,7 @@
             process.clock,
             process.list_control_peers,
             lambda: self.service.take_reports(),
-            lambda loads: self._view.take_loads(loads),
+            lambda sights: self._view.take_sights(sights),
         )
         self._view = view_lib.View(
             self._follower.state,
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -343,7 +343,7 @@
             _NotWrittenError: It has passed before a connection was open.
         """
         clock = self._tools.clock
-        has_waited = upstream.estimate_load() >= upstream.slots
+        wait_factor = upstream.estimate_wait_factor()
         upstream.in_flight += 1
         connection: upstream_lib.Connection | None = None
         begun_s = clock.monotonic()
@@ -375,17 +375,16 @@
             answer, self._tools.names
         ):
             self._take_latency(
-                upstream, clock.monotonic() - begun_s, has_waited
+                upstream, clock.monotonic() - begun_s, wait_factor
             )
         return answer
 
     def _take_latency(
-        self, upstream: balance.Upstream, latency_s: float, has_waited: bool
+        self, upstream: balance.Upstream, latency_s: float, wait_factor: float
     ) -> None:
-        self._latency.take(latency_s, has_waited)
+        self._latency.take(latency_s, wait_factor > 1.0)
         upstream.take_success()
-        if not has_waited:
-            upstream.take_pace(latency_s / max(self._latency.mean_s, 0.001))
+        upstream.take_latency(latency_s / wait_factor, self._latency.mean_s)
 
     def _get_left_s(self) -> float:
         return self._task.until_s - self._tools.clock.monotonic()
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -79,10 +79,7 @@
                 messages.KeyWork(service, block, int(work_ms))
                 for (service, block), work_ms in works.items()
             ),
-            tuple(
-                messages.UpstreamPace(upstream, pace)
-                for upstream, pace in self._view.list_changed_paces()
-            ),
+            tuple(self._view.list_new_paces()),
             tuple(
                 messages.UpstreamLoad(upstream, requests, is_silent)
                 for upstream, requests, is_silent in (
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -6,6 +6,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import signals
+from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.gateway import balance
 from bamboosilld.gateway import routes as routes_lib
@@ -59,13 +60,14 @@
         table = self.state.keys.get(service)
         return table.find(key).fence if table is not None else 0
 
-    def list_changed_paces(self) -> Iterator[tuple[str, float]]:
-        """Yields the paces of holders of keys that have changed much."""
+    def list_new_paces(self) -> Iterator[messages.UpstreamPace]:
+        """Yields the paces of the answers since the last call."""
         for upstream in self._upstreams.values():
-            if upstream.item.service in self.state.keys:
-                pace = upstream.take_changed_pace()
-                if pace is not None:
-                    yield upstream.item.upstream, pace
+            pace, usual_s = upstream.take_answers()
+            if usual_s:
+                yield messages.UpstreamPace(
+                    upstream.item.upstream, pace, usual_s * 1000
+                )
 
     def list_new_loads(self) -> Iterator[tuple[str, int, bool]]:
         """Yields what upstreams reported since the last call.
@@ -79,12 +81,13 @@
             if requests is not None or is_silent:
                 yield upstream.item.upstream, requests or 0, is_silent
 
-    def take_loads(self, loads: dict[str, int]) -> None:
-        """Takes the loads that other instances have seen."""
+    def take_sights(self, sights: dict[str, follower_lib.Sight]) -> None:
+        """Takes what all entry instances together have seen."""
         for upstream in self._upstreams.values():
-            requests = loads.get(upstream.item.upstream)
-            if requests is not None:
-                upstream.take_shared_load(requests)
+            sight = sights.get(upstream.item.upstream)
+            if sight is not None:
+                upstream.take_shared_load(sight.requests)
+                upstream.take_shared_pace(sight.pace)
 
     def sweep(self) -> None:
         """Closes connections that are not used any more."""
