Give moved keys to upstreams that report soon after the giver

Change: among the idle takers, one is chosen whose heartbeat follows soon after the giver's; the wait counts as a cost of a move.

--- a/packages/daemon/src/bamboosilld/fleet/granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/granting.py
@@ -291,7 +291,9 @@
             now_s - self._moved_s[service] < _MOVE_INTERVAL_S
         ):
             return
-        moves = keyplan.plan_moves(self._list_holders(service), table, works)
+        moves = keyplan.plan_moves(
+            self._list_holders(service), table, works, self._heartbeat_s
+        )
         if not moves:
             return
         self._moved_s[service] = now_s
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -27,17 +27,20 @@
 # Above this utilisation, time is extrapolated in a straight line: the formula
 # for queues has no bound there, and requests are refused.
 _STEEP_UTILISATION = 0.92
-# A move makes its keys wait for about a heartbeat; it must save at least this
-# much time for each unit of moved work, and this much in all.
-_GAIN_PER_WORK = 0.15
+# A move must save at least this much time for each unit of moved work, which
+# is refused or late while its keys have no holder, and this much in all.
+_GAIN_PER_WORK = 0.08
 _MIN_GAIN = 0.04
+# Usual time from a holder's heartbeat until it has given keys back: it ends
+# the requests on them first.
+_RELEASE_S = 0.25
 # Most moves of one plan, and most that go to one upstream: what is known of
 # an upstream changes with each move.
 _MAX_MOVES = 12
 _MAX_MOVES_TO_ONE = 3
 # Busy blocks of a giver that are weighed one by one.
 _WEIGHED_BLOCKS = 12
-# Upstreams that are weighed for each part of free keys.
+# Upstreams that are weighed for each move and each part of free keys.
 _WEIGHED_TAKERS = 8
 # Work that must have been seen before any key moves, in slots: less says
 # nothing about which keys are busy.
@@ -86,8 +89,10 @@
         holders: dict[state_lib.Life, Holder],
         table: keyranges.Table,
         works: keywork.Works,
+        heartbeat_s: float = 1.0,
     ) -> None:
         self.holders = holders
+        self._heartbeat_s = heartbeat_s
         self.work = dict.fromkeys(holders, 0.0)
         self.ranges = dict.fromkeys(holders, 0)
         for each in table.ranges:
@@ -123,6 +128,17 @@
         """Returns the holders at which more work takes the least time."""
         return heapq.nsmallest(count, lives, key=lambda x: self._slopes[x])
 
+    def compute_gap(
+        self, giver: state_lib.Life, taker: state_lib.Life
+    ) -> float:
+        """Returns how long keys wait between two holders, in seconds.
+
+        They are given back after a heartbeat of the one, and granted at the
+        next heartbeat of the other.
+        """
+        given_s = self.holders[giver].due_s + _RELEASE_S
+        return (self.holders[taker].due_s - given_s) % self._heartbeat_s
+
     def _compute_slope(self, life: state_lib.Life) -> float:
         step = 0.01 * self.holders[life].slots
         return self.compute_change(life, step) / step
@@ -231,6 +247,7 @@
     holders: dict[state_lib.Life, Holder],
     table: keyranges.Table,
     works: keywork.Works,
+    heartbeat_s: float,
 ) -> list[Move]:
     """Returns the moves of keys that save more time than they cost.
 
@@ -238,10 +255,11 @@
         holders: Upstreams that may hold keys; others neither give nor take.
         table: Who holds what.
         works: Recent work of the keys.
+        heartbeat_s: About how often holders report.
     """
     if len(holders) < 2 or works.total < _MIN_WORK:
         return []
-    plan = _Plan(holders, table, works)
+    plan = _Plan(holders, table, works, heartbeat_s)
     givers = set(holders)
     takers = dict.fromkeys(holders, _MAX_MOVES_TO_ONE)
     moves: list[Move] = []
@@ -279,22 +297,36 @@
     planned: list[Move],
 ) -> Move | None:
     """Returns the best move of one giver, or None if none is worth it."""
-    found = plan.list_idlest(1, takers)
-    if not found or plan.ranges[giver] >= MAX_RANGES:
+    if not takers or plan.ranges[giver] >= MAX_RANGES:
         return None
-    taker = found[0]
+    taker = _choose_mover(plan, giver, takers)
+    cost = _GAIN_PER_WORK + plan.compute_gap(giver, taker) * _WAIT_COST_PER_S
     wanted = _find_amount(plan, giver, taker)
     best: Move | None = None
     best_gain = _MIN_GAIN
     for first, last in _list_candidates(giver, table, works, wanted, planned):
         work = works.sum_range(first, last)
         gain = -plan.compute_change(giver, -work)
-        gain -= plan.compute_change(taker, work) + work * _GAIN_PER_WORK
+        gain -= plan.compute_change(taker, work) + work * cost
         if gain > best_gain:
             best, best_gain = Move(giver, first, last, taker), gain
     return best
 
 
+def _choose_mover(
+    plan: _Plan, giver: state_lib.Life, takers: list[state_lib.Life]
+) -> state_lib.Life:
+    """Returns an idle taker that reports soon after the giver."""
+    step = 0.1 * plan.work[giver]
+    return min(
+        plan.list_idlest(_WEIGHED_TAKERS, takers),
+        key=lambda life: (
+            plan.compute_change(life, step)
+            + plan.compute_gap(giver, life) * step * _WAIT_COST_PER_S
+        ),
+    )
+
+
 def _find_amount(
     plan: _Plan, giver: state_lib.Life, taker: state_lib.Life
 ) -> float:
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -254,11 +254,11 @@
     observations = fleet.authority.observations
     for each in grants["u1"]:
         for block in range(each.first // 8 + 1, each.last // 8):
-            observations.works["keyed"].add(block, 30.0)
+            observations.works["keyed"].add(block, 1.0)
     observations.paces.add("u1", 4.0, 1e6)
-    observations.paces.add("u2", 4.0, 1e6)
     observations.paces.add("u3", 0.5, 1e6)
-    for each in items:
+    fleet.clock.now_s += 2.5
+    for each in (items[0], items[2]):
         await fleet.report(each)
     await fleet.authority.tick()
     kept = _list_keys((await fleet.report(items[0], grants["u1"])).grants)
--- a/packages/daemon/tests/fleet/test_keyplan.py
+++ b/packages/daemon/tests/fleet/test_keyplan.py
@@ -83,7 +83,7 @@
         for life, pace in zip((_A, _B, _C), paces, strict=True)
     }
     moves = keyplan.plan_moves(
-        holders, _make_table([_A, _B, _C]), _make_even_works(slots)
+        holders, _make_table([_A, _B, _C]), _make_even_works(slots), 1.0
     )
     assert {move.life.upstream for move in moves} == givers
 
@@ -102,7 +102,7 @@
     table = _make_table([_A, _B, _C])
     works = _make_even_works(5.0)
     for _ in range(6):
-        _apply(table, keyplan.plan_moves(holders, table, works))
+        _apply(table, keyplan.plan_moves(holders, table, works, 1.0))
     used = {
         life: _sum_work(table, works, life) * holder.pace / holder.slots
         for life, holder in holders.items()
@@ -129,7 +129,7 @@
         {each: 2000.0 if each == block else 1.0 for each in range(_BLOCKS)}, 3.0
     )
     for _ in range(3):
-        _apply(table, keyplan.plan_moves(holders, table, works))
+        _apply(table, keyplan.plan_moves(holders, table, works, 1.0))
     assert table.find(block * keyranges.BLOCK_KEYS).upstream == "c"
 
 
@@ -145,7 +145,7 @@
             },
             9.0,
         )
-        _apply(table, keyplan.plan_moves(_EVEN, table, works))
+        _apply(table, keyplan.plan_moves(_EVEN, table, works, 1.0))
     for life in _EVEN:
         assert len(table.list_held(*life)) <= keyplan.MAX_RANGES + 1
 
@@ -191,6 +191,19 @@
     assert {each.life for each in claims} == {_A}
 
 
+def test_moved_keys_go_to_an_upstream_that_reports_soon_after_the_giver():
+    """Guards against moved keys that wait for a whole heartbeat."""
+    holders = {
+        _A: keyplan.Holder(4, 3.0, due_s=0.5),
+        _B: keyplan.Holder(4, 1.0, due_s=0.9),
+        _C: keyplan.Holder(4, 1.0, due_s=0.6),
+    }
+    moves = keyplan.plan_moves(
+        holders, _make_table([_A, _B, _C]), _make_even_works(5.0), 1.0
+    )
+    assert moves[0].taker == _B
+
+
 def test_work_is_forgotten():
     """Guards against decisions on what was busy long ago."""
     works = _make_works({5: 1.0}, 4.0)
