Refuse at once what only a silent holder could run; leave reused addresses alone

Change: after two sends in a row without any sign of the holder, requests for its keys are refused while it rests. A plain upstream that answers 421 rests.

--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -27,6 +27,9 @@
 # each further failure in a row up to the longest time.
 _FIRST_REST_S = 0.5
 _LONGEST_REST_S = 4.0
+# Sends in a row without any sign of the upstream after which it counts as
+# unreachable: a single one can be a lost packet.
+_UNREACHABLE_SILENCES = 2
 # Upstreams of other zones count as loaded by this much more, in slots: bytes
 # between zones are costly.
 _OTHER_ZONE_LOAD = 0.3
@@ -75,6 +78,7 @@
         self._load = Load(0, 0, float("-inf"))
         self._has_new_load = False
         self._is_silent = False
+        self._silences = 0
 
     @property
     def slots(self) -> int:
@@ -128,6 +132,7 @@
     def take_success(self) -> None:
         """Ends a rest."""
         self.failures = 0
+        self._silences = 0
         self.rests_until_s = 0.0
         self._is_silent = False
 
@@ -166,6 +171,7 @@
             is_silent: Whether it did not answer at all.
         """
         self._is_silent = self._is_silent or is_silent
+        self._silences = self._silences + 1 if is_silent else 0
         self.failures += 1
         rest_s = min(_LONGEST_REST_S, _FIRST_REST_S * 2 ** (self.failures - 1))
         self.rests_until_s = self._clock.monotonic() + rest_s
@@ -175,6 +181,10 @@
         """Returns whether it should get no request now."""
         return self._clock.monotonic() < self.rests_until_s
 
+    def is_unreachable(self) -> bool:
+        """Returns whether it probably answers nothing from here now."""
+        return self._silences >= _UNREACHABLE_SILENCES and self.is_resting()
+
     def is_full(self) -> bool:
         """Returns whether another request would probably wait too long."""
         return self.estimate_load() >= self.slots * (1 + _QUEUE_PER_SLOT)
--- a/packages/daemon/src/bamboosilld/gateway/exchange.py
+++ b/packages/daemon/src/bamboosilld/gateway/exchange.py
@@ -3,7 +3,7 @@
 from bamboosilld.gateway import messages
 from bamboosilld.gateway import upstream as upstream_lib
 
-_STATUS_MISDIRECTED = 421
+STATUS_MISDIRECTED = 421
 _FIRST_REDIRECT_STATUS = 300
 
 
@@ -41,7 +41,7 @@
     """Returns whether the upstream says that it did not run the request."""
     return (
         answer.get(names.not_run) is not None
-        or answer.status == _STATUS_MISDIRECTED
+        or answer.status == STATUS_MISDIRECTED
     )
 
 
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -165,6 +165,10 @@
         if holder is None:
             self._reason = "key has no holder"
             return None
+        if holder.is_unreachable():
+            # Another try would only end at the deadline.
+            self._reason = "key's holder does not answer"
+            return None
         return holder if self._is_fast_enough(holder) else None
 
     def _find_holder(self) -> balance.Upstream | None:
@@ -288,6 +292,12 @@
             return None
         if exchange.is_rejection(answer, self._tools.names):
             self._rejections += 1
+            if (
+                answer.status == exchange.STATUS_MISDIRECTED
+                and self._task.key == NO_KEY
+            ):
+                # Another upstream has its address now.
+                upstream.take_failure(is_silent=True)
             self._fail(upstream, f"rejected with {answer.status}")
             return None
         fault = exchange.find_fault(answer, self._tools.names)
--- a/packages/daemon/tests/gateway/test_sending.py
+++ b/packages/daemon/tests/gateway/test_sending.py
@@ -83,6 +83,7 @@
         )
         item = item._replace(zone="z1", slots=4)
         self._apply(fleet_messages.SetUpstreams(upstreams=(item,)))
+        return self.view.list_upstreams("s")[-1]
 
     def grant(self, name):
         fence = self.state.keys["s"].find(0).fence
@@ -250,6 +251,40 @@
     assert len(old.requests) == 1
 
 
+async def test_requests_do_not_wait_for_a_holder_that_does_not_answer(serve):
+    """Guards against requests held until their deadline for a lost holder.
+
+    Found by sillon-norte trouble-1: behind a cut zone, each request tried to
+    connect until it had no time left to be sent elsewhere.
+    """
+    fleet = _Fleet(sharded=True)
+    server = await serve(_answer)
+    upstream = fleet.add("u0", server)
+    fleet.grant("u0")
+    for _ in range(2):
+        upstream.take_failure(is_silent=True)
+    outcome = await fleet.make(idempotent=True, key=7).run()
+    assert outcome.answer is None
+    assert not outcome.may_have_run
+    assert not server.requests
+    upstream.rests_until_s = 0.0
+    outcome = await fleet.make(idempotent=True, key=7).run()
+    assert outcome.answer is not None
+
+
+async def test_an_upstream_that_is_another_one_now_is_left_alone(serve):
+    """Guards against sends to an address that belongs to another service.
+
+    Found by sillon-norte trouble-1: until the new one had registered, a part
+    of all requests was rejected there and used up the retry budget.
+    """
+    fleet = _Fleet()
+    server = await serve(_misdirect)
+    upstream = fleet.add("u0", server)
+    await fleet.make(idempotent=True).run()
+    assert upstream.is_resting()
+
+
 async def test_a_key_without_holder_is_not_run(serve):
     """Guards against a request that goes to an upstream without its key."""
     outcome, sends = await _run(
