Send one entry to a member that may refuse it; remove a voter's former identity

Counted by type (a trial), 15.5 of 24 MB between instances were appends: after the final fault a member was back without its data, two learners were promoted at once (one was its new identity), so that there were five voters and the dead one was never removed.

Ruled out: the feed of entry instances (3 MB) and heartbeats (2 MB).

Change: a member whose log is not known to match gets one entry; refusals pause for up to 1 s; a voter that is back under another identity does not enlarge the group; a group of five does with a voter less.

--- a/packages/daemon/src/bamboosilld/consensus/replication.py
+++ b/packages/daemon/src/bamboosilld/consensus/replication.py
@@ -13,6 +13,9 @@
 from bamboosilld.consensus import memberships
 
 _NEVER_S = float("-inf")
+# Longest pause after refusals: a member that is back under another identity
+# goes on refusing until its former one has been removed.
+_MAX_PAUSE_S = 1.0
 # Failed calls that took a while already; a refusal comes at once.
 _NOT_ANSWERED = frozenset(("timeout", "unreachable"))
 
@@ -49,6 +52,7 @@
         self._sent_s = _NEVER_S
         # A member that refuses at once is not sent entries again at once.
         self._resume_s = _NEVER_S
+        self._pause_s = core.config.heartbeat_s
         self._calls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
 
@@ -102,10 +106,11 @@
         return due_s - self._context.clock.monotonic()
 
     def _send_entries(self) -> None:
+        # One entry shows whether the member's log matches; more would be sent
+        # in vain to a member that cannot take them.
+        limit = 1 if self._probing else self._config.max_batch_entries
         entries = self._core.log.list_entries(
-            self._next_index,
-            self._config.max_batch_entries,
-            self._config.max_batch_bytes,
+            self._next_index, limit, self._config.max_batch_bytes
         )
         previous = self._next_index - 1
         self._next_index += len(entries)
@@ -191,8 +196,9 @@
         return left_s > core_lib.SHORTEST_WAIT_S
 
     def _pause(self) -> None:
-        """Waits a heartbeat from the last send on, after a refusal."""
-        self._resume_s = self._sent_s + self._config.heartbeat_s
+        """Waits after a refusal, twice as long after each further one."""
+        self._resume_s = self._sent_s + self._pause_s
+        self._pause_s = min(_MAX_PAUSE_S, 2 * self._pause_s)
 
     def _make_chunk(
         self, snapshot: interfaces.Snapshot, offset: int, size: int
@@ -229,6 +235,7 @@
                 if reply.term > self._term:
                     core.observe_term(reply.term)
                     return None
+                self._pause_s = self._config.heartbeat_s
                 self.heard_s = clock.monotonic()
                 self.acked_sent_s = max(self.acked_sent_s, sent_s)
                 self.acked_round = max(self.acked_round, sent_round)
--- a/packages/daemon/src/bamboosilld/fleet/membership.py
+++ b/packages/daemon/src/bamboosilld/fleet/membership.py
@@ -16,6 +16,9 @@
 # A learner that is silent for longer is removed; it joins again by itself.
 _FORGET_AFTER_S = 30.0
 _CHANGE_TIMEOUT_S = 1.0
+# Voters that a group keeps even if one of them is silent: one loss is
+# tolerated.
+_MIN_VOTERS = 3
 
 _log = logs.get_logger("membership")
 
@@ -51,13 +54,21 @@
             ]
             voters = [each for each in members if each.voter]
             dead = self._find_dead(voters, members)
-            if dead is not None and len(voters) % 2 == 0:
+            # Without a learner, a larger group does with one voter less.
+            is_surplus = len(voters) % 2 == 0 or (
+                not learners and len(voters) > _MIN_VOTERS
+            )
+            replaced = sum(_is_replaced(each, members) for each in voters)
+            if dead is not None and is_surplus:
                 _log.info("Removing voter %s.", memberships.format_key(dead))
                 await self._node.remove(dead, _CHANGE_TIMEOUT_S)
-            elif learners and (dead is not None or len(learners) > 1):
+            elif learners and (
+                dead is not None or len(learners) > 1 + replaced
+            ):
                 _log.info("Promoting %s.", memberships.format_key(learners[0]))
                 await self._node.promote(learners[0], _CHANGE_TIMEOUT_S)
             elif len(voters) % 2 == 0 and learners:
+                _log.info("Promoting %s.", memberships.format_key(learners[0]))
                 await self._node.promote(learners[0], _CHANGE_TIMEOUT_S)
             else:
                 await self._remove_silent_learner(members)
@@ -68,15 +79,8 @@
         members: tuple[messages.Member, ...],
     ) -> messages.Member | None:
         for voter in voters:
-            # The same instance is back without its data.
-            if (
-                any(
-                    each.instance == voter.instance
-                    and each.incarnation != voter.incarnation
-                    for each in members
-                )
-                and self._node.get_silence_s(voter) > _FRESH_S
-            ):
+            silence_s = self._node.get_silence_s(voter)
+            if _is_replaced(voter, members) and silence_s > _FRESH_S:
                 return voter
         silent = [
             each
@@ -93,3 +97,14 @@
             if not each.voter and is_silent:
                 await self._node.remove(each, _CHANGE_TIMEOUT_S)
                 return
+
+
+def _is_replaced(
+    voter: messages.Member, members: tuple[messages.Member, ...]
+) -> bool:
+    """Returns whether the same instance is back without its data."""
+    return any(
+        each.instance == voter.instance
+        and each.incarnation != voter.incarnation
+        for each in members
+    )
--- a/packages/daemon/tests/consensus/test_node.py
+++ b/packages/daemon/tests/consensus/test_node.py
@@ -77,3 +77,33 @@
         assert not result.failure().applied_unknown
     assert node.leader.instance == leader
     await cluster.stop_all()
+
+
+@pytest.mark.looptime
+async def test_a_member_that_refuses_is_not_sent_the_whole_log(make_cluster):
+    """Guards against links that are filled with entries nobody takes.
+
+    Found by pca-pilon trouble-2: a member was back without its data, and its
+    former identity was sent 200 entries ten times a second until the end.
+    """
+    cluster = make_cluster("abc")
+    await cluster.start_all()
+    leader = await cluster.wait_leader(among="ab")
+    await cluster.propose_many("x", 100)
+    await cluster.stop("c")
+    cluster.incarnations["c"] = 7
+    await cluster.start("c", bootstrap=False)
+    sent = []
+    call = cluster.network.call
+
+    async def count(sender, member, request, deadline_s):
+        if member.instance == "c" and member.incarnation == 1:
+            sent.append(len(getattr(request, "entries", ())))
+        return await call(sender, member, request, deadline_s)
+
+    cluster.network.call = count
+    await cluster.propose_many("y", 100)
+    await asyncio.sleep(5.0)
+    assert cluster.nodes[leader].is_leader
+    assert sum(sent) < 200
+    await cluster.stop_all()
--- a/packages/daemon/tests/fleet/test_membership.py
+++ b/packages/daemon/tests/fleet/test_membership.py
@@ -95,3 +95,41 @@
     for _ in range(3):
         await keeper.tick()
     assert _list_voters(node) == {("a", 0), ("b", 0), ("c", 7)}
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "voters"),
+    [
+        # The lost voter may still answer: nothing changes yet.
+        (0.2, {("a", 0), ("b", 0), ("c", 0)}),
+        (1.5, {("a", 0), ("b", 0), ("d", 0)}),
+    ],
+)
+async def test_the_new_identity_of_a_voter_does_not_enlarge_the_group(
+    silence_s, voters
+):
+    """Guards against a dead voter that stays for good.
+
+    Found by pca-pilon trouble-2: two learners were promoted at once, one of
+    them the new identity of a voter; with five voters, none was removed.
+    """
+    node = _Node(
+        [_make(name) for name in "abc"]
+        + [_make("d", voter=False), _make("c", voter=False, incarnation=7)],
+        {memberships.Key("c", 0): silence_s},
+    )
+    keeper = membership_lib.Keeper(node, None)
+    for _ in range(4):
+        await keeper.tick()
+    assert _list_voters(node) == voters
+
+
+async def test_a_large_group_does_with_a_voter_less():
+    """Guards against a dead voter among five for which nobody can stand in."""
+    node = _Node(
+        [_make(name) for name in "abcde"], {memberships.Key("e", 0): 9.0}
+    )
+    keeper = membership_lib.Keeper(node, None)
+    for _ in range(4):
+        await keeper.tick()
+    assert _list_voters(node) == {(name, 0) for name in "abcd"}
