Register messages with the modules that a process imports

Cause: each process loaded the schemas and classes of all messages, also those of the product's own zones and contracts, which routed services do not use.

Change: generated modules register their messages when they are imported; the generated catalogue of all of them is gone.

--- a/packages/common/src/bamboosill_common/codec.py
+++ b/packages/common/src/bamboosill_common/codec.py
@@ -7,6 +7,11 @@
 
 import capnp
 
+# All messages of the generated modules that this process has imported: each
+# schema takes memory and time at the start.
+CODECS_BY_CLASS: dict[type[Any], "Codec"] = {}
+CODECS_BY_NAME: dict[str, "Codec"] = {}
+
 SCHEMA_DIR = pathlib.Path(__file__).parent / "schema"
 
 
@@ -20,6 +25,13 @@
     read: Callable[[Any], Any]
 
 
+def register(*codecs: Codec) -> None:
+    """Makes messages known to `wire`; called by each generated module."""
+    for each in codecs:
+        CODECS_BY_CLASS[each.message] = each
+        CODECS_BY_NAME[each.name] = each
+
+
 def load_schema(name: str) -> Any:
     """Returns the loaded Cap'n Proto schema file `name`.capnp."""
     return capnp.load(str(SCHEMA_DIR / f"{name}.capnp"))
--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -21,13 +21,13 @@
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import codec
 from bamboosill_common import errors
 from bamboosill_common import events as events_lib
 from bamboosill_common import identities
 from bamboosill_common import logs
 from bamboosill_common import metrics
 from bamboosill_common import wire
-from bamboosill_common.generated import catalog
 from bamboosill_common.generated import peer as messages
 
 PROTOCOL_VERSION = 1
@@ -250,10 +250,10 @@
         hello: messages.Hello,
     ) -> None:
         try:
-            codec = catalog.CODECS_BY_NAME.get(frame.type)
-            if codec is None:
+            found = codec.CODECS_BY_NAME.get(frame.type)
+            if found is None:
                 raise errors.HandlerError("unknown_type", frame.type[:80])
-            message = wire.decode(codec.message, frame.body)
+            message = wire.decode(found.message, frame.body)
             reply = await self._handlers.dispatch(message, hello)
         except (errors.HandlerError, wire.DecodeError) as error:
             code = getattr(error, "code", "bad_message")
@@ -413,8 +413,8 @@
         if frame.kind == "error":
             failure = wire.decode(messages.Failure, frame.body)
             return Failure(errors.PeerError(failure.code, failure.detail, True))
-        codec = catalog.CODECS_BY_CLASS[reply_type]
-        if frame.type != codec.name:
+        found = codec.CODECS_BY_CLASS[reply_type]
+        if frame.type != found.name:
             return Failure(
                 errors.PeerError("protocol", f"reply is {frame.type}", True)
             )
--- a/packages/common/src/bamboosill_common/wire.py
+++ b/packages/common/src/bamboosill_common/wire.py
@@ -10,7 +10,7 @@
 
 import capnp
 
-from bamboosill_common.generated import catalog
+from bamboosill_common import codec
 from bamboosill_common.generated import peer as peer_messages
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -27,9 +27,9 @@
 
 def encode(message: Any) -> bytes:
     """Returns the bytes of a message."""
-    codec = catalog.CODECS_BY_CLASS[type(message)]
-    builder = codec.struct.new_message()
-    codec.fill(builder, message)
+    found = codec.CODECS_BY_CLASS[type(message)]
+    builder = found.struct.new_message()
+    found.fill(builder, message)
     data: bytes = builder.to_bytes()
     return data
 
@@ -40,14 +40,14 @@
     Raises:
         DecodeError: The bytes are no message of this type.
     """
-    codec = catalog.CODECS_BY_CLASS[message_type]
+    found = codec.CODECS_BY_CLASS[message_type]
     if len(data) > MAX_MESSAGE_BYTES:
         raise DecodeError(f"message of {len(data)} bytes is too large")
     try:
-        with codec.struct.from_bytes(
+        with found.struct.from_bytes(
             data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
         ) as reader:
-            return codec.read(reader)
+            return found.read(reader)
     # RuntimeError is how pycapnp reports an unknown enumerant.
     except (capnp.KjException, RuntimeError, ValueError) as error:
         raise DecodeError(f"bad bytes: {str(error)[:200]}") from error
@@ -55,7 +55,7 @@
 
 def pack(message: Any) -> bytes:
     """Returns the bytes of a message together with the name of its type."""
-    name = catalog.CODECS_BY_CLASS[type(message)].name
+    name = codec.CODECS_BY_CLASS[type(message)].name
     return encode(peer_messages.Tagged(type=name, body=encode(message)))
 
 
@@ -66,12 +66,12 @@
         DecodeError: The bytes are bad or the type is unknown.
     """
     tagged = decode(peer_messages.Tagged, data)
-    codec = catalog.CODECS_BY_NAME.get(tagged.type)
-    if codec is None:
+    found = codec.CODECS_BY_NAME.get(tagged.type)
+    if found is None:
         raise DecodeError(f"unknown message type {tagged.type[:80]!r}")
-    return decode(codec.message, tagged.body)
+    return decode(found.message, tagged.body)
 
 
 def get_type_name(message: Any) -> str:
     """Returns the name of a message's type as sent on the wire."""
-    return catalog.CODECS_BY_CLASS[type(message)].name
+    return codec.CODECS_BY_CLASS[type(message)].name
--- a/packages/common/tests/test_wire.py
+++ b/packages/common/tests/test_wire.py
@@ -4,10 +4,15 @@
 from hypothesis import strategies
 import pytest
 
+from bamboosill_common import codec as codec_lib
 from bamboosill_common import wire
-from bamboosill_common.generated import catalog
 from bamboosill_common.generated import consensus
+from bamboosill_common.generated import control
+from bamboosill_common.generated import fleet
+from bamboosill_common.generated import peer
+from bamboosill_common.generated import zone
 
+MODULES = (consensus, control, fleet, peer, zone)
 ENTRY = consensus.LogEntry(index=7, term=2, kind="barrier", data=b"\x00x")
 MESSAGES = [
     consensus.HardState(term=3, voted_for="a"),
@@ -27,7 +32,7 @@
 
 
 @pytest.mark.parametrize(
-    "codec", catalog.CODECS_BY_NAME.values(), ids=lambda each: each.name
+    "codec", codec_lib.CODECS_BY_NAME.values(), ids=lambda each: each.name
 )
 def test_default_message_round_trip(codec):
     """Guards against a message type that cannot be written or read."""
@@ -35,6 +40,18 @@
     assert wire.decode(codec.message, wire.encode(message)) == message
 
 
+@pytest.mark.parametrize("module", MODULES, ids=lambda each: each.__name__)
+def test_messages_of_an_imported_module_are_known(module):
+    """Guards against a message that its own module did not register."""
+    messages = [
+        each
+        for each in vars(module).values()
+        if isinstance(each, type) and hasattr(each, "_fields")
+    ]
+    assert messages
+    assert set(messages) <= codec_lib.CODECS_BY_CLASS.keys()
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_bad_bytes_give_decode_error(data):
     """Guards against bad bytes that raise anything but DecodeError."""
--- a/packages/dev/src/bamboosill_dev/generate.py
+++ b/packages/dev/src/bamboosill_dev/generate.py
@@ -153,10 +153,6 @@
         files[GENERATED_DIR / f"{path.stem}.py"] = format_python(
             generate_messages(path)
         )
-    stems = [path.stem for path in paths]
-    files[GENERATED_DIR / "catalog.py"] = format_python(
-        render("catalog.py.jinja", stems=stems)
-    )
     settings = tomllib.loads((codec.SCHEMA_DIR / "settings.toml").read_text())
     programs = ["daemon", "cli"]
     files[GENERATED_DIR / "settings.py"] = format_python(
