Let a restarted control group elect a leader sooner

A member that restarts refuses votes and waits for a whole election timeout, because it may have heard a leader until then. It cannot have heard one since its process began.

Change: silence counts from the start of the process; the random part of the first timeout stays whole. A data folder that is opened again by the same process counts from that moment, as before.

--- a/packages/common/src/bamboosill_common/clock.py
+++ b/packages/common/src/bamboosill_common/clock.py
@@ -18,16 +18,19 @@
         """Waits for the given number of seconds."""
 
 
+# CLOCK_BOOTTIME also counts time while the machine is suspended, so that
+# leases end on time after it resumes.
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+# When this process began, a few milliseconds late, on the system clock.
+PROCESS_BEGUN_S = time.clock_gettime(_CLOCK)
+
+
 class SystemClock:
     """The clock of the machine."""
 
-    # CLOCK_BOOTTIME also counts time while the machine is suspended, so that
-    # leases end on time after it resumes.
-    _CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-
     def monotonic(self) -> float:
         """Returns seconds since boot."""
-        return time.clock_gettime(self._CLOCK)
+        return time.clock_gettime(_CLOCK)
 
     def wall_ms(self) -> int:
         """Returns milliseconds since the Unix epoch."""
--- a/packages/daemon/src/bamboosilld/consensus/core.py
+++ b/packages/daemon/src/bamboosilld/consensus/core.py
@@ -58,6 +58,9 @@
         snapshot_chunk_bytes: Size of a chunk of a snapshot.
         snapshot_timeout_s: Longest time for a member to take a chunk; the
             last one includes storing the snapshot.
+        unheard_since_s: Since when this member certainly has heard no leader,
+            on its clock, or None if that is not known: it may have heard one
+            until now.
     """
 
     group: str
@@ -75,6 +78,7 @@
     max_uncommitted: int = 10_000
     snapshot_chunk_bytes: int = 256 * 1024
     snapshot_timeout_s: float = 2.0
+    unheard_since_s: float | None = None
 
     @property
     def lease_s(self) -> float:
@@ -158,8 +162,16 @@
         now_s = context.clock.monotonic()
         # A member that restarts no longer knows when it last heard a leader,
         # whose lease relies on this member refusing votes for a while.
-        self.heard_leader_s = now_s if restarted else float("-inf")
+        unheard_s = context.config.unheard_since_s
+        if unheard_s is None:
+            unheard_s = now_s
+        self.heard_leader_s = unheard_s if restarted else float("-inf")
+        # The random part of the first timeout stays whole, so that members
+        # that restart together do not campaign together.
         self.timer_s = now_s
+        if restarted:
+            earliest_s = now_s - context.config.election_min_s
+            self.timer_s = max(unheard_s, earliest_s)
         self.elected_at_s = float("-inf")
         self.round = 0
         self.barrier_index = 0
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -102,7 +102,7 @@
         Raises:
             interfaces.StorageError: The data folder cannot be used.
         """
-        await self._open()
+        await self._open(clock_lib.PROCESS_BEGUN_S)
         for run in (self._run_duties, self._run_joining, self._run_reopening):
             self._tasks.append(asyncio.create_task(run()))
 
@@ -133,7 +133,7 @@
             leader.address, message, reply_type, _CALL_TIMEOUT_S
         )
 
-    async def _open(self) -> None:
+    async def _open(self, unheard_since_s: float | None) -> None:
         settings = self._settings
         incarnation = self._load_incarnation()
         seeds = tuple(self._list_seeds())
@@ -164,6 +164,7 @@
                 election_min_s=_ELECTION_MIN_S,
                 election_max_s=_ELECTION_MAX_S,
                 snapshot_entries=_SNAPSHOT_ENTRIES,
+                unheard_since_s=unheard_since_s,
             ),
             disk.DiskStorage(
                 self._folder,
@@ -277,7 +278,8 @@
             while True:
                 await self._clock.sleep(_REOPEN_DELAY_S)
                 try:
-                    await self._open()
+                    # This process may have heard a leader just before.
+                    await self._open(None)
                     break
                 except (interfaces.StorageError, OSError) as error:
                     _log.error("Data folder not opened. Reason: %s.", error)
--- a/packages/daemon/src/bamboosilld/fleet/membership.py
+++ b/packages/daemon/src/bamboosilld/fleet/membership.py
@@ -62,9 +62,9 @@
             if dead is not None and is_surplus:
                 _log.info("Removing voter %s.", memberships.format_key(dead))
                 await self._node.remove(dead, _CHANGE_TIMEOUT_S)
-            elif (learners and (
-                dead is not None or len(learners) > 1 + replaced
-            )) or (len(voters) % 2 == 0 and learners):
+            elif (
+                learners and (dead is not None or len(learners) > 1 + replaced)
+            ) or (len(voters) % 2 == 0 and learners):
                 _log.info("Promoting %s.", memberships.format_key(learners[0]))
                 await self._node.promote(learners[0], _CHANGE_TIMEOUT_S)
             else:
