Count a request as slow before its answer when it is overdue

Change: a request that takes three times as long as usual, or twice as long as usual for its upstream, counts as an answer that took as long.

--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -30,6 +30,10 @@
 # Sends in a row without any sign of the upstream after which it counts as
 # unreachable: a single one can be a lost packet.
 _UNREACHABLE_SILENCES = 2
+# A request counts as slow before its answer when it takes this many times as
+# long as usual, or this many times as long as usual for its upstream.
+_OVERDUE_RATIO = 3.0
+_OVERDUE_PACE_RATIO = 2.0
 # Upstreams of other zones count as loaded by this much more, in slots: bytes
 # between zones are costly.
 _OTHER_ZONE_LOAD = 0.3
@@ -149,6 +153,10 @@
         pace = self.pace + _PACE_GAIN * (ratio - self.pace)
         self.pace = min(_MAX_PACE, max(_MIN_PACE, pace))
 
+    def get_overdue_ratio(self) -> float:
+        """Returns after how many times the usual latency a request is slow."""
+        return max(_OVERDUE_RATIO, _OVERDUE_PACE_RATIO * self.pace)
+
     def take_shared_pace(self, pace: float | None) -> None:
         """Takes the pace that follows from the answers to all instances."""
         if pace is not None:
--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -357,6 +357,7 @@
         upstream.in_flight += 1
         connection: upstream_lib.Connection | None = None
         begun_s = clock.monotonic()
+        overdue = self._watch_overdue(upstream, wait_factor)
         try:
             async with asyncio.timeout(self._get_left_s()):
                 connection = await upstream.pool.acquire()
@@ -375,6 +376,8 @@
                 raise _NotWrittenError from error
             raise
         finally:
+            if overdue is not None:
+                overdue.cancel()
             upstream.in_flight -= 1
             if connection is not None:
                 upstream.pool.release(connection)
@@ -389,6 +392,23 @@
             )
         return answer
 
+    def _watch_overdue(
+        self, upstream: balance.Upstream, wait_factor: float
+    ) -> asyncio.TimerHandle | None:
+        """Counts the request as slow if its answer takes too long.
+
+        An upstream that has turned slow would otherwise get requests until
+        its first answer.
+        """
+        usual_s = self._latency.mean_s
+        if not usual_s:
+            return None
+        ratio = upstream.get_overdue_ratio()
+        return asyncio.get_running_loop().call_later(
+            usual_s * wait_factor * ratio,
+            lambda: upstream.take_latency(usual_s * ratio, usual_s),
+        )
+
     def _take_latency(
         self, upstream: balance.Upstream, latency_s: float, wait_factor: float
     ) -> None:
--- a/packages/daemon/tests/gateway/test_sending.py
+++ b/packages/daemon/tests/gateway/test_sending.py
@@ -293,3 +293,26 @@
     assert sends == 0
     assert not outcome.may_have_run
     assert outcome.reason == "key has no holder"
+
+
+async def test_an_overdue_request_makes_an_upstream_look_slow_at_once(serve):
+    """Guards against requests sent to a slow upstream until its first answer.
+
+    Found by pca-pilon-grown trouble-2: upstreams that were twelve times slower
+    got requests for four seconds, until the first ones had timed out.
+    """
+    latency = latency_lib.Latency()
+    latency.take(0.02, False)
+    fleet = _Fleet(sharded=True)
+    server = await serve(_hang)
+    upstream = fleet.add("u0", server)
+    fleet.grant("u0")
+    sender = fleet.make(key=7, latency=latency, left_s=0.8)
+    task = asyncio.create_task(sender.run())
+    await server.wait_request()
+    await asyncio.sleep(0.2)
+    assert not task.done()
+    pace, usual_s = upstream.take_answers()
+    assert pace >= 3.0
+    assert usual_s > 0.0
+    await task
