--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -24,6 +24,8 @@
 # The same before this instance has heard of the leader: about the time of an
 # election and a heartbeat.
 _UNSYNCED_RETRY_AFTER_S = 1.0
+# Part of a caller's deadline for which a request waits for that.
+_SYNC_WAIT_PART = 0.25
 
 _log = logs.get_logger("gateway")
 
@@ -104,6 +106,12 @@
         self, request: http_messages.Request
     ) -> http_messages.Response:
         begun_s = self._clock.monotonic()
+        if not self._follower.is_synced:
+            # After a start, the leader usually answers within this time.
+            await self._view.changed.wait_until(
+                lambda: self._follower.is_synced,
+                self._read_deadline(request) * _SYNC_WAIT_PART,
+            )
         if not self._follower.is_synced:
             return self._refuse_early(503, request, "no configuration yet")
         host = (request.get(b"host") or b"").decode("latin-1")
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -0,0 +1,82 @@
+"""What callers are told by an entry instance that has just started."""
+
+import asyncio
+import random
+
+import pytest
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import wire
+from bamboosill_common.generated import fleet as fleet_messages
+from bamboosilld.fleet import state as state_lib
+from bamboosilld.gateway import messages
+from bamboosilld.gateway import service as service_lib
+from bamboosilld.gateway import view as view_lib
+
+from .conftest import NAMES
+
+
+class _Follower:
+    """A copy of the state that a test fills."""
+
+    entry_count = 1
+    synced_s = 0.0
+
+    def __init__(self):
+        self.state = state_lib.FleetState()
+
+    @property
+    def is_synced(self):
+        return self.state.configuration.version > 0
+
+
+def _make_service(follower):
+    clock = clock_lib.LoopClock()
+    view = view_lib.View(follower.state, clock, NAMES.request_id)
+    settings = service_lib.GatewaySettings("z1", NAMES, 0.2, 10.0, 10.0)
+    return service_lib.Service(
+        settings, follower, view, clock, random.Random(1)
+    )
+
+
+def _make_request(deadline_ms):
+    headers = [(b"Host", b"a.example"), (b"x-deadline", b"%d" % deadline_ms)]
+    return messages.Request("GET", "/none/", headers, b"", True)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("synced_after_s", "status"),
+    # The configuration has no route for the request, hence 404 once it is
+    # known.
+    [(0.1, 404), (5.0, 503)],
+)
+async def test_a_request_waits_for_the_first_configuration(
+    synced_after_s, status
+):
+    """Guards against refusals in the moment before an instance has started.
+
+    Found by sillon-norte trouble-1: after a loss of power, callers used up
+    their one retry within the second until the first answer of the leader.
+    """
+    follower = _Follower()
+    service = _make_service(follower)
+    task = asyncio.create_task(service.handle(_make_request(1000)))
+    await asyncio.sleep(synced_after_s)
+    change = fleet_messages.ChangeConfiguration(
+        version=1, whole=True, has_limits=True
+    )
+    follower.state.apply(1, wire.pack(change))
+    response = await task
+    assert response.status == status
+    if status == 503:
+        assert b"Retry-After" in dict(response.headers)
+
+
+@pytest.mark.looptime
+async def test_the_wait_leaves_most_of_the_deadline():
+    """Guards against requests that are held until their callers give up."""
+    service = _make_service(_Follower())
+    begun_s = asyncio.get_running_loop().time()
+    await service.handle(_make_request(1000))
+    assert asyncio.get_running_loop().time() - begun_s <= 0.3
