Pack the feed of entry instances; compute loads and paces a few times a second

Change: loads and paces are encoded at most five times a second, and sent to each instance about twice a second. Several commands are compressed, once for all instances that ask from the same revision. An older entry instance, which does not say that it takes that form, gets plain commands. A plan of moves grows with the number of holders.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -165,6 +165,8 @@
   works @2 :List(KeyWork);
   paces @3 :List(UpstreamPace);
   loads @4 :List(UpstreamLoad);
+  # Whether `packed` is understood.
+  takesPacked @5 :Bool;
 }
 
 struct RevisedCommand {
@@ -173,6 +175,11 @@
   command @1 :Data;
 }
 
+struct RevisedCommands {
+  # Several commands, in order.
+  commands @0 :List(RevisedCommand);
+}
+
 struct FollowReply {
   # Answer to Follow; `snapshot` replaces the state if it is not empty.
   revision @0 :UInt64;
@@ -185,6 +192,8 @@
   loads @5 :Data;
   # Paces in the same order, on a logarithmic scale; 0 for an unknown one.
   paces @6 :Data;
+  # Takes the place of `commands`: a RevisedCommands, compressed with zlib.
+  packed @7 :Data;
 }
 
 struct ReleasedRange {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -12,6 +12,7 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
+from bamboosilld.fleet import feed as feed_lib
 from bamboosilld.fleet import granting
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import observations as observations_lib
@@ -25,6 +26,8 @@
 _SILENCE_LIMIT_S = 20.0
 # Part of a lease after which a silent upstream gets no more keys.
 _SILENT_PART = 0.5
+# Loads and paces are computed again after this time.
+_SIGHTS_INTERVAL_S = 0.2
 # A heartbeat is late when this many were due since the last one.
 _LATE_HEARTBEATS = 1.6
 
@@ -74,6 +77,8 @@
         self._granter.begin()
         self._seen: dict[state_lib.Life, _Seen] = {}
         self._joined_s: dict[str, float] = {}
+        self._sights = feed_lib.Sights(-1, b"", b"")
+        self._sights_s = now_s
         self.observations = observations_lib.Observations(self._clock)
 
     def leads(self) -> bool:
@@ -86,9 +91,23 @@
             self._begin()
         return True
 
-    def encode_loads(self) -> bytes:
-        """Returns the latest loads of all upstreams, a byte for each."""
+    def encode_sights(self) -> feed_lib.Sights:
+        """Returns what entry instances have seen of all upstreams.
+
+        Many instances ask for it; it is computed a few times a second.
+        """
         now_s = self._clock.monotonic()
+        is_old = now_s - self._sights_s >= _SIGHTS_INTERVAL_S
+        if is_old or self._sights.revision != self._state.revision:
+            self._sights_s = now_s
+            self._sights = feed_lib.Sights(
+                self._state.revision,
+                self._encode_loads(now_s),
+                self.observations.paces.encode(sorted(self._state.upstreams)),
+            )
+        return self._sights
+
+    def _encode_loads(self, now_s: float) -> bytes:
         late_s = _LATE_HEARTBEATS * self._heartbeat_s
         upstreams = []
         for upstream, item in sorted(self._state.upstreams.items()):
@@ -97,10 +116,6 @@
             upstreams.append((upstream, silence_s > late_s))
         return self.observations.encode_loads(upstreams)
 
-    def encode_paces(self) -> bytes:
-        """Returns the paces of all upstreams, a byte for each."""
-        return self.observations.paces.encode(sorted(self._state.upstreams))
-
     async def handle_report(
         self, report: messages.UpstreamReport
     ) -> messages.ReportReply:
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -191,7 +191,12 @@
             settings.heartbeat_ms / 1000,
         )
         self._keeper = membership_lib.Keeper(self.node, self._clock)
-        self.feed = feed_lib.Feed(self.state, self.changed, self._clock)
+        self.feed = feed_lib.Feed(
+            self.state,
+            self.changed,
+            self._clock,
+            self.authority.encode_sights,
+        )
         await self.node.start()
         self._groups.add(GROUP, self.node)
         _log.info(
@@ -362,9 +367,7 @@
         return reply._replace(
             control_peers=tuple(
                 member.address for member in self.node.membership.members
-            ),
-            loads=self.authority.encode_loads(),
-            paces=self.authority.encode_paces(),
+            )
         )
 
     async def _on_join(
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -13,6 +13,7 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import feed as feed_lib
 from bamboosilld.fleet import paces as paces_lib
 from bamboosilld.fleet import state as state_lib
 
@@ -100,7 +101,10 @@
     async def _follow(self, address: str) -> bool:
         """Asks one instance; returns whether it was the leader."""
         request = messages.Follow(
-            self.state.revision, self._instance, *self._take_reports()
+            self.state.revision,
+            self._instance,
+            *self._take_reports(),
+            takes_packed=True,
         )
         result = await self._directory.call(
             address, request, messages.FollowReply, _CALL_TIMEOUT_S
@@ -132,12 +136,23 @@
                 self.state.restore(reply.snapshot)
             except wire.DecodeError as error:
                 _log.error("Snapshot refused. Reason: %s.", error)
-        for each in reply.commands:
+        for each in self._list_commands(reply):
             if each.revision > self.state.revision:
                 self.state.apply(each.revision, each.command)
         if reply.revision == self.state.revision:
             self._take_sights(reply)
 
+    def _list_commands(
+        self, reply: messages.FollowReply
+    ) -> tuple[messages.RevisedCommand, ...]:
+        if not reply.packed:
+            return reply.commands
+        try:
+            return feed_lib.unpack_commands(reply.packed)
+        except wire.DecodeError as error:
+            _log.error("Commands refused. Reason: %s.", error)
+            return ()
+
     def _take_sights(self, reply: messages.FollowReply) -> None:
         upstreams = sorted(self.state.upstreams)
         if not len(upstreams) == len(reply.loads) == len(reply.paces):
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -34,9 +34,10 @@
 # Usual time from a holder's heartbeat until it has given keys back: it ends
 # the requests on them first.
 _RELEASE_S = 0.25
-# Most moves of one plan, and most that go to one upstream: what is known of
-# an upstream changes with each move.
-_MAX_MOVES = 12
+# Most moves of one plan, for each holder and at least, and most that go to one
+# upstream: what is known of an upstream changes with each move.
+_MOVES_PER_HOLDER = 0.33
+_MIN_MOVES = 12
 _MAX_MOVES_TO_ONE = 3
 # Busy blocks of a giver that are weighed one by one.
 _WEIGHED_BLOCKS = 12
@@ -263,7 +264,8 @@
     givers = set(holders)
     takers = dict.fromkeys(holders, _MAX_MOVES_TO_ONE)
     moves: list[Move] = []
-    while givers and len(moves) < _MAX_MOVES:
+    limit = max(_MIN_MOVES, int(len(holders) * _MOVES_PER_HOLDER))
+    while givers and len(moves) < limit:
         giver = plan.find_busiest(givers)
         if giver is None:
             break
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -179,7 +179,7 @@
         fleet.authority.observations.add(
             messages.Follow(instance=f"e{number}", loads=(load,))
         )
-    assert (fleet.authority.encode_loads() == b"\xff") == is_shown
+    assert (fleet.authority.encode_sights().loads == b"\xff") == is_shown
 
 
 async def test_keys_are_not_freed_while_their_new_holder_is_told(fleet):
@@ -242,7 +242,7 @@
     fleet.authority.observations.add(
         messages.Follow(instance="e1", loads=(load,))
     )
-    assert fleet.authority.encode_loads() == b"\xfe"
+    assert fleet.authority.encode_sights().loads == b"\xfe"
 
 
 async def test_keys_given_back_go_to_the_upstream_that_they_were_planned_for(
--- a/packages/daemon/tests/fleet/test_follower.py
+++ b/packages/daemon/tests/fleet/test_follower.py
@@ -43,7 +43,16 @@
     state = state_lib.FleetState()
     for index, command in enumerate(commands, 1):
         state.apply(index, wire.pack(command))
-    return state, feed_lib.Feed(state, signals.Signal(), Clock())
+    return state, _make_feed(state, Clock())
+
+
+def _make_feed(state, clock):
+    return feed_lib.Feed(
+        state,
+        signals.Signal(),
+        clock,
+        lambda: feed_lib.Sights(state.revision, b"l", b"p"),
+    )
 
 
 def _make_follower(directory):
@@ -122,3 +131,47 @@
     reply = await feed.answer(messages.Follow(revision=1, instance="e1"))
     assert reply.snapshot
     assert not reply.commands
+
+
+@pytest.mark.parametrize("takes_packed", [True, False])
+async def test_commands_survive_either_form(takes_packed):
+    """Guards against an older entry instance that gets bytes it cannot read."""
+    state, feed = _make_leader(make_configuration())
+    items = tuple(make_item(f"u{number}") for number in range(9))
+    state.apply(2, wire.pack(messages.SetUpstreams(upstreams=items)))
+    reply = await feed.answer(
+        messages.Follow(revision=1, instance="e1", takes_packed=takes_packed)
+    )
+    assert bool(reply.packed) == takes_packed
+    commands = reply.commands
+    if reply.packed:
+        size = sum(len(each.command) for each in state.list_commands(1))
+        assert len(reply.packed) < size / 2
+        commands = feed_lib.unpack_commands(reply.packed)
+    assert [each.revision for each in commands] == [2]
+    assert commands[0].command == state.list_commands(1)[0].command
+
+
+@pytest.mark.parametrize("data", [b"", b"junk", b"x\x9c\x01"])
+def test_bad_packed_commands_are_refused(data):
+    """Guards against bad bytes that end the task that follows."""
+    with pytest.raises(wire.DecodeError):
+        feed_lib.unpack_commands(data)
+
+
+async def test_loads_and_paces_are_sent_at_intervals():
+    """Guards against links that are filled with what has hardly changed.
+
+    Found by pca-pilon-grown: each of 77 entry instances got the loads of all
+    335 upstreams with each change of a key range.
+    """
+    state, _ = _make_leader(make_configuration())
+    clock = Clock()
+    feed = _make_feed(state, clock)
+    sent = []
+    for _ in range(10):
+        reply = await feed.answer(messages.Follow(instance="e1"))
+        sent.append(bool(reply.loads))
+        clock.now_s += 0.1
+    assert sent[0]
+    assert 2 <= sum(sent) <= 3
