Draw some upstreams of other zones where many entry instances choose

With 24 or more entry instances, only upstreams of the own zone were drawn; mu-north has 30% of the load and 25% of the upstreams.

Change: three upstreams of the own zone and two of others are drawn; the cost of another zone decides between them as before.

Test red first (the overloaded zone).

--- a/packages/daemon/src/bamboosilld/gateway/balance.py
+++ b/packages/daemon/src/bamboosilld/gateway/balance.py
@@ -20,9 +20,11 @@
 # What other instances saw replaces an own view that is older than this.
 _FRESH_S = 0.4
 # With many entry instances, each one chooses among a few upstreams by lot;
-# otherwise all of them would send to the same one at the same time.
+# otherwise all of them would send to the same one at the same time. Some are
+# of other zones, so that a zone with too few upstreams is helped.
 _MANY_INSTANCES = 24
-_DRAWN = 3
+_DRAWN_NEAR = 3
+_DRAWN_FAR = 2
 # An upstream that fails is left alone for this long at first, doubled with
 # each further failure in a row up to the longest time.
 _FIRST_REST_S = 0.5
@@ -240,7 +242,9 @@
         return None
     if instances >= _MANY_INSTANCES:
         near = [each for each in awake if each.item.zone == zone]
-        if len(near) > _DRAWN:
-            awake = near
-        awake = rng.sample(awake, min(_DRAWN, len(awake)))
+        far = [each for each in awake if each.item.zone != zone]
+        awake = [
+            *rng.sample(near, min(_DRAWN_NEAR, len(near))),
+            *rng.sample(far, min(_DRAWN_FAR, len(far))),
+        ]
     return min(awake, key=lambda each: (each.compute_cost(zone), rng.random()))
--- a/packages/daemon/tests/gateway/test_parts.py
+++ b/packages/daemon/tests/gateway/test_parts.py
@@ -162,3 +162,23 @@
         for seed in range(30)
     }
     assert len(chosen) > 5
+
+
+@pytest.mark.parametrize(
+    ("near_load", "zone"), [(0, "z1"), (1, "z1"), (9, "z2")]
+)
+def test_an_overloaded_zone_is_helped_by_others(near_load, zone):
+    """Guards against refusals in a zone while others have room.
+
+    Found by pca-pilon-grown trouble-1: with many entry instances, only the
+    upstreams of the own zone were drawn; the zone with 30% of the load and 25%
+    of the upstreams served 0.72, the others up to 0.89.
+    """
+    clock = _Clock()
+    near = [_make_upstream(f"n{number}", clock) for number in range(20)]
+    far = [_make_upstream(f"f{number}", clock, "z2") for number in range(20)]
+    for each in near:
+        each.take_load(b"%d,0,4" % near_load)
+    for seed in range(20):
+        found = balance.choose(near + far, "z1", random.Random(seed), 80)
+        assert found.item.zone == zone
