Count log lines of successes and failures apart

Cause: one call writes the lines of answered and failed requests, and lines of one call site are limited to 50 a second, whatever their level.

Change: a request that ends without an upstream's answer is logged as a warning, and the limit counts each level of a call site apart.

--- a/packages/common/src/bamboosill_common/logsink.py
+++ b/packages/common/src/bamboosill_common/logsink.py
@@ -30,7 +30,7 @@
         self._lines: collections.deque[tuple[int, bytes]] = collections.deque()
         self._dropped = 0
         self._second = 0
-        self._counts: dict[tuple[str, int], int] = {}
+        self._counts: dict[tuple[str, int, int], int] = {}
         self._wake = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -41,7 +41,8 @@
         if second != self._second:
             self._second = second
             self._counts.clear()
-        site = (record.pathname, record.lineno)
+        # Levels count apart: successes must not leave failures out.
+        site = (record.pathname, record.lineno, record.levelno)
         count = self._counts.get(site, 0) + 1
         self._counts[site] = count
         if count > _MAX_LINES_PER_SECOND and record.levelno < logging.ERROR:
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -1,5 +1,6 @@
 """Takes the requests of callers and passes each to an upstream."""
 
+import logging
 import random
 from typing import NamedTuple
 
@@ -195,7 +196,8 @@
         metrics.gateway_duration.labels(
             "answered" if outcome.answer is not None else "failed"
         ).observe(now_s - task.begun_s)
-        _log.info(
+        _log.log(
+            logging.INFO if outcome.answer is not None else logging.WARNING,
             "Request ended. Status: %d. Reason: %s.",
             status,
             outcome.reason or "answered",
