Log what decides a refusal, and requests whose callers leave

Two refusals with "upstreams are too slow now" named no upstream, load or expected time, and two requests whose callers left at their deadline had no last line.

Change: a line for each upstream that is not used, with its load, pace, the expected time and the limit; a line "Caller left." with the fields of the line that ends other requests. Requests are handled as before.

--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -203,18 +203,29 @@
     def _is_fast_enough(self, upstream: balance.Upstream) -> bool:
         """Returns whether an answer in time can be expected."""
         route = self._task.route
-        if upstream.is_full():
-            self._reason = "upstream is full"
-            return False
         rank = min(route.priority, len(_LATE_PART_BY_PRIORITY) - 1)
         limit_s = route.target_latency_ms / 1000 * _LATE_PART_BY_PRIORITY[rank]
         elapsed_s = self._tools.clock.monotonic() - self._task.begun_s
         latency_s = upstream.estimate_latency(self._latency.mean_s)
         has_queue = upstream.estimate_load() >= upstream.slots
-        if has_queue and elapsed_s + latency_s > limit_s:
+        if upstream.is_full():
+            self._reason = "upstream is full"
+        elif has_queue and elapsed_s + latency_s > limit_s:
             self._reason = "upstreams are too slow now"
-            return False
-        return True
+        else:
+            return True
+        _log.info(
+            "Upstream not used. Upstream: %s. Reason: %s.",
+            upstream.item.upstream,
+            self._reason,
+            extra={
+                **self._describe(upstream),
+                "pace": round(upstream.pace, 2),
+                "expected_ms": int(latency_s * 1000),
+                "limit_ms": int(limit_s * 1000),
+            },
+        )
+        return False
 
     async def _send_hedged(
         self, first: balance.Upstream
@@ -331,17 +342,23 @@
             upstream.item.upstream,
             reason,
             extra={
-                "request": task.request_id.decode("latin-1"),
-                "upstream": upstream.item.upstream,
+                **self._describe(upstream),
                 "address": upstream.item.address,
-                "load": round(upstream.estimate_load(), 1),
-                "load_age_ms": upstream.get_load_age_ms(),
-                "slots": upstream.slots,
                 "failures": upstream.failures,
-                "left_ms": int(self._get_left_s() * 1000),
             },
         )
 
+    def _describe(self, upstream: balance.Upstream) -> dict[str, object]:
+        """Returns what a log line says of the request and an upstream."""
+        return {
+            "request": self._task.request_id.decode("latin-1"),
+            "upstream": upstream.item.upstream,
+            "load": round(upstream.estimate_load(), 1),
+            "load_age_ms": upstream.get_load_age_ms(),
+            "slots": upstream.slots,
+            "left_ms": int(self._get_left_s() * 1000),
+        }
+
     async def _exchange(
         self, upstream: balance.Upstream
     ) -> upstream_lib.Answer:
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -1,5 +1,6 @@
 """Takes the requests of callers and passes each to an upstream."""
 
+import asyncio
 import logging
 import random
 from typing import NamedTuple
@@ -172,13 +173,18 @@
 
     async def _run(self, task: sending.Task) -> http_messages.Response:
         """Returns the answer to a request that has a route."""
-        outcome = await sending.Sending(
+        sender = sending.Sending(
             task,
             self._tools,
             self._get_budget(task.service),
             self._latencies.setdefault(task.route.name, latency_lib.Latency()),
             self._follower.entry_count,
-        ).run()
+        )
+        try:
+            outcome = await sender.run()
+        except asyncio.CancelledError:
+            _log.info("Caller left.", extra=self._describe(task))
+            raise
         if outcome.answer is not None:
             response = self._pass_on(outcome.answer)
         else:
@@ -202,20 +208,27 @@
             status,
             outcome.reason or "answered",
             extra={
-                "request": task.request_id.decode("latin-1"),
+                **self._describe(task),
                 "status": status,
-                "route": task.route.name,
-                "service": task.service,
-                "key": task.key,
                 "upstream": outcome.upstream,
-                "took_ms": int((now_s - task.begun_s) * 1000),
-                "left_ms": int((task.until_s - now_s) * 1000),
-                "version": self._view.state.configuration.version,
-                "revision": self._view.state.revision,
-                "synced_ms_ago": int((now_s - self._follower.synced_s) * 1000),
             },
         )
 
+    def _describe(self, task: sending.Task) -> dict[str, object]:
+        """Returns what a log line says of a request and of this instance."""
+        now_s = self._clock.monotonic()
+        return {
+            "request": task.request_id.decode("latin-1"),
+            "route": task.route.name,
+            "service": task.service,
+            "key": task.key,
+            "took_ms": int((now_s - task.begun_s) * 1000),
+            "left_ms": int((task.until_s - now_s) * 1000),
+            "version": self._view.state.configuration.version,
+            "revision": self._view.state.revision,
+            "synced_ms_ago": int((now_s - self._follower.synced_s) * 1000),
+        }
+
     def _pass_on(self, answer: upstream_lib.Answer) -> http_messages.Response:
         headers = http_messages.list_end_to_end(
             answer.headers, frozenset((self._names.load,))
--- a/packages/daemon/tests/gateway/test_sending.py
+++ b/packages/daemon/tests/gateway/test_sending.py
@@ -316,3 +316,24 @@
     assert pace >= 3.0
     assert usual_s > 0.0
     await task
+
+
+@pytest.mark.parametrize(
+    ("load", "reason"),
+    [(b"4,20,4", "upstream is full"), (b"4,5,4", "upstreams are too slow now")],
+)
+async def test_a_refusal_names_what_decided_it(serve, caplog, load, reason):
+    """Guards against refusals that the logs do not explain."""
+    caplog.set_level("INFO")
+    latency = latency_lib.Latency()
+    latency.take(1.2, False)
+    fleet = _Fleet(sharded=True)
+    upstream = fleet.add("u0", await serve(_answer))
+    fleet.grant("u0")
+    upstream.take_load(load)
+    outcome = await fleet.make(key=7, latency=latency).run()
+    assert outcome.reason == reason
+    (record,) = [each for each in caplog.records if "not used" in each.msg]
+    assert (record.upstream, record.slots) == ("u0", 4)
+    assert record.load >= 9
+    assert record.expected_ms > record.limit_ms
--- a/packages/daemon/tests/gateway/test_service.py
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -80,3 +80,47 @@
     begun_s = asyncio.get_running_loop().time()
     await service.handle(_make_request(1000))
     assert asyncio.get_running_loop().time() - begun_s <= 0.3
+
+
+async def _hang(server, headers, writer):
+    await asyncio.sleep(30)
+
+
+async def test_a_request_whose_caller_leaves_has_a_last_line(serve, caplog):
+    """Guards against a failed request whose logs end in the middle.
+
+    Found when failed requests of played days were explained from their logs.
+    """
+    caplog.set_level("INFO")
+    follower = _Follower()
+    service = _make_service(follower)
+    server = await serve(_hang)
+    route = fleet_messages.RouteItem(
+        name="r",
+        host="a.example",
+        path_prefix="/none/",
+        timeout_ms=3000,
+        target_latency_ms=1000,
+        max_upstreams=2,
+        service="s",
+    )
+    change = fleet_messages.ChangeConfiguration(
+        version=1,
+        whole=True,
+        routes=(route,),
+        services=(fleet_messages.ServiceItem("s"),),
+        has_limits=True,
+    )
+    item = fleet_messages.UpstreamItem(
+        upstream="u0", born_ms=1, address=server.address, service="s", slots=4
+    )
+    commands = (change, fleet_messages.SetUpstreams(upstreams=(item,)))
+    for index, command in enumerate(commands, 1):
+        follower.state.apply(index, wire.pack(command))
+    task = asyncio.create_task(service.handle(_make_request(2000)))
+    await server.wait_request()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    (record,) = [each for each in caplog.records if "Caller left" in each.msg]
+    assert record.route == "r"
+    assert record.took_ms >= 0
