Send one entry only after a refusal; list two faults that tests found

Cause: with one entry to each member that is not known to match, test_one_owner_under_faults[True-0] ended with "never happened". At the end of [True-0] the group is whole (one leader, all members at index 68), so the zone's assignments are stuck, not replication; another order of messages brings it out.

Change: only a member that refused gets one entry, until it takes one.

--- a/packages/daemon/src/bamboosilld/consensus/replication.py
+++ b/packages/daemon/src/bamboosilld/consensus/replication.py
@@ -53,6 +53,7 @@
         # A member that refuses at once is not sent entries again at once.
         self._resume_s = _NEVER_S
         self._pause_s = core.config.heartbeat_s
+        self._has_refused = False
         self._calls: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
 
@@ -106,9 +107,8 @@
         return due_s - self._context.clock.monotonic()
 
     def _send_entries(self) -> None:
-        # One entry shows whether the member's log matches; more would be sent
-        # in vain to a member that cannot take them.
-        limit = 1 if self._probing else self._config.max_batch_entries
+        # One entry shows whether a member takes them again after a refusal.
+        limit = 1 if self._has_refused else self._config.max_batch_entries
         entries = self._core.log.list_entries(
             self._next_index, limit, self._config.max_batch_bytes
         )
@@ -197,6 +197,7 @@
 
     def _pause(self) -> None:
         """Waits after a refusal, twice as long after each further one."""
+        self._has_refused = True
         self._resume_s = self._sent_s + self._pause_s
         self._pause_s = min(_MAX_PAUSE_S, 2 * self._pause_s)
 
@@ -236,6 +237,7 @@
                     core.observe_term(reply.term)
                     return None
                 self._pause_s = self._config.heartbeat_s
+                self._has_refused = False
                 self.heard_s = clock.monotonic()
                 self.acked_sent_s = max(self.acked_sent_s, sent_s)
                 self.acked_round = max(self.acked_round, sent_round)
--- a/packages/daemon/tests/zone/test_safety.py
+++ b/packages/daemon/tests/zone/test_safety.py
@@ -96,7 +96,8 @@
 
 
 @pytest.mark.looptime(noop_cycles=0)
-@pytest.mark.parametrize("seed", range(3))
+# 7 and 8: shards without an owner long after the last fault (KNOWN-RED.txt).
+@pytest.mark.parametrize("seed", [0, 1, 2, 7, 8])
 @pytest.mark.parametrize("checks_fences", [True, False])
 async def test_one_owner_under_faults(make_world, checks_fences, seed):
     """Guards against two owners of a key, as the upstreams saw it."""
