--- a/packages/daemon/src/bamboosilld/gateway/sending.py
+++ b/packages/daemon/src/bamboosilld/gateway/sending.py
@@ -1,22 +1,16 @@
 """Sends one request to upstreams until it is answered or given up."""
 
 import asyncio
-import random
-from typing import NamedTuple
 
-from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common import metrics
-from bamboosill_common.generated import fleet as messages
 from bamboosilld.gateway import balance
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import exchange
 from bamboosilld.gateway import latency as latency_lib
-from bamboosilld.gateway import messages as http_messages
+from bamboosilld.gateway import tasks
 from bamboosilld.gateway import upstream as upstream_lib
-from bamboosilld.gateway import view as view_lib
 
-NO_KEY = -1
 # Shortest time left for which a request is still sent.
 _MIN_SEND_S = 0.02
 # Longest wait for the holder of a key, as a part of the time that is left
@@ -39,61 +33,13 @@
     """The deadline passed before any byte was written."""
 
 
-class Task(NamedTuple):
-    """One request on its way.
-
-    Attributes:
-        request: The request.
-        route: Its route.
-        service: The service that runs it.
-        key: Number of its key, or `NO_KEY`.
-        request_id: Id of the caller's attempt.
-        begun_s: When it was read.
-        until_s: When its caller or its route gives it up.
-    """
-
-    request: http_messages.Request
-    route: messages.RouteItem
-    service: str
-    key: int
-    request_id: bytes
-    begun_s: float
-    until_s: float
-
-
-class Outcome(NamedTuple):
-    """What became of a request.
-
-    Attributes:
-        answer: The upstream's answer, or None.
-        reason: Why there is none.
-        may_have_run: Whether an upstream may have run the request.
-        upstream: Id of the upstream that was tried last, or empty.
-    """
-
-    answer: upstream_lib.Answer | None
-    reason: str
-    may_have_run: bool
-    upstream: str
-
-
-class Tools(NamedTuple):
-    """What the sending of all requests shares."""
-
-    zone: str
-    names: http_messages.HeaderNames
-    view: view_lib.View
-    clock: clock_lib.Clock
-    rng: random.Random
-
-
 class Sending:
     """One request and what has been tried for it."""
 
     def __init__(
         self,
-        task: Task,
-        tools: Tools,
+        task: tasks.Task,
+        tools: tasks.Tools,
         budget: budget_lib.Budget,
         latency: latency_lib.Latency,
         entry_count: int,
@@ -112,7 +58,7 @@
         self._upstream = ""
         self._error_answer: upstream_lib.Answer | None = None
 
-    async def run(self) -> Outcome:
+    async def run(self) -> tasks.Outcome:
         """Returns the answer, or why there is none."""
         while True:
             upstream = await self._find_upstream()
@@ -120,12 +66,14 @@
                 break
             answer = await self._send_hedged(upstream)
             if answer is not None:
-                return Outcome(answer, "", True, self._upstream)
+                return tasks.Outcome(answer, "", True, self._upstream)
             if self._is_exhausted():
                 break
         if self._error_answer is not None:
-            return Outcome(self._error_answer, "", True, self._upstream)
-        return Outcome(None, self._reason, self._may_have_run, self._upstream)
+            return tasks.Outcome(self._error_answer, "", True, self._upstream)
+        return tasks.Outcome(
+            None, self._reason, self._may_have_run, self._upstream
+        )
 
     def _may_send(self) -> bool:
         if self._get_left_s() < _MIN_SEND_S:
@@ -153,7 +101,7 @@
     async def _find_upstream(self) -> balance.Upstream | None:
         """Returns where to send the request."""
         task, view = self._task, self._tools.view
-        if task.key == NO_KEY:
+        if task.key == tasks.NO_KEY:
             return self._choose(self._failed)
         aim_s = task.route.target_latency_ms / 1000
         room_s = task.begun_s + aim_s - self._tools.clock.monotonic()
@@ -259,7 +207,7 @@
         task = self._task
         return (
             task.route.idempotent
-            and task.key == NO_KEY
+            and task.key == tasks.NO_KEY
             and self._sends + 2 <= task.route.max_upstreams
             and self._latency.quantile_s > 0
         )
@@ -305,7 +253,7 @@
             self._rejections += 1
             if (
                 answer.status == exchange.STATUS_MISDIRECTED
-                and self._task.key == NO_KEY
+                and self._task.key == tasks.NO_KEY
             ):
                 # Another upstream has its address now.
                 upstream.take_failure(is_silent=True)
@@ -321,7 +269,7 @@
             self._count_run()
             self._error_answer = answer
             self._fail(upstream, f"answered {answer.status}")
-            if self._task.key == NO_KEY:
+            if self._task.key == tasks.NO_KEY:
                 return None
         return answer
 
@@ -333,7 +281,7 @@
         task = self._task
         self._reason = reason
         self._failed.add(upstream.item.upstream)
-        if task.key != NO_KEY and reason.startswith("rejected"):
+        if task.key != tasks.NO_KEY and reason.startswith("rejected"):
             fence = self._tools.view.get_fence(task.service, task.key)
             self._failed.add(f"{upstream.item.upstream}/{fence}")
         metrics.gateway_failed_sends.labels(reason.partition(" ")[0]).inc()
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -15,6 +15,7 @@
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import messages as http_messages
 from bamboosilld.gateway import sending
+from bamboosilld.gateway import tasks
 from bamboosilld.gateway import upstream as upstream_lib
 from bamboosilld.gateway import view as view_lib
 
@@ -63,7 +64,7 @@
     ) -> None:
         self._settings = settings
         self._names = settings.names
-        self._tools = sending.Tools(
+        self._tools = tasks.Tools(
             settings.zone, settings.names, view, clock, rng
         )
         self._follower = follower
@@ -126,7 +127,7 @@
         if key is None:
             return self._refuse_early(400, request, "no valid key")
         deadline_s = self._read_deadline(request)
-        task = sending.Task(
+        task = tasks.Task(
             request,
             route,
             service,
@@ -136,7 +137,7 @@
             begun_s + min(deadline_s, route.timeout_ms / 1000),
         )
         self._get_budget(service).count_request()
-        if key != sending.NO_KEY:
+        if key != tasks.NO_KEY:
             block = (service, key // keyranges.BLOCK_KEYS)
             latency = self._latencies.get(route.name)
             work_ms = latency.mean_s * 1000 if latency else 0.0
@@ -148,7 +149,7 @@
     ) -> int | None:
         item = self._view.services.get(service)
         if item is None or not item.sharded:
-            return sending.NO_KEY
+            return tasks.NO_KEY
         value = request.get(self._names.key) or b""
         if value.isdigit() and int(value) < keyranges.KEY_COUNT:
             return int(value)
@@ -171,7 +172,7 @@
             )
         return budget
 
-    async def _run(self, task: sending.Task) -> http_messages.Response:
+    async def _run(self, task: tasks.Task) -> http_messages.Response:
         """Returns the answer to a request that has a route."""
         sender = sending.Sending(
             task,
@@ -196,7 +197,7 @@
         return response
 
     def _log_outcome(
-        self, task: sending.Task, outcome: sending.Outcome, status: int
+        self, task: tasks.Task, outcome: tasks.Outcome, status: int
     ) -> None:
         now_s = self._clock.monotonic()
         metrics.gateway_duration.labels(
@@ -214,7 +215,7 @@
             },
         )
 
-    def _describe(self, task: sending.Task) -> dict[str, object]:
+    def _describe(self, task: tasks.Task) -> dict[str, object]:
         """Returns what a log line says of a request and of this instance."""
         now_s = self._clock.monotonic()
         return {
@@ -257,7 +258,7 @@
         self,
         status: int,
         request: http_messages.Request,
-        task: sending.Task | None,
+        task: tasks.Task | None,
     ) -> http_messages.Response:
         request_id = request.get(self._names.request_id) or b""
         headers: http_messages.Headers = []
--- a/packages/daemon/tests/gateway/test_sending.py
+++ b/packages/daemon/tests/gateway/test_sending.py
@@ -13,6 +13,7 @@
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import messages
 from bamboosilld.gateway import sending
+from bamboosilld.gateway import tasks
 from bamboosilld.gateway import upstream as upstream_lib
 from bamboosilld.gateway import view as view_lib
 
@@ -90,7 +91,7 @@
         keys = fleet_messages.KeyRange(0, 65535, fence, name, 1)
         self._apply(fleet_messages.SetKeys("s", (keys,)))
 
-    def make(self, idempotent=True, key=sending.NO_KEY, budget=100, **task):
+    def make(self, idempotent=True, key=tasks.NO_KEY, budget=100, **task):
         route = fleet_messages.RouteItem(
             name="r",
             idempotent=idempotent,
@@ -104,7 +105,7 @@
             "POST", "/a?b=c", [(b"x-id", b"r1"), (b"X-A", b"1")], b"body", True
         )
         return sending.Sending(
-            sending.Task(
+            tasks.Task(
                 request,
                 route,
                 "s",
@@ -113,7 +114,7 @@
                 now_s,
                 now_s + task.get("left_s", 2.0),
             ),
-            sending.Tools("z1", NAMES, self.view, self.clock, random.Random(1)),
+            tasks.Tools("z1", NAMES, self.view, self.clock, random.Random(1)),
             budget_lib.Budget(self.clock, 0.2, budget, 10.0),
             task.get("latency", latency_lib.Latency()),
             1,
