Log and count how configurations reach entry instances

Entry instances now log each version that comes into force with content, size and the time since their poll, and why they leave a leader.

The two tests fail without the lines.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -22,6 +22,7 @@
     0.5,
     2.0,
 )
+_SNAPSHOT_BUCKETS_S = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
 
 # Instance.
 instance_ready = prometheus_client.Gauge(
@@ -208,6 +209,21 @@
     "Ranges of keys that this leader freed or granted.",
     ["change"],
 )
+fleet_feed_replies = prometheus_client.Counter(
+    "bamboosill_fleet_feed_replies_total",
+    "Replies of this leader to polls of entry instances, by content.",
+    ["content"],
+)
+fleet_feed_bytes = prometheus_client.Counter(
+    "bamboosill_fleet_feed_bytes_total",
+    "Bytes of state in replies to polls of entry instances, by content.",
+    ["content"],
+)
+fleet_snapshot_duration = prometheus_client.Histogram(
+    "bamboosill_fleet_snapshot_duration_seconds",
+    "Time to encode a snapshot of the fleet state.",
+    buckets=_SNAPSHOT_BUCKETS_S,
+)
 log_lines_dropped = prometheus_client.Counter(
     "bamboosill_log_lines_dropped_total",
     "Log lines that were left out to bound their volume.",
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -119,27 +119,54 @@
             *self._pop_measurements(),
             takes_packed=True,
         )
+        started_s = self._clock.monotonic()
         result = await self._directory.call(
             address, request, messages.FollowReply, _CALL_TIMEOUT_S
         )
         self._last_poll_succeeded = isinstance(result, Success)
+        reason = ""
         match result:
             case Success(reply):
+                version = self.state.configuration.version
                 self._apply_reply(address, reply)
+                if self.state.configuration.version != version:
+                    self._log_configuration(version, reply, started_s)
                 return True
             case Failure(errors.PeerError(code="not_leader", detail=detail)):
                 leader = detail.removeprefix(_LEADER_PREFIX)
                 if leader not in ("", address):
                     self._leader = leader
                     return True
+                reason = "not_leader"
+            case Failure(error):
+                reason = error.code
         if address == self._leader:
             _log.info(
-                "Leader does not answer or no longer leads. Address: %s.",
+                "Leader does not answer or no longer leads. Address: %s. "
+                "Reason: %s.",
                 address,
+                reason,
             )
             self._leader = ""
         return False
 
+    def _log_configuration(
+        self, previous: int, reply: messages.FollowReply, started_s: float
+    ) -> None:
+        """Logs that another version is in force, and how it got here."""
+        content = replication_feed_lib.measure_content(reply)
+        _log.info(
+            "Configuration in force. Version: %d. Previous: %d.",
+            self.state.configuration.version,
+            previous,
+            extra={
+                "revision": self.state.revision,
+                "content": content.name,
+                "bytes": content.size_bytes,
+                "poll_ms": int((self._clock.monotonic() - started_s) * 1000),
+            },
+        )
+
     def _apply_reply(self, address: str, reply: messages.FollowReply) -> None:
         if self._leader != address:
             _log.info(
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -11,6 +11,8 @@
 import zlib
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import change_notifier
@@ -34,6 +36,8 @@
 # Fewer bytes of commands are sent uncompressed.
 _MIN_PACKED_BYTES = 200
 
+_log = logs.get_logger("feed")
+
 
 class EncodedStats(NamedTuple):
     """Loads and relative latencies of a revision's upstreams, a byte each.
@@ -46,6 +50,13 @@
     relative_latencies: bytes
 
 
+class Content(NamedTuple):
+    """What a reply has of the state, and its size."""
+
+    name: str
+    size_bytes: int
+
+
 class Feed:
     """Answers the long polls of entry instances."""
 
@@ -83,7 +94,21 @@
         reply = messages.FollowReply(
             revision=state.revision, entry_count=self._count_entries()
         )
-        return self._add_changes(self._add_stats(reply, request), request)
+        reply = self._add_changes(self._add_stats(reply, request), request)
+        content = measure_content(reply)
+        metrics.fleet_feed_replies.labels(content.name).inc()
+        metrics.fleet_feed_bytes.labels(content.name).inc(content.size_bytes)
+        if reply.snapshot:
+            _log.info(
+                "Sending a snapshot. Instance: %s.",
+                request.instance,
+                extra={
+                    "revision": reply.revision,
+                    "behind": reply.revision - request.revision,
+                    "bytes": content.size_bytes,
+                },
+            )
+        return reply
 
     async def _throttle(self, instance: str, started_s: float) -> None:
         """Delays a reply that would follow the last one too soon."""
@@ -136,6 +161,16 @@
         return len(self._last_request_s)
 
 
+def measure_content(reply: messages.FollowReply) -> Content:
+    """Returns what a reply has of the state, and its size."""
+    if reply.snapshot:
+        return Content("snapshot", len(reply.snapshot))
+    if reply.packed:
+        return Content("packed", len(reply.packed))
+    size_bytes = sum(len(each.command) for each in reply.commands)
+    return Content("commands" if reply.commands else "none", size_bytes)
+
+
 def pack_commands(commands: Sequence[messages.RevisedCommand]) -> bytes:
     """Returns commands, encoded and compressed."""
     data = wire.encode(messages.RevisedCommands(tuple(commands)))
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -12,6 +12,7 @@
 import zlib
 
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import configuration as configuration_lib
@@ -105,6 +106,7 @@
         self._notify(message)
         return value
 
+    @metrics.fleet_snapshot_duration.time()
     def snapshot(self) -> bytes:
         """Returns the encoded and compressed state."""
         snapshot = messages.FleetSnapshot(
--- a/packages/daemon/tests/fleet/test_follower.py
+++ b/packages/daemon/tests/fleet/test_follower.py
@@ -1,6 +1,7 @@
 """Replication of the fleet's state to entry instances: feed and follower."""
 
 import asyncio
+import logging
 
 import pytest
 from returns.result import Failure
@@ -97,6 +98,31 @@
     assert follower.state.snapshot() == state.snapshot()
 
 
+async def test_a_configuration_in_force_is_logged_with_how_it_came(caplog):
+    """Guards against a late configuration that no log line explains."""
+    caplog.set_level(logging.INFO)
+    state, feed = _make_leader(make_configuration())
+    follower = _make_follower(_Directory({"c1": feed}))
+    await _run_until(follower, lambda: follower.is_synced)
+    state.apply(2, wire.pack(make_configuration(2, 1)))
+    await _run_until(follower, lambda: follower.state.revision == 2)
+    lines = [each for each in caplog.records if hasattr(each, "poll_ms")]
+    assert [each.args for each in lines] == [(1, 0), (2, 1)]
+    assert {each.content for each in lines} == {"packed"}
+
+
+async def test_the_reason_for_leaving_a_leader_is_logged(caplog):
+    """Guards against taking a slow leader for one that was replaced."""
+    caplog.set_level(logging.INFO)
+    _, feed = _make_leader(make_configuration())
+    directory = _Directory({"c1": feed})
+    follower = _make_follower(directory)
+    await _run_until(follower, lambda: follower.is_synced)
+    directory.members = {}
+    await _run_until(follower, lambda: "does not answer" in caplog.text)
+    assert "Reason: timeout." in caplog.text
+
+
 async def test_a_copy_does_not_revert_to_an_older_revision():
     """Guards against a copy that reverts to an older state of a member."""
     _, old = _make_leader(make_configuration())
