--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -1,10 +1,11 @@
 """Replicates the fleet's state from the leader to entry instances.
 
-Entry instances poll with the revision of their copy. A reply has the commands
-since then, or a snapshot, and at intervals the loads and relative latencies of
-upstreams.
+Entry instances poll with the revision of their copy. A reply has commands since
+then, or a snapshot, and at intervals the loads and relative latencies of
+upstreams. What takes long to encode is encoded once and sent to all instances.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -23,8 +24,12 @@
 _LONG_POLL_S = 0.5
 # Entry instances that have not polled for longer are no longer counted.
 _ENTRY_EXPIRY_S = 5.0
-# Most bytes of commands in one reply; beyond that, a snapshot is smaller.
+# Up to this many bytes, commands are always preferred to a snapshot.
 _MAX_COMMAND_BYTES = 128 * 1024
+# A command of this size is sent alone, so that all instances get the same
+# bytes.
+_LARGE_COMMAND_BYTES = 16 * 1024
+_MAX_CACHED_REPLIES = 32
 # Loads and relative latencies are sent to an entry instance at most this often:
 # there are many instances, and traffic between zones is expensive.
 _STATS_INTERVAL_S = 0.45
@@ -50,6 +55,14 @@
     relative_latencies: bytes
 
 
+class _Snapshot(NamedTuple):
+    """An encoded state, and its size before compression."""
+
+    revision: int
+    data: bytes
+    state_bytes: int
+
+
 class Content(NamedTuple):
     """What a reply has of the state, and its size."""
 
@@ -74,10 +87,12 @@
         self._last_request_s: dict[str, float] = {}
         self._last_reply_s: dict[str, float] = {}
         self._last_stats_s: dict[str, float] = {}
-        # Compressed commands up to `_packed_revision`, by the revision before
-        # them: most instances poll for the same ones.
-        self._packed_commands: dict[int, bytes] = {}
-        self._packed_revision = 0
+        # Compressed commands by their first and last revision, least recently
+        # used first: most instances poll for the same ones.
+        self._packed_commands: collections.OrderedDict[
+            tuple[int, int], bytes
+        ] = collections.OrderedDict()
+        self._snapshot: _Snapshot | None = None
 
     async def answer(self, request: messages.Follow) -> messages.FollowReply:
         """Waits for changes and returns them, or nothing after a while."""
@@ -94,7 +109,11 @@
         reply = messages.FollowReply(
             revision=state.revision, entry_count=self._count_entries()
         )
-        reply = self._add_changes(self._add_stats(reply, request), request)
+        reply = self._add_changes(reply, request)
+        if reply.revision < state.revision:
+            # The rest is sent without a delay.
+            self._last_reply_s.pop(request.instance, None)
+        reply = self._add_stats(reply, request)
         content = measure_content(reply)
         metrics.fleet_feed_replies.labels(content.name).inc()
         metrics.fleet_feed_bytes.labels(content.name).inc(content.size_bytes)
@@ -123,6 +142,10 @@
     def _add_stats(
         self, reply: messages.FollowReply, request: messages.Follow
     ) -> messages.FollowReply:
+        """Adds loads and relative latencies if they are due.
+
+        They belong to the upstreams of the latest revision.
+        """
         now_s = self._clock.monotonic()
         sent_s = self._last_stats_s.get(request.instance, float("-inf"))
         stats = self._get_stats()
@@ -135,21 +158,54 @@
     def _add_changes(
         self, reply: messages.FollowReply, request: messages.Follow
     ) -> messages.FollowReply:
+        """Adds commands or a snapshot, and the revision that they lead to."""
         commands = self._state.list_commands(request.revision)
-        size = sum(len(each.command) for each in commands or ())
-        if commands is None or size > _MAX_COMMAND_BYTES:
-            return reply._replace(snapshot=self._state.snapshot())
-        if not request.takes_packed or size < _MIN_PACKED_BYTES:
-            return reply._replace(commands=tuple(commands))
-        if self._packed_revision != reply.revision:
-            self._packed_revision = reply.revision
-            self._packed_commands.clear()
-        packed = self._packed_commands.get(request.revision)
-        if packed is None:
-            packed = self._packed_commands[request.revision] = pack_commands(
-                commands
+        if commands is None or self._is_snapshot_smaller(commands):
+            snapshot = self._get_snapshot()
+            return reply._replace(
+                revision=snapshot.revision, snapshot=snapshot.data
             )
-        return reply._replace(packed=packed)
+        commands = _select_commands(commands)
+        if commands:
+            reply = reply._replace(revision=commands[-1].revision)
+        if not request.takes_packed or _sum_sizes(commands) < _MIN_PACKED_BYTES:
+            return reply._replace(commands=tuple(commands))
+        return reply._replace(packed=self._pack(commands))
+
+    def _is_snapshot_smaller(
+        self, commands: Sequence[messages.RevisedCommand]
+    ) -> bool:
+        size_bytes = _sum_sizes(commands)
+        if size_bytes <= _MAX_COMMAND_BYTES:
+            return False
+        return size_bytes > self._get_snapshot().state_bytes
+
+    def _get_snapshot(self) -> _Snapshot:
+        """Returns a snapshot that the kept commands continue.
+
+        It is encoded anew only when more bytes of commands would follow it than
+        it has itself.
+        """
+        state, snapshot = self._state, self._snapshot
+        if snapshot is not None:
+            later = state.list_commands(snapshot.revision)
+            limit_bytes = max(_MAX_COMMAND_BYTES, snapshot.state_bytes)
+            if later is not None and _sum_sizes(later) <= limit_bytes:
+                return snapshot
+        data = state.snapshot()
+        self._snapshot = _Snapshot(
+            state.revision, data, len(zlib.decompress(data))
+        )
+        return self._snapshot
+
+    def _pack(self, commands: Sequence[messages.RevisedCommand]) -> bytes:
+        cache = self._packed_commands
+        span = commands[0].revision, commands[-1].revision
+        packed = cache.pop(span, None) or pack_commands(commands)
+        cache[span] = packed
+        if len(cache) > _MAX_CACHED_REPLIES:
+            cache.popitem(last=False)
+        return packed
 
     def _count_entries(self) -> int:
         now_s = self._clock.monotonic()
@@ -161,14 +217,29 @@
         return len(self._last_request_s)
 
 
+def _select_commands(
+    commands: Sequence[messages.RevisedCommand],
+) -> Sequence[messages.RevisedCommand]:
+    """Returns the commands before the first large one, or that one alone."""
+    for position, each in enumerate(commands):
+        if len(each.command) >= _LARGE_COMMAND_BYTES:
+            return commands[: max(position, 1)]
+    return commands
+
+
+def _sum_sizes(commands: Sequence[messages.RevisedCommand]) -> int:
+    return sum(len(each.command) for each in commands)
+
+
 def measure_content(reply: messages.FollowReply) -> Content:
     """Returns what a reply has of the state, and its size."""
     if reply.snapshot:
         return Content("snapshot", len(reply.snapshot))
     if reply.packed:
         return Content("packed", len(reply.packed))
-    size_bytes = sum(len(each.command) for each in reply.commands)
-    return Content("commands" if reply.commands else "none", size_bytes)
+    return Content(
+        "commands" if reply.commands else "none", _sum_sizes(reply.commands)
+    )
 
 
 def pack_commands(commands: Sequence[messages.RevisedCommand]) -> bytes:
