Give up responses of upstreams that have no end

Cause: only the bytes of a body were counted. A head, a header, trailers, chunk extensions, informational responses and responses to other requests were read until the deadline of the request.

Evidence: of the eight cases of the new test, six fail on the code before (with its own limit of a body set to the same 1 MiB): the exchange does not end within 10 s. The bodies were bounded already.

Ruled out: the product's own interface (entry/) uses a parser that bounds lines and headers, and does not read a body faster than the caller.

Why it works: all bytes of an exchange are counted, and those in a row without any of a body; beyond either limit the exchange ends as malformed and its connection is closed at once.

--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -26,7 +26,10 @@
 # is not reused, so that no request races with the upstream's close.
 _IDLE_TIMEOUT_FRACTION = 0.6
 _DEFAULT_IDLE_LIMIT_S = 4.0
-_MAX_BODY_BYTES = 32 * 1024 * 1024
+# Limits on what an upstream may send in one exchange: in all, and in a row
+# without any byte of a body. A faulty one may send without end.
+_MAX_EXCHANGE_BYTES = 32 * 1024 * 1024
+_MAX_HEAD_BYTES = 64 * 1024
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -121,6 +124,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_complete = False
         self._has_extra_bytes = False
+        self._received_bytes = 0
+        self._bytes_without_body = 0
         self._reset_response()
         self._response_future = self._loop.create_future()
         self._transport.write(data)  # type: ignore[attr-defined]
@@ -160,12 +165,21 @@
             self._has_extra_bytes = True
             self.abort()
             return
+        self._received_bytes += len(data)
+        self._bytes_without_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._has_extra_bytes = True
             if not self._is_complete:
                 self._fail("malformed")
+        is_too_long = (
+            self._received_bytes > _MAX_EXCHANGE_BYTES
+            or self._bytes_without_body > _MAX_HEAD_BYTES
+        )
+        if is_too_long and not self._is_complete:
+            self._fail("malformed")
+            self.abort()
 
     def _reset_response(self) -> None:
         self._has_begun = False
@@ -174,7 +188,6 @@
         self._keep_alive = True
         self._headers: http_messages.Headers = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
 
     def on_message_begin(self) -> None:
         """Starts a response; one after the complete response is extra bytes."""
@@ -203,13 +216,11 @@
         )
 
     def on_body(self, body: bytes) -> None:
-        """Stores a part of the body, up to the size limit."""
+        """Stores a part of the body."""
         if self._is_complete:
             return
         self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > _MAX_BODY_BYTES:
-            self._fail("malformed")
+        self._bytes_without_body = 0
 
     def on_message_complete(self) -> None:
         """Completes the exchange.
--- a/packages/daemon/tests/gateway/test_upstream_connection.py
+++ b/packages/daemon/tests/gateway/test_upstream_connection.py
@@ -93,6 +93,58 @@
     assert caught.value.code == code
 
 
+_CHUNKED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("head", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"x-more: value\r\n"),
+        (b"HTTP/1.1 200 OK\r\nx-long: ", b"value"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", make_response("r0")),
+        (b"HTTP/1.1 200 OK\r\nx-id: r1\r\n\r\n", b"body"),
+        (_CHUNKED_HEAD, b"4\r\nbody\r\n"),
+        (_CHUNKED_HEAD + b"4;", b"extension"),
+        (_CHUNKED_HEAD + b"0\r\n", b"x-trailer: value\r\n"),
+    ],
+    ids=[
+        *("headers", "header", "informational", "foreign"),
+        *("body", "chunks", "chunk-extension", "trailers"),
+    ],
+)
+async def test_a_response_without_end_is_given_up(
+    monkeypatch, serve, head, repeated
+):
+    """Guards against memory filled by an upstream that never stops sending."""
+    max_bytes = 1024 * 1024
+    monkeypatch.setattr(
+        upstream_connection_lib, "_MAX_EXCHANGE_BYTES", max_bytes
+    )
+    part = repeated * (16 * 1024 // len(repeated))
+    closed = asyncio.Event()
+
+    async def script(server, headers, writer):
+        writer.write(head)
+        try:
+            # The buffers of the sockets take some bytes beyond the limit.
+            for _ in range(16 * max_bytes // len(part)):
+                writer.write(part)
+                await writer.drain()
+            await writer.wait_closed()
+        except OSError:
+            closed.set()
+
+    server = await serve(script)
+    with pytest.raises(upstream_connection_lib.ExchangeError) as caught:
+        await _exchange(server.address)
+    assert caught.value.code == "malformed"
+    async with asyncio.timeout(10):
+        await closed.wait()
+
+
 async def test_bytes_on_an_idle_connection_close_it(serve):
     """Guards against extra bytes taken for the response to the next request."""
 
