Start the sequence of a split route at a random point on each instance

With a few requests at each of many entry instances, shares differ from the weights, since all instances send their first request of a route to the same service, their second likewise.

Cause: the credits of a route start at zero everywhere.

Of the 18 cases of the new test, 12 fail on the code before.

Why it works: the first request of a route is preceded by a random number of steps of the same sequence, so each request goes to a service with the probability of its weight, and the shares of one instance stay as even as they were (the test of 50 requests at one instance is unchanged).

--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -75,7 +75,7 @@
         self._follower = follower
         self._view = view
         self._clock = clock
-        self._splitter = view_lib.routes_lib.TrafficSplitter()
+        self._splitter = view_lib.routes_lib.TrafficSplitter(rng)
         self._retry_budgets: dict[str, budget_lib.RetryBudget] = {}
         self._latencies: dict[str, latency_lib.Latency] = {}
         self._work_ms_by_block: dict[tuple[str, int], float] = {}
--- a/packages/daemon/tests/gateway/test_parts.py
+++ b/packages/daemon/tests/gateway/test_parts.py
@@ -58,12 +58,34 @@
         messages.TrafficShare("b", 10),
         messages.TrafficShare("c", 0),
     )
-    splitter = routes_lib.TrafficSplitter()
+    splitter = routes_lib.TrafficSplitter(random.Random(1))
     route = _make_route("r1", "/a/", service="", shares=shares)
     counts = collections.Counter(splitter.choose(route) for _ in range(50))
     assert counts == {"a": 45, "b": 5}
 
 
+@pytest.mark.parametrize("instances", [91, 188, 800])
+@pytest.mark.parametrize(
+    "weights", [(10,), (30,), (50,), (60,), (25, 25), (10, 60)]
+)
+def test_shares_hold_over_few_requests_at_each_of_many_instances(
+    instances, weights
+):
+    """Guards against first requests that all go to the same service."""
+    shares = tuple(
+        messages.TrafficShare(f"s{number}", weight)
+        for number, weight in enumerate((*weights, 100 - sum(weights)))
+    )
+    route = _make_route("r1", "/a/", service="", shares=shares)
+    rng = random.Random(1)
+    splitters = [routes_lib.TrafficSplitter(rng) for _ in range(instances)]
+    counts = collections.Counter(
+        rng.choice(splitters).choose(route) for _ in range(200)
+    )
+    for share in shares:
+        assert abs(counts[share.service] / 200 - share.weight / 100) < 0.1
+
+
 def test_retries_stay_under_the_shared_limit():
     """Guards against retries that multiply the load of a failing service."""
     clock = _Clock()
