Give a starting entry instance the configuration in force first

What callers would see: an instance that starts serves, for some tenths of a second, by a configuration that was replaced long ago.

Ruled out: an instance that runs going back to an older version; it only gets commands after its own revision.

--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -59,6 +59,7 @@
     """An encoded state, and its size before compression."""
 
     revision: int
+    configuration_version: int
     data: bytes
     state_bytes: int
 
@@ -160,7 +161,14 @@
     ) -> messages.FollowReply:
         """Adds commands or a snapshot, and the revision that they lead to."""
         commands = self._state.list_commands(request.revision)
-        if commands is None or self._is_snapshot_smaller(commands):
+        # An instance serves callers once it has a configuration. Commands from
+        # the first one on would bring it older ones before that in force.
+        is_starting = request.revision == 0 < self._state.revision
+        if (
+            is_starting
+            or commands is None
+            or self._is_snapshot_smaller(commands)
+        ):
             snapshot = self._get_snapshot()
             return reply._replace(
                 revision=snapshot.revision, snapshot=snapshot.data
@@ -181,20 +189,21 @@
         return size_bytes > self._get_snapshot().state_bytes
 
     def _get_snapshot(self) -> _Snapshot:
-        """Returns a snapshot that the kept commands continue.
+        """Returns a snapshot with the configuration in force.
 
-        It is encoded anew only when more bytes of commands would follow it than
-        it has itself.
+        It is encoded anew after a change of the configuration, and when more
+        bytes of commands would follow it than it has itself.
         """
         state, snapshot = self._state, self._snapshot
-        if snapshot is not None:
+        version = state.configuration.version
+        if snapshot is not None and snapshot.configuration_version == version:
             later = state.list_commands(snapshot.revision)
             limit_bytes = max(_MAX_COMMAND_BYTES, snapshot.state_bytes)
             if later is not None and _sum_sizes(later) <= limit_bytes:
                 return snapshot
         data = state.snapshot()
         self._snapshot = _Snapshot(
-            state.revision, data, len(zlib.decompress(data))
+            state.revision, version, data, len(zlib.decompress(data))
         )
         return self._snapshot
 
--- a/packages/daemon/tests/fleet/test_follower.py
+++ b/packages/daemon/tests/fleet/test_follower.py
@@ -108,7 +108,7 @@
     await _run_until(follower, lambda: follower.state.revision == 2)
     lines = [each for each in caplog.records if hasattr(each, "poll_ms")]
     assert [each.args for each in lines] == [(1, 0), (2, 1)]
-    assert {each.content for each in lines} == {"packed"}
+    assert [each.content for each in lines] == ["snapshot", "packed"]
 
 
 async def test_the_reason_for_leaving_a_leader_is_logged(caplog):
--- a/packages/daemon/tests/fleet/test_replication_feed.py
+++ b/packages/daemon/tests/fleet/test_replication_feed.py
@@ -134,6 +134,30 @@
     assert leader.encoded["snapshot"] <= 1
 
 
+@pytest.mark.parametrize("routes", [1, _ROUTES])
+@pytest.mark.parametrize("changes_before", [0, 700])
+async def test_a_starting_instance_gets_no_older_configuration(
+    monkeypatch, changes_before, routes
+):
+    """Guards against requests routed by a configuration no longer in force."""
+    leader = _Leader(monkeypatch)
+    for slots in range(changes_before):
+        leader.apply(
+            messages.SetUpstreams(upstreams=(make_item("u1", slots=slots),))
+        )
+    for version in range(2, 5):
+        await leader.catch_up(state_lib.FleetState(), "e1")
+        leader.apply(
+            make_configuration(
+                version, version - 1, whole=False, routes=_make_routes(routes)
+            )
+        )
+        leader.apply(messages.SetUpstreams(upstreams=(make_item("u2"),)))
+        replica = state_lib.FleetState()
+        await leader.poll(replica, "e1")
+        assert replica.configuration.version == version
+
+
 async def test_many_whole_configurations_are_not_sent_one_by_one(monkeypatch):
     """Guards against links saturated by configurations that were replaced."""
     leader = _Leader(monkeypatch)
