--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -212,12 +212,12 @@
 fleet_feed_replies = prometheus_client.Counter(
     "bamboosill_fleet_feed_replies_total",
     "Replies of this leader to polls of entry instances, by content.",
-    ["content"],
+    ["outcome"],
 )
 fleet_feed_bytes = prometheus_client.Counter(
     "bamboosill_fleet_feed_bytes_total",
     "Bytes of state in replies to polls of entry instances, by content.",
-    ["content"],
+    ["outcome"],
 )
 fleet_snapshot_duration = prometheus_client.Histogram(
     "bamboosill_fleet_snapshot_duration_seconds",
