--- a/packages/daemon/src/bamboosilld/gateway/http_messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/http_messages.py
@@ -59,6 +59,8 @@
         not_run: Present if the upstream did not run the request.
         load: Running and waiting requests and slots of an upstream.
         key: Shard key number of a request.
+        rate_limit: Requests a second that an upstream takes from all instances
+            together.
     """
 
     request_id: bytes
@@ -68,6 +70,7 @@
     not_run: bytes
     load: bytes
     key: bytes
+    rate_limit: bytes
 
 
 def list_forwarded_headers(
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -8,6 +8,7 @@
 from bamboosill_common import logs
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import suspicion
+from bamboosilld.gateway import rate_limit as rate_limit_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
 # Weight of the newest sample in the moving average of the relative latency: an
@@ -67,6 +68,7 @@
         failures: Consecutive failures.
         backoff_until_s: It gets no request before this time, unless all
             upstreams are backing off.
+        rate_limit: The rate limit that it states in its responses.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.item = item
         self._clock = clock
         self.pool = upstream_connection_lib.Pool(item.address, request_id_name)
+        self.rate_limit = rate_limit_lib.RateLimit(item.upstream, clock)
         self.in_flight = 0
         self.relative_latency = 1.0
         self._latency_sum_s = 0.0
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -389,6 +389,11 @@
         load = response.get(self._context.names.load)
         if load is not None:
             upstream.update_load(load)
+        if response.status != exchange.STATUS_MISDIRECTED:
+            upstream.rate_limit.observe(
+                response.list_values(self._context.names.rate_limit),
+                exchange.is_rejection(response, self._context.names),
+            )
         if response.status < _FIRST_ERROR_STATUS and not exchange.is_rejection(
             response, self._context.names
         ):
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -47,6 +47,10 @@
                 return value
         return None
 
+    def list_values(self, name: bytes) -> list[bytes]:
+        """Returns all values of a header by its lower-case name."""
+        return [value for each, value in self.headers if each.lower() == name]
+
 
 class ExchangeError(Exception):
     """No complete response was received.
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -14,6 +14,7 @@
     not_run=b"x-not-run",
     load=b"x-load",
     key=b"x-key",
+    rate_limit=b"x-rate-limit",
 )
 
 
