Keep the rate limits that upstreams state, over all instances

Limits of one a second were exceeded by every instance alone.

Cause: no instance read the limit. The class: a limit for all instances together that each one would have to keep with only its own knowledge.

Ruled out: retries and hedges as the cause; they add to it. Equal parts of the limit as the way: with 91 instances and 1 request a second they are either exceeded together or hardly used (docs/design.md 2.9).

Why it works: the leader keeps one token bucket for each limited upstream and grants a permit when a request needs one, so the sum does not depend on the number of instances. Each send takes a permit: first attempts, retries and hedges. The only holder of a key is used up to its limit; what does not fit is refused at once with the time until the next permit that no other refused caller was told.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -186,6 +186,11 @@
     "Requests sent to another upstream, by cause.",
     ["cause"],
 )
+gateway_permits = prometheus_client.Counter(
+    "bamboosill_gateway_permit_requests_total",
+    "Questions for permits to send to upstreams with a rate limit, by outcome.",
+    ["outcome"],
+)
 gateway_sync_age = prometheus_client.Gauge(
     "bamboosill_gateway_sync_age_seconds",
     "Time since the leader last answered this entry instance.",
--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -201,6 +201,36 @@
   paces @6 :Data;
   # Used instead of `commands`: a RevisedCommands message, compressed with zlib.
   packed @7 :Data;
+  # Rate limits that upstreams state, and those that ended recently.
+  limits @8 :List(UpstreamLimit);
+}
+
+struct UpstreamLimit {
+  # Requests a second that one incarnation of an upstream takes from all
+  # instances together; a negative rate stands for no limit. `ageMs` is the time
+  # since it was observed in a response.
+  upstream @0 :Text;
+  bornMs @1 :UInt64;
+  ratePerS @2 :Float64;
+  ageMs @3 :UInt32;
+}
+
+struct AcquirePermits {
+  # Request of an entry instance for permits to send to an upstream with a rate
+  # limit. With `wanted` 0, it only reports the limit.
+  instance @0 :Text;
+  limit @1 :UpstreamLimit;
+  wanted @2 :UInt32;
+}
+
+struct AcquirePermitsReply {
+  # Reply to AcquirePermits, with the newest limit that the leader knows.
+  limit @0 :UpstreamLimit;
+  granted @1 :UInt32;
+  # Time until the next permit for any instance, and until this one should ask
+  # again.
+  nextPermitMs @2 :UInt32;
+  askAgainMs @3 :UInt32;
 }
 
 struct ReleasedRange {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -6,6 +6,7 @@
 kept in memory only: a new leader starts without them.
 """
 
+import random
 from typing import NamedTuple
 
 from returns.result import Failure
@@ -21,6 +22,7 @@
 from bamboosilld.fleet import key_granting
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import observations as observations_lib
+from bamboosilld.fleet import permits as permits_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import state as state_lib
 
@@ -57,6 +59,7 @@
 
     Attributes:
         observations: What entry instances have reported since the election.
+        permits: Permits to send to upstreams with a rate limit.
     """
 
     def __init__(
@@ -93,6 +96,9 @@
         self._stats = replication_feed_lib.EncodedStats(-1, b"", b"")
         self._stats_computed_s = now_s
         self.observations = observations_lib.Observations(self._clock)
+        self.permits = permits_lib.PermitBroker(
+            self._state, self._clock, random.Random()
+        )
 
     def is_active_leader(self) -> bool:
         """Returns whether this member may act as leader now.
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -95,6 +95,7 @@
         for message_type in self._handlers:
             handlers.register(message_type)(self._on_leader_request)
         handlers.register(messages.Follow)(self._on_follow)
+        handlers.register(messages.AcquirePermits)(self._on_acquire_permits)
         handlers.register(messages.JoinControl)(self._on_join)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -206,6 +207,7 @@
             self.changed,
             self._clock,
             self.authority.encode_stats,
+            lambda: self.authority.permits.list_limits(),
         )
         await self.node.start()
         self._groups.add(GROUP, self.node)
@@ -386,6 +388,13 @@
             )
         )
 
+    async def _on_acquire_permits(
+        self, request: messages.AcquirePermits, hello: peer_messages.Hello
+    ) -> messages.AcquirePermitsReply:
+        if not self.authority.is_active_leader():
+            raise errors.HandlerError("not_leader", "this member does not lead")
+        return self.authority.permits.acquire(request)
+
     async def _on_join(
         self, request: messages.JoinControl, hello: peer_messages.Hello
     ) -> messages.JoinControlReply:
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from returns.result import Failure
+from returns.result import Result
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
@@ -24,6 +25,7 @@
 # The leader replies within half a second even if nothing changes.
 _CALL_TIMEOUT_S = 1.2
 _RETRY_DELAY_S = 0.1
+_PERMIT_TIMEOUT_S = 0.25
 
 # Precedes the leader's address in the error of a peer that does not lead.
 _LEADER_PREFIX = "not_leader: "
@@ -70,6 +72,9 @@
         list_seeds: Callable[[], tuple[str, ...]],
         pop_measurements: Callable[[], Measurements],
         on_stats: Callable[[dict[str, UpstreamStats]], None],
+        on_limits: Callable[
+            [tuple[messages.UpstreamLimit, ...]], None
+        ] = lambda limits: None,
     ) -> None:
         self._instance = instance
         self._directory = directory
@@ -77,6 +82,7 @@
         self._list_seeds = list_seeds
         self._pop_measurements = pop_measurements
         self._on_stats = on_stats
+        self._on_limits = on_limits
         self._control_peers: tuple[str, ...] = ()
         self._leader = ""
         self._last_poll_succeeded = False
@@ -98,6 +104,19 @@
             if not self._last_poll_succeeded:
                 await self._clock.sleep(_RETRY_DELAY_S)
 
+    async def acquire_permits(
+        self, request: messages.AcquirePermits
+    ) -> Result[messages.AcquirePermitsReply, errors.PeerError]:
+        """Asks the leader for permits to send to a limited upstream."""
+        if not self._leader:
+            return Failure(errors.PeerError("no_leader", "none known", False))
+        return await self._directory.call(
+            self._leader,
+            request,
+            messages.AcquirePermitsReply,
+            _PERMIT_TIMEOUT_S,
+        )
+
     def _list_candidates(self) -> list[str]:
         others = list(
             dict.fromkeys((*self._control_peers, *self._list_seeds()))
@@ -186,6 +205,7 @@
         for each in self._list_commands(reply):
             if each.revision > self.state.revision:
                 self.state.apply(each.revision, each.command)
+        self._on_limits(reply.limits)
         if reply.revision == self.state.revision:
             self._apply_stats(reply)
 
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/fleet/permits.py
@@ -0,0 +1,193 @@
+"""The leader's permits to send to upstreams that state a rate limit.
+
+Each limited upstream has a token bucket, which all entry instances share: an
+instance asks for a permit when a request needs one. The state is in memory
+only; a new leader starts with empty buckets.
+"""
+
+import random
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import state as state_lib
+
+# An upstream that takes less is still sent a request at this rate: only its
+# responses tell when the limit ends.
+MIN_RATE_PER_S = 0.1
+NO_LIMIT = -1.0
+# A bucket holds the permits of this time, but at least one.
+_BURST_S = 0.25
+# Instances that asked within this time share the next permits.
+_ASKERS_WINDOW_S = 2.0
+# Questions of instances for each permit, so that it is soon used.
+_ASKS_PER_PERMIT = 3.0
+# How long the end of a limit is passed on: longer than an election, so that
+# instances that were cut off meanwhile learn of it when they ask.
+_ENDED_LIMIT_KEPT_S = 60.0
+_ENDED_LIMIT_SENT_S = 5.0
+# Time after which to ask again for an upstream that the leader does not know.
+_UNKNOWN_UPSTREAM_WAIT_S = 1.0
+
+_log = logs.get_logger("permits")
+
+
+class _Bucket:
+    """Limit, available permits and recent askers of one upstream."""
+
+    def __init__(self, now_s: float) -> None:
+        self.rate_per_s: float | None = None
+        self.observed_s = float("-inf")
+        self._tokens = 0.0
+        self._filled_s = now_s
+        self._askers: dict[str, float] = {}
+
+    def set_rate(
+        self, rate_per_s: float | None, observed_s: float, now_s: float
+    ) -> None:
+        """Applies an observed limit; None stands for none."""
+        self._fill(now_s)
+        if self.rate_per_s is None:
+            self._tokens = 0.0
+        self.rate_per_s = rate_per_s
+        self.observed_s = observed_s
+        if rate_per_s is not None:
+            self._tokens = min(self._tokens, self._get_capacity())
+
+    def take(self, wanted: int, now_s: float) -> int:
+        """Takes up to the wanted number of permits and returns the number."""
+        self._fill(now_s)
+        taken = min(wanted, int(self._tokens))
+        self._tokens -= taken
+        return taken
+
+    def get_next_permit_s(self) -> float:
+        """Returns the time in seconds until the next permit is available."""
+        return max(0.0, 1.0 - self._tokens) / self._get_rate()
+
+    def spread_s(self, instance: str, now_s: float) -> float:
+        """Returns over how long the questions of all askers are spread."""
+        self._askers = {
+            each: asked_s
+            for each, asked_s in self._askers.items()
+            if now_s - asked_s < _ASKERS_WINDOW_S
+        }
+        self._askers[instance] = now_s
+        others = len(self._askers) - 1
+        return others / (_ASKS_PER_PERMIT * self._get_rate())
+
+    def _get_rate(self) -> float:
+        return max(MIN_RATE_PER_S, self.rate_per_s or 0.0)
+
+    def _get_capacity(self) -> float:
+        return max(1.0, self._get_rate() * _BURST_S)
+
+    def _fill(self, now_s: float) -> None:
+        added = (now_s - self._filled_s) * self._get_rate()
+        self._tokens = min(self._get_capacity(), self._tokens + added)
+        self._filled_s = now_s
+
+
+class _Incarnation(NamedTuple):
+    upstream: str
+    born_ms: int
+
+
+class PermitBroker:
+    """Grants permits, and passes on the limits that instances observe."""
+
+    def __init__(
+        self,
+        state: state_lib.FleetState,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._state = state
+        self._clock = clock
+        self._rng = rng
+        self._buckets: dict[_Incarnation, _Bucket] = {}
+
+    def acquire(
+        self, request: messages.AcquirePermits
+    ) -> messages.AcquirePermitsReply:
+        """Applies the limit that an instance observed and grants permits."""
+        now_s = self._clock.monotonic()
+        limit = request.limit
+        incarnation = _Incarnation(limit.upstream, limit.born_ms)
+        if not self._is_known(incarnation):
+            wait_ms = int(_UNKNOWN_UPSTREAM_WAIT_S * 1000)
+            return messages.AcquirePermitsReply(
+                limit, next_permit_ms=wait_ms, ask_again_ms=wait_ms
+            )
+        bucket = self._buckets.get(incarnation)
+        if bucket is None:
+            bucket = self._buckets[incarnation] = _Bucket(now_s)
+        self._observe(bucket, request, now_s)
+        known = _encode_limit(incarnation, bucket, now_s)
+        if bucket.rate_per_s is None or not request.wanted:
+            return messages.AcquirePermitsReply(known)
+        granted = bucket.take(request.wanted, now_s)
+        next_permit_s = bucket.get_next_permit_s()
+        spread_s = bucket.spread_s(request.instance, now_s)
+        ask_again_s = 0.0
+        if not granted:
+            ask_again_s = next_permit_s + self._rng.uniform(0.0, spread_s)
+        return messages.AcquirePermitsReply(
+            known,
+            granted,
+            next_permit_ms=round(next_permit_s * 1000),
+            ask_again_ms=round(ask_again_s * 1000),
+        )
+
+    def list_limits(self) -> tuple[messages.UpstreamLimit, ...]:
+        """Returns the limits in force and those that ended recently."""
+        now_s = self._clock.monotonic()
+        self._buckets = {
+            incarnation: bucket
+            for incarnation, bucket in self._buckets.items()
+            if self._is_known(incarnation)
+            and (
+                bucket.rate_per_s is not None
+                or now_s - bucket.observed_s < _ENDED_LIMIT_KEPT_S
+            )
+        }
+        return tuple(
+            _encode_limit(incarnation, bucket, now_s)
+            for incarnation, bucket in self._buckets.items()
+            if bucket.rate_per_s is not None
+            or now_s - bucket.observed_s < _ENDED_LIMIT_SENT_S
+        )
+
+    def _observe(
+        self, bucket: _Bucket, request: messages.AcquirePermits, now_s: float
+    ) -> None:
+        limit = request.limit
+        observed_s = now_s - limit.age_ms / 1000
+        if observed_s <= bucket.observed_s:
+            return
+        rate_per_s = limit.rate_per_s if limit.rate_per_s >= 0 else None
+        if rate_per_s != bucket.rate_per_s:
+            _log.info(
+                "Rate limit changed. Upstream: %s. Rate: %s per second.",
+                limit.upstream,
+                "none" if rate_per_s is None else f"{rate_per_s:g}",
+                extra={"reporter": request.instance, "age_ms": limit.age_ms},
+            )
+        bucket.set_rate(rate_per_s, observed_s, now_s)
+
+    def _is_known(self, incarnation: _Incarnation) -> bool:
+        item = self._state.upstreams.get(incarnation.upstream)
+        return item is not None and item.born_ms == incarnation.born_ms
+
+
+def _encode_limit(
+    incarnation: _Incarnation, bucket: _Bucket, now_s: float
+) -> messages.UpstreamLimit:
+    rate_per_s = bucket.rate_per_s
+    return messages.UpstreamLimit(
+        incarnation.upstream,
+        incarnation.born_ms,
+        NO_LIMIT if rate_per_s is None else rate_per_s,
+        max(0, round((now_s - bucket.observed_s) * 1000)),
+    )
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -80,11 +80,15 @@
         changed: change_notifier.ChangeNotifier,
         clock: clock_lib.Clock,
         get_stats: Callable[[], EncodedStats],
+        list_limits: Callable[
+            [], tuple[messages.UpstreamLimit, ...]
+        ] = lambda: (),
     ) -> None:
         self._state = state
         self._changed = changed
         self._clock = clock
         self._get_stats = get_stats
+        self._list_limits = list_limits
         self._last_request_s: dict[str, float] = {}
         self._last_reply_s: dict[str, float] = {}
         self._last_stats_s: dict[str, float] = {}
@@ -154,7 +158,11 @@
         if not is_due or stats.revision != reply.revision:
             return reply
         self._last_stats_s[request.instance] = now_s
-        return reply._replace(loads=stats.loads, paces=stats.relative_latencies)
+        return reply._replace(
+            loads=stats.loads,
+            paces=stats.relative_latencies,
+            limits=self._list_limits(),
+        )
 
     def _add_changes(
         self, reply: messages.FollowReply, request: messages.Follow
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -63,6 +63,7 @@
             process.list_control_peers,
             lambda: self.service.pop_measurements(),
             lambda stats: self._view.update_stats(stats),
+            lambda limits: self._view.update_limits(limits),
         )
         self._view = view_lib.View(
             self._follower.state,
--- a/packages/daemon/src/bamboosilld/gateway/rate_limit.py
+++ b/packages/daemon/src/bamboosilld/gateway/rate_limit.py
@@ -5,13 +5,19 @@
 response states another one or none.
 """
 
+import collections
 from collections.abc import Sequence
+import math
 import re
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import permits
 
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+_MAX_LOGGED_BYTES = 40
+_MAX_RETRY_AFTER_S = 30.0
 
 _log = logs.get_logger("limit")
 
@@ -27,11 +33,13 @@
 
 
 class RateLimit:
-    """The limit of one incarnation of an upstream, as last observed.
+    """The limit of one incarnation of an upstream, and permits to send to it.
 
     Attributes:
         rate_per_s: Requests a second, or None without a limit.
         observed_s: When the limit was observed, on the monotonic clock.
+        next_permit_s: When the next permit is due for any instance.
+        ask_again_s: Time before which the leader is not asked for a permit.
     """
 
     def __init__(self, upstream: str, clock: clock_lib.Clock) -> None:
@@ -39,33 +47,97 @@
         self._clock = clock
         self.rate_per_s: float | None = None
         self.observed_s = float("-inf")
+        self.ask_again_s = float("-inf")
+        self._permit_ends_s: collections.deque[float] = collections.deque()
+        self.next_permit_s = float("-inf")
+        self._promised_s = float("-inf")
 
-    def observe(self, values: Sequence[bytes], is_rejection: bool) -> None:
+    def observe(self, values: Sequence[bytes], is_rejection: bool) -> bool:
         """Applies the values of the limit's header in a response.
 
         Args:
             values: All values of the header.
             is_rejection: Whether the upstream did not run the request. Such a
                 response ends no limit: an upstream may omit headers there.
+
+        Returns:
+            Whether the limit changed.
         """
         rate_per_s = parse(values)
         if rate_per_s is None and values:
             _log.warning(
                 "Rate limit not readable. Upstream: %s. Value: %r.",
                 self._upstream,
-                values[0][:40],
+                values[0][:_MAX_LOGGED_BYTES],
             )
-            return
+            return False
         if rate_per_s is None and is_rejection:
-            return
-        self._set(rate_per_s, self._clock.monotonic())
+            return False
+        has_changed = self.update(rate_per_s, self._clock.monotonic())
+        self.observed_s = self._clock.monotonic()
+        return has_changed
 
-    def _set(self, rate_per_s: float | None, observed_s: float) -> None:
-        if rate_per_s != self.rate_per_s:
-            _log.info(
-                "Rate limit changed. Upstream: %s. Rate: %s per second.",
-                self._upstream,
-                "none" if rate_per_s is None else f"{rate_per_s:g}",
-            )
-        self.rate_per_s = rate_per_s
+    def update(self, rate_per_s: float | None, observed_s: float) -> bool:
+        """Applies an observed limit; returns whether it changed.
+
+        Older observations than the last one are ignored.
+        """
+        if observed_s < self.observed_s or rate_per_s == self.rate_per_s:
+            return False
         self.observed_s = observed_s
+        _log.info(
+            "Rate limit changed. Upstream: %s. Rate: %s per second.",
+            self._upstream,
+            "none" if rate_per_s is None else f"{rate_per_s:g}",
+        )
+        self.rate_per_s = rate_per_s
+        self._permit_ends_s.clear()
+        self.ask_again_s = self.next_permit_s = float("-inf")
+        self._promised_s = float("-inf")
+        return True
+
+    def apply(self, limit: messages.UpstreamLimit, now_s: float) -> None:
+        """Applies a limit that any instance observed."""
+        rate_per_s = limit.rate_per_s if limit.rate_per_s >= 0 else None
+        self.update(rate_per_s, now_s - limit.age_ms / 1000)
+
+    def has_permit(self) -> bool:
+        """Returns whether a request may be sent now."""
+        if self.rate_per_s is None:
+            return True
+        now_s = self._clock.monotonic()
+        while self._permit_ends_s and self._permit_ends_s[0] < now_s:
+            self._permit_ends_s.popleft()
+        return bool(self._permit_ends_s)
+
+    def take_permit(self) -> None:
+        """Uses a permit for a request, if there is a limit."""
+        if self.rate_per_s is not None and self._permit_ends_s:
+            self._permit_ends_s.popleft()
+
+    def add_permits(self, count: int, end_s: float) -> None:
+        """Adds permits that may be used until a monotonic time."""
+        self._permit_ends_s.extend([end_s] * count)
+
+    def set_next_permit(self, next_permit_s: float, ask_again_s: float) -> None:
+        """Sets when the next permit is due for any instance, and for this."""
+        self.next_permit_s = next_permit_s
+        self.ask_again_s = ask_again_s
+
+    def promise_retry_after(self) -> float:
+        """Returns the seconds until the next permit that no caller was told.
+
+        Callers that return together would be refused together.
+        """
+        now_s = self._clock.monotonic()
+        rate_per_s = max(permits.MIN_RATE_PER_S, self.rate_per_s or 0.0)
+        next_permit_s = max(self.next_permit_s, self.observed_s)
+        if next_permit_s <= now_s:
+            # Others have got the permits since then.
+            passed = math.floor((now_s - next_permit_s) * rate_per_s) + 1
+            next_permit_s += passed / rate_per_s
+        self._promised_s = min(
+            now_s + _MAX_RETRY_AFTER_S,
+            max(next_permit_s, self._promised_s + 1 / rate_per_s),
+        )
+        return self._promised_s - now_s
--- a/packages/daemon/src/bamboosilld/gateway/request_context.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_context.py
@@ -6,6 +6,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.gateway import http_messages
+from bamboosilld.gateway import permit_client
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import view as view_lib
 
@@ -43,12 +44,15 @@
         reason: Why there is none.
         may_have_run: Whether an upstream may have run the request.
         upstream: Id of the last upstream that was tried, or empty.
+        retry_after_s: Seconds after which the caller may be served, or 0 if
+            that is not known.
     """
 
     upstream_response: upstream_connection_lib.UpstreamResponse | None
     reason: str
     may_have_run: bool
     upstream: str
+    retry_after_s: float = 0.0
 
 
 class SendContext(NamedTuple):
@@ -59,3 +63,4 @@
     view: view_lib.View
     clock: clock_lib.Clock
     rng: random.Random
+    permits: permit_client.PermitClient
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -25,6 +25,8 @@
 # before any byte was written. Route limits cover only those that may have run.
 _MAX_REJECTIONS = 4
 _MAX_UNSENT_ATTEMPTS = 4
+# Longest wait for the leader's reply to a question for a permit.
+_PERMIT_WAIT_S = 0.25
 # Multiples of the route's target latency beyond which a request is refused, by
 # priority from the most urgent. Under overload, low priorities go first.
 _LATENCY_FACTOR_BY_PRIORITY = (1.6, 1.4, 1.0)
@@ -62,6 +64,7 @@
         self._may_have_run = False
         self._reason = "no upstream"
         self._upstream = ""
+        self._retry_after_s = 0.0
         self._error_response: (
             upstream_connection_lib.UpstreamResponse | None
         ) = None
@@ -84,7 +87,11 @@
                 self._error_response, "", True, self._upstream
             )
         return request_context.Outcome(
-            None, self._reason, self._may_have_run, self._upstream
+            None,
+            self._reason,
+            self._may_have_run,
+            self._upstream,
+            self._retry_after_s,
         )
 
     def _may_send(self) -> bool:
@@ -115,7 +122,7 @@
         """Returns the upstream to send to; waits for the holder of a key."""
         routed, view = self._routed, self._context.view
         if routed.key == request_context.NO_KEY:
-            return self._choose_upstream(self._failed)
+            return await self._choose_permitted(self._failed)
         target_s = routed.route.target_latency_ms / 1000
         target_remaining_s = (
             routed.received_s + target_s - self._context.clock.monotonic()
@@ -136,7 +143,24 @@
             # A new connection attempt would only time out at the deadline.
             self._reason = "key's holder does not answer"
             return None
-        return holder if self._is_fast_enough(holder) else None
+        if not self._is_fast_enough(holder):
+            return None
+        if not await self._acquire_permit(holder):
+            self._refuse_for_limit([holder])
+            return None
+        return holder
+
+    async def _acquire_permit(self, upstream: load_balancing.Upstream) -> bool:
+        timeout_s = max(0.0, min(_PERMIT_WAIT_S, self._get_remaining_s()))
+        return await self._context.permits.acquire(upstream, timeout_s)
+
+    def _refuse_for_limit(
+        self, upstreams: list[load_balancing.Upstream]
+    ) -> None:
+        """Sets the outcome of a request that no upstream takes at this rate."""
+        first = min(upstreams, key=lambda each: each.rate_limit.next_permit_s)
+        self._reason = "rate limit of upstream"
+        self._retry_after_s = first.rate_limit.promise_retry_after()
 
     def _find_holder(self) -> load_balancing.Upstream | None:
         """Returns the key's holder, unless it rejected this request's key.
@@ -155,15 +179,35 @@
         fence = self._context.view.get_fence(routed.service, routed.key)
         return f"{holder.item.upstream}/{fence}" in self._failed
 
-    def _choose_upstream(
+    async def _choose_permitted(
         self, excluded: set[str]
+    ) -> load_balancing.Upstream | None:
+        """Returns an upstream that takes a request now.
+
+        Asks for a permit at most once: meanwhile, other upstreams can serve.
+        """
+        chosen = self._choose_upstream(excluded)
+        if chosen is None or await self._acquire_permit(chosen):
+            return chosen
+        return self._choose_upstream(excluded, needs_permit=True)
+
+    def _choose_upstream(
+        self, excluded: set[str], needs_permit: bool = False
     ) -> load_balancing.Upstream | None:
         candidates = self._context.view.list_upstreams(self._routed.service)
+        usable = [
+            each
+            for each in candidates
+            if not needs_permit or each.rate_limit.has_permit()
+        ]
+        if candidates and not usable:
+            self._refuse_for_limit(candidates)
+            return None
         untried = [
-            each for each in candidates if each.item.upstream not in excluded
+            each for each in usable if each.item.upstream not in excluded
         ]
         chosen = load_balancing.choose(
-            untried or candidates,
+            untried or usable,
             self._context.zone,
             self._context.rng,
             self._entry_count,
@@ -209,6 +253,7 @@
 
         The first response wins; the other attempt is cancelled.
         """
+        first.rate_limit.take_permit()
         pending = {asyncio.create_task(self._attempt(first))}
         try:
             if self._can_hedge():
@@ -218,6 +263,7 @@
                 if not done:
                     second = self._choose_hedge(first)
                     if second is not None:
+                        second.rate_limit.take_permit()
                         pending.add(asyncio.create_task(self._attempt(second)))
             while pending:
                 done, pending = await asyncio.wait(
@@ -246,7 +292,7 @@
         self, first: load_balancing.Upstream
     ) -> load_balancing.Upstream | None:
         excluded = self._failed | {first.item.upstream}
-        second = self._choose_upstream(excluded)
+        second = self._choose_upstream(excluded, needs_permit=True)
         if (
             second is None
             or second.item.upstream in excluded
@@ -390,10 +436,12 @@
         if load is not None:
             upstream.update_load(load)
         if response.status != exchange.STATUS_MISDIRECTED:
-            upstream.rate_limit.observe(
+            has_changed = upstream.rate_limit.observe(
                 response.list_values(self._context.names.rate_limit),
                 exchange.is_rejection(response, self._context.names),
             )
+            if has_changed:
+                self._context.permits.report(upstream)
         if response.status < _FIRST_ERROR_STATUS and not exchange.is_rejection(
             response, self._context.names
         ):
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -14,6 +14,7 @@
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import latency as latency_lib
+from bamboosilld.gateway import permit_client
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import request_sender
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
@@ -37,6 +38,7 @@
     """Settings of the request path.
 
     Attributes:
+        instance: Name of this instance.
         zone: Availability zone of this instance.
         names: Names of the headers.
         retry_ratio: Agreed retries as a fraction of requests.
@@ -45,6 +47,7 @@
         retry_window_s: Length of the window of the retry budget in seconds.
     """
 
+    instance: str
     zone: str
     names: http_messages.HeaderNames
     retry_ratio: float
@@ -70,7 +73,18 @@
         self._settings = settings
         self._names = settings.names
         self._context = request_context.SendContext(
-            settings.zone, settings.names, view, clock, rng
+            settings.zone,
+            settings.names,
+            view,
+            clock,
+            rng,
+            permit_client.PermitClient(
+                settings.instance,
+                follower.acquire_permits,
+                lambda: follower.entry_count,
+                clock,
+                rng,
+            ),
         )
         self._follower = follower
         self._view = view
@@ -206,7 +220,9 @@
             status = 503
             if outcome.may_have_run:
                 status = 504 if outcome.reason == "timeout" else 502
-            response = self._make_error_response(status, routed.request, routed)
+            response = self._make_error_response(
+                status, routed.request, routed, outcome.retry_after_s
+            )
         self._log_outcome(routed, outcome, response.status)
         return response
 
@@ -284,6 +300,7 @@
         status: int,
         request: http_messages.Request,
         routed: request_context.RoutedRequest | None,
+        known_retry_after_s: float = 0.0,
     ) -> http_messages.Response:
         request_id = request.get(self._names.request_id) or b""
         headers: http_messages.Headers = []
@@ -294,7 +311,8 @@
             if routed is not None:
                 target_s = routed.route.target_latency_ms / 1000
                 retry_after_s = max(
-                    _MIN_RETRY_AFTER_S, target_s * _RETRY_AFTER_FRACTION
+                    _MIN_RETRY_AFTER_S,
+                    known_retry_after_s or target_s * _RETRY_AFTER_FRACTION,
                 )
             headers.append((b"Retry-After", b"%.2f" % retry_after_s))
         return http_messages.Response(status, headers, b"")
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -98,6 +98,16 @@
                     upstream_stats.relative_latency
                 )
 
+    def update_limits(self, limits: tuple[messages.UpstreamLimit, ...]) -> None:
+        """Applies the rate limits that other instances have observed."""
+        now_s = self._clock.monotonic()
+        for limit in limits:
+            upstream = self._upstreams.get(
+                state_lib.UpstreamIncarnation(limit.upstream, limit.born_ms)
+            )
+            if upstream is not None:
+                upstream.rate_limit.apply(limit, now_s)
+
     def sweep(self) -> None:
         """Closes idle connections that may not be reused any more."""
         for upstream in self._upstreams.values():
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -1,10 +1,14 @@
 """Fixtures: upstream servers that respond with scripted bytes."""
 
 import asyncio
+import random
 
 import pytest
+from returns.result import Failure
 
+from bamboosill_common import errors
 from bamboosilld.gateway import http_messages
+from bamboosilld.gateway import permit_client
 
 NAMES = http_messages.HeaderNames(
     request_id=b"x-id",
@@ -78,6 +82,17 @@
     ).encode() + body
 
 
+def make_permit_client(clock, ask=None, entry_count=1):
+    """Returns a permit client; without `ask`, no leader is known."""
+
+    async def fail(request):
+        return Failure(errors.PeerError("no_leader", "none known", False))
+
+    return permit_client.PermitClient(
+        "e1", ask or fail, lambda: entry_count, clock, random.Random(1)
+    )
+
+
 @pytest.fixture
 async def serve():
     """Starts scripted servers and stops them after the test."""
--- a/packages/daemon/tests/gateway/test_request_sender.py
+++ b/packages/daemon/tests/gateway/test_request_sender.py
@@ -18,6 +18,7 @@
 from bamboosilld.gateway import view as view_lib
 
 from .conftest import NAMES
+from .conftest import make_permit_client
 from .conftest import make_response
 
 
@@ -121,7 +122,12 @@
                 now_s + options.get("left_s", 2.0),
             ),
             request_context.SendContext(
-                "z1", NAMES, self.view, self.clock, random.Random(1)
+                "z1",
+                NAMES,
+                self.view,
+                self.clock,
+                random.Random(1),
+                make_permit_client(self.clock),
             ),
             budget_lib.RetryBudget(self.clock, 0.2, retry_constant, 10.0),
             options.get("latency", latency_lib.Latency()),
--- a/packages/daemon/tests/gateway/test_service.py
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -4,8 +4,10 @@
 import random
 
 import pytest
+from returns.result import Failure
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as fleet_messages
 from bamboosilld.fleet import state as state_lib
@@ -29,11 +31,14 @@
     def is_synced(self):
         return self.state.configuration.version > 0
 
+    async def acquire_permits(self, request):
+        return Failure(errors.PeerError("no_leader", "none known", False))
+
 
 def _make_service(follower):
     clock = clock_lib.LoopClock()
     view = view_lib.View(follower.state, clock, NAMES.request_id)
-    settings = service_lib.GatewaySettings("z1", NAMES, 0.2, 10.0, 10.0)
+    settings = service_lib.GatewaySettings("e1", "z1", NAMES, 0.2, 10.0, 10.0)
     return service_lib.Service(
         settings, follower, view, clock, random.Random(1)
     )
--- a/packages/daemon/tests/gateway/test_shared_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_shared_rate_limit.py
@@ -4,14 +4,19 @@
 import random
 
 import pytest
+from returns.result import Failure
+from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import permits
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import latency as latency_lib
+from bamboosilld.gateway import permit_client
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import request_sender
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
@@ -22,7 +27,9 @@
 _LINK_S = 0.002
 _WORK_S = 0.15
 # The contract with upstreams: after `_GRACE_S`, at most `_FACTOR` times the
-# limit and `_SLACK` requests in any window.
+# limit and `_SLACK` requests in any window, from instances that got a response
+# with the limit `_TELL_S` before or earlier.
+_TELL_S = 0.5
 _GRACE_S = 3.0
 _WINDOW_S = 4.0
 _FACTOR = 1.5
@@ -38,18 +45,28 @@
         self._rng = rng
         self._schedule = [(0.0, []), *schedule]
         self.arrivals = []
+        self.arrivals_if_told = []
+        self._told_s = {}
 
     def get_values(self, at_s):
         return [each for each in self._schedule if each[0] <= at_s][-1][1]
 
     def get_rate(self, at_s):
-        rates = [float(each) for each in self.get_values(at_s)]
-        return min(rates, default=float("inf"))
+        """Returns the last valid limit; a malformed one changes nothing."""
+        valid = [
+            values
+            for start_s, values in self._schedule
+            if start_s <= at_s and values != [b"soon"]
+        ]
+        return min(map(float, valid[-1]), default=float("inf"))
 
-    async def exchange(self, request_id):
+    async def exchange(self, sender, request_id):
         await asyncio.sleep(_LINK_S)
         now_s = asyncio.get_running_loop().time()
+        told_s = self._told_s.get(sender, float("inf"))
         self.arrivals.append(now_s)
+        if told_s + _TELL_S <= now_s:
+            self.arrivals_if_told.append(now_s)
         headers = [(b"x-id", request_id), (b"x-signature", b"s")]
         status, kind = 200, self._rng.random()
         if kind < 0.05:
@@ -60,20 +77,21 @@
         now_s = asyncio.get_running_loop().time()
         headers += [(b"x-rate-limit", v) for v in self.get_values(now_s)]
         await asyncio.sleep(_LINK_S)
+        if self.get_values(now_s):
+            self._told_s.setdefault(sender, now_s + _LINK_S)
         return upstream_connection_lib.UpstreamResponse(status, headers, b"")
 
-    def find_excess(self, end_s):
+    def find_excess(self, end_s, arrivals=None):
         """Returns the windows with more arrivals than the limit allows."""
+        arrivals = self.arrivals if arrivals is None else arrivals
         starts = [at_s for at_s, _ in self._schedule]
         excess = []
-        for first, start_s in enumerate(self.arrivals):
+        for first, start_s in enumerate(arrivals):
             since_s = max(each for each in starts if each <= start_s)
             if start_s - since_s < _GRACE_S or start_s + _WINDOW_S > end_s:
                 continue
             window = [
-                each
-                for each in self.arrivals[first:]
-                if each < start_s + _WINDOW_S
+                each for each in arrivals[first:] if each < start_s + _WINDOW_S
             ]
             rate = max(self.get_rate(start_s), self.get_rate(window[-1]))
             if len(window) > _FACTOR * _WINDOW_S * rate + _SLACK:
@@ -87,14 +105,15 @@
 class _Pool:
     """Stands in for the connections from an instance to an upstream."""
 
-    def __init__(self, upstream):
+    def __init__(self, instance, upstream):
+        self._instance = instance
         self._upstream = upstream
 
     async def acquire(self):
         return self
 
     async def exchange(self, data, request_id):
-        return await self._upstream.exchange(request_id)
+        return await self._upstream.exchange(self._instance, request_id)
 
     def release(self, connection):
         pass
@@ -117,18 +136,46 @@
             self.state.apply(index, wire.pack(command))
         by_name = {each.name: each for each in fleet.upstreams}
         for each in self.view.list_upstreams("s"):
-            each.pool = _Pool(by_name[each.item.upstream])
+            each.pool = _Pool(self, by_name[each.item.upstream])
         self._budget = budget_lib.RetryBudget(self._clock, 0.2, 50, 10.0)
         self._latency = latency_lib.Latency()
+        self._permits = permit_client.PermitClient(
+            self.name,
+            self._ask,
+            lambda: len(fleet.instances),
+            self._clock,
+            self._rng,
+        )
+        self.is_cut_off = False
         self.outcomes = []
 
     def make_context(self):
         return request_context.SendContext(
-            "z1", NAMES, self.view, self._clock, self._rng
+            "z1", NAMES, self.view, self._clock, self._rng, self._permits
         )
 
+    async def run_updates(self):
+        """Receives limits of other instances, as with the replies to polls."""
+        while True:
+            leader = self._fleet.leader
+            if leader is not None and not self.is_cut_off:
+                self.view.update_limits(leader.list_limits())
+            await asyncio.sleep(self._rng.uniform(0.3, 0.6))
+
+    async def _ask(self, request):
+        """Asks the leader over a link with a random delay."""
+        leader = self._fleet.leader
+        if leader is None or self.is_cut_off:
+            await asyncio.sleep(0.25)
+            return Failure(errors.PeerError("timeout", "leader", True))
+        await asyncio.sleep(self._rng.uniform(0.0005, 0.005))
+        reply = leader.acquire(request)
+        await asyncio.sleep(self._rng.uniform(0.0005, 0.005))
+        return Success(reply)
+
     async def run(self, rate_per_s):
-        tasks = set()
+        updates = asyncio.create_task(self.run_updates())
+        tasks = {updates}
         try:
             while True:
                 await asyncio.sleep(self._rng.expovariate(rate_per_s))
@@ -212,27 +259,58 @@
                 "s", (messages.KeyRange(0, 65535, 0, "u0", 1, ""),)
             ),
         ]
+        self.leader = self.make_leader()
         self.instances = [
             _Instance(self, number) for number in range(instance_count)
         ]
         self.tasks = []
 
+    def make_leader(self):
+        """Returns the permits of a leader that knows nothing yet."""
+        state = state_lib.FleetState()
+        for index, command in enumerate(self.commands, 1):
+            state.apply(index, wire.pack(command))
+        return permits.PermitBroker(state, clock_lib.LoopClock(), self.rng)
+
     @property
     def limited(self):
         return self.upstreams[0]
 
-    async def run(self, seconds, total_rate_per_s):
-        rate_per_s = total_rate_per_s / len(self.instances)
-        self.tasks = [
-            asyncio.create_task(each.run(rate_per_s)) for each in self.instances
-        ]
+    async def run(self, seconds, total_rate_per_s, faults=None):
+        self._rate_per_s = total_rate_per_s / len(self.instances)
+        self.tasks = [self._start(each) for each in self.instances]
+        if faults is not None:
+            self.tasks.append(asyncio.create_task(faults(self)))
         await asyncio.sleep(seconds)
-        await self.stop()
-
-    async def stop(self):
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        results = await asyncio.gather(*self.tasks, return_exceptions=True)
+        for each in results:
+            if not isinstance(each, asyncio.CancelledError):
+                raise each
+
+    def _start(self, instance):
+        return asyncio.create_task(instance.run(self._rate_per_s))
+
+    async def inject_faults(self):
+        """Stops, freezes and cuts off instances, and loses the leader."""
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+            fault = self.rng.choice(("restart", "freeze", "cut", "leader"))
+            number = self.rng.randrange(len(self.instances))
+            if fault == "leader":
+                self.leader = None
+                await asyncio.sleep(self.rng.choice((0.0, 1.5, 6.0)))
+                self.leader = self.make_leader()
+            elif fault == "cut":
+                for each in self.instances:
+                    each.is_cut_off = self.rng.random() < 0.3
+            else:
+                self.tasks[number].cancel()
+                await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+                if fault == "restart":
+                    self.instances[number] = _Instance(self, number)
+                self.tasks[number] = self._start(self.instances[number])
 
     def list_outcomes(self):
         return [each for one in self.instances for each in one.outcomes]
@@ -257,3 +335,74 @@
     fleet = _Fleet(seed, instance_count, is_sharded, [(5.0, [rate])])
     await fleet.run(40.0, 60.0)
     assert fleet.limited.find_excess(40.0) == []
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("is_sharded", [False, True])
+@pytest.mark.parametrize("seed", range(10, 13))
+@pytest.mark.parametrize(
+    ("instance_count", "rate"), [(8, b"1"), (91, b".5"), (91, b"6")]
+)
+async def test_faults_of_instances_and_leader_do_not_exceed_a_limit(
+    is_sharded, seed, instance_count, rate
+):
+    """Guards against permits from before a fault that are used after it.
+
+    An instance that a fault keeps from the leader may not know the limit.
+    """
+    fleet = _Fleet(seed, instance_count, is_sharded, [(5.0, [rate])])
+    await fleet.run(40.0, 40.0, _Fleet.inject_faults)
+    limited = fleet.limited
+    assert limited.find_excess(40.0, limited.arrivals_if_told) == []
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("instance_count", [8, 91])
+async def test_a_changed_limit_is_in_force_at_all_instances(instance_count):
+    """Guards against a limit that is kept after it was raised or has ended.
+
+    While an instance may not send, it observes no change itself.
+    """
+    schedule = [
+        (5.0, [b"2"]),
+        (15.0, [b"8", b"9.5"]),
+        (25.0, [b".5"]),
+        (35.0, [b"soon"]),
+        (45.0, []),
+        (55.0, [b"0"]),
+    ]
+    fleet = _Fleet(6, instance_count, True, schedule)
+    await fleet.run(65.0, 60.0)
+    assert fleet.limited.find_excess(65.0) == []
+    assert fleet.limited.count_arrivals(18.0, 25.0) > 0.7 * 8 * 7
+    assert fleet.limited.count_arrivals(38.0, 45.0) <= 0.5 * 7 + 1
+    assert fleet.limited.count_arrivals(50.0, 55.0) > 0.7 * 60 * 5
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("instance_count", "rate"), [(8, 1.0), (91, 1.0), (91, 0.5), (91, 20.0)]
+)
+async def test_the_only_holder_of_a_key_is_used_up_to_its_limit(
+    instance_count, rate
+):
+    """Guards against permits that are lost where no request waits for them.
+
+    What does not fit is refused at once, as not run, with a time to return.
+    """
+    schedule = [(5.0, [b"%.1f" % rate])]
+    fleet = _Fleet(7, instance_count, True, schedule)
+    await fleet.run(45.0, 60.0)
+    assert fleet.limited.find_excess(45.0) == []
+    assert fleet.limited.count_arrivals(8.0, 45.0) >= 0.7 * rate * 37
+    refused = [
+        (took_s, outcome)
+        for sent_s, took_s, outcome in fleet.list_outcomes()
+        if outcome.reason == "rate limit of upstream" and sent_s > 8.0
+    ]
+    assert refused
+    for took_s, outcome in refused:
+        if not outcome.upstream:
+            assert took_s < 0.3
+            assert not outcome.may_have_run
+            assert outcome.retry_after_s > 0.0
