Add a failing soak of entry instances that reach no upstream

For the test, connections to upstreams come from the instance's own address, as those to other instances do, so that the relay can tell instances apart.

--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -76,10 +76,13 @@
         item: messages.UpstreamItem,
         clock: clock_lib.Clock,
         request_id_name: bytes,
+        local_host: str = "",
     ) -> None:
         self.item = item
         self._clock = clock
-        self.pool = upstream_connection_lib.Pool(item.address, request_id_name)
+        self.pool = upstream_connection_lib.Pool(
+            item.address, request_id_name, local_host
+        )
         self.rate_limit = rate_limit_lib.RateLimit(item.upstream, clock)
         self.in_flight = 0
         self.relative_latency = 1.0
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -69,6 +69,7 @@
             self._follower.state,
             process.clock,
             settings.gateway.names.request_id,
+            process.settings.peer_address.rpartition(":")[0],
         )
         self.service = service_lib.Service(
             settings.gateway,
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -292,12 +292,15 @@
 
 
 class Pool:
-    """Pool of connections to one incarnation of an upstream."""
+    """Pool of connections to one incarnation of an upstream, or an instance."""
 
-    def __init__(self, address: str, request_id_name: bytes) -> None:
+    def __init__(
+        self, address: str, request_id_name: bytes, local_host: str = ""
+    ) -> None:
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._request_id_name = request_id_name
+        self._local_address = (local_host, 0) if local_host else None
         self._idle: list[Connection] = []
         self.opened = 0
 
@@ -320,6 +323,7 @@
                     lambda: Connection(self._request_id_name),
                     self._host,
                     self._port,
+                    local_addr=self._local_address,
                 )
         except TimeoutError:
             raise ExchangeError("connect", False) from None
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -27,10 +27,12 @@
         state: state_lib.FleetState,
         clock: clock_lib.Clock,
         request_id_name: bytes,
+        local_host: str = "",
     ) -> None:
         self.state = state
         self._clock = clock
         self._request_id_name = request_id_name
+        self._local_host = local_host
         self.routes = routes_lib.Routes(())
         self.services: dict[str, messages.ServiceItem] = {}
         self.changed = change_notifier.ChangeNotifier()
@@ -134,7 +136,7 @@
             upstream = self._upstreams.get(incarnation)
             if upstream is None or upstream.item.address != item.address:
                 upstream = load_balancing.Upstream(
-                    item, self._clock, self._request_id_name
+                    item, self._clock, self._request_id_name, self._local_host
                 )
             upstream.item = item
             upstreams[incarnation] = upstream
--- a/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
@@ -31,7 +31,7 @@
         host = f"{network}.{number}"
         self.control_address = f"{host}:{_CONTROL_PORT}"
         self.caller_address = f"{host}:{_CALLER_PORT}"
-        self._host = host
+        self.host = host
         self._network = network
         self._child: subprocess.Popen[bytes] | None = None
         self._is_first = True
@@ -44,11 +44,11 @@
         lines = [
             f"self.node_id={self.name}",
             f"self.serves={'edge' if is_entry else 'control_plane'}",
-            f"self.ip={self._host}",
+            f"self.ip={self.host}",
             "self.zone=z1",
             f"self.bootstrap={'true' if self._is_first else 'false'}",
             f"network.listen.front={self.caller_address}",
-            f"network.listen.readiness={self._host}:{_READINESS_PORT}",
+            f"network.listen.readiness={self.host}:{_READINESS_PORT}",
             f"network.listen.control={self.control_address}",
             f"network.internal_ports={_FIRST_INTERNAL_PORT},{_LAST_INTERNAL_PORT}",
             f"network.seeds={','.join(seeds)}",
--- a/packages/dev/src/bamboosill_dev/fleetsoak/run.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/run.py
@@ -31,6 +31,19 @@
 _RECOVERY_CHECK_S = 2.0
 _MIN_SERVED_RATIO = 0.8
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# From this time after a cut on, entry instances that reach no upstream serve at
+# least a share of what others serve, or few requests fail there.
+_CUT_GRACE_S = 3.0
+_MIN_RELATIVE_SERVED_RATIO = 2 / 3
+_FAILED_CONSTANT, _FAILED_FRACTION = 10, 1 / 50
+
+
+class _Answer(NamedTuple):
+    """Status of a request that was sent to an entry instance at a time."""
+
+    sent_s: float
+    host: str
+    status: int
 
 
 class Result(NamedTuple):
@@ -47,11 +60,14 @@
 class Soak:
     """The processes, stand-in upstreams and callers of one run."""
 
-    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, seed: int, cut_form: str = ""
+    ) -> None:
         # Callers have a separate generator, so that the faults of a seed do not
         # depend on the number of requests sent before them.
         self._rng = random.Random(seed)
         self._caller_rng = random.Random(seed)
+        self._cut_form = cut_form
         # Each run has its own loopback network, so that concurrent runs do not
         # share addresses.
         network = f"127.{100 + seed % 100}.{time.time_ns() // 1000 % 250}"
@@ -70,7 +86,7 @@
             for number in range(_UPSTREAM_COUNT)
         ]
         self._relays: list[relay_lib.Relay] = []
-        self._statuses: list[tuple[float, int]] = []
+        self._answers: list[_Answer] = []
         self._version = self._acknowledged = 0
         self._faults: list[str] = []
         self._is_over = False
@@ -92,7 +108,7 @@
                     await upstream.crash()
             for relay in self._relays:
                 await relay.stop()
-        statuses = [status for _, status in self._statuses]
+        statuses = [each.status for each in self._answers]
         return Result(
             statuses.count(200),
             sum(status in _NOT_RUN_STATUSES for status in statuses),
@@ -120,6 +136,8 @@
         ]
         tasks.append(asyncio.create_task(self._run_operator(session)))
         end_s = time.monotonic() + seconds
+        if self._cut_form:
+            await self._cut_off_entries(seconds)
         while time.monotonic() < end_s:
             await self._inject_fault()
             await asyncio.sleep(self._rng.uniform(0.3, 1.5))
@@ -136,23 +154,26 @@
         self._relays.append(relay)
 
     async def _run_caller(self, number: int) -> None:
-        pools = [
-            upstream_connection_lib.Pool(entry.caller_address, b"attempt-id")
+        pools = {
+            entry.host: upstream_connection_lib.Pool(
+                entry.caller_address, b"attempt-id"
+            )
             for entry in self._entries
-        ]
+        }
         count = 0
         while not self._is_over:
             count += 1
             attempt = f"a{number}x{count}"
             is_order = self._caller_rng.random() < 0.4
-            pool = self._caller_rng.choice(pools)
-            status = 0
+            host, pool = self._caller_rng.choice(list(pools.items()))
+            status, sent_s = 0, time.monotonic()
             try:
                 async with asyncio.timeout(3.0):
                     status = await self._send_request(pool, attempt, is_order)
             except (upstream_connection_lib.ExchangeError, TimeoutError):
                 await asyncio.sleep(0.05)
             self._check_answer(attempt, is_order, status)
+            self._answers.append(_Answer(sent_s, host, status))
             await asyncio.sleep(self._caller_rng.uniform(0.0, 0.06))
 
     async def _send_request(
@@ -184,7 +205,6 @@
             self._record.violations.append(f"{attempt}: refused but ran")
         if status == 200 and not runs:
             self._record.violations.append(f"{attempt}: answered but not run")
-        self._statuses.append((time.monotonic(), status))
 
     async def _run_operator(self, session: aiohttp.ClientSession) -> None:
         while not self._is_over:
@@ -312,6 +332,48 @@
                 cut_to_client=action == "one way",
             )
 
+    async def _cut_off_entries(self, seconds: float) -> None:
+        """Cuts all entry instances but one off and checks what they serve."""
+        hosts = {each.host for each in self._entries[1:]}
+        self._strand(hosts, self._cut_form)
+        since_s = time.monotonic() + _CUT_GRACE_S
+        await asyncio.sleep(seconds)
+        answers = [each for each in self._answers if each.sent_s >= since_s]
+        self._strand(set(), self._cut_form)
+        served = {True: 0, False: 0}
+        sent = {True: 0, False: 0}
+        for each in answers:
+            is_cut_off = each.host in hosts
+            sent[is_cut_off] += 1
+            served[is_cut_off] += each.status == 200
+        failed = sent[True] - served[True]
+        if served[True] * sent[False] < _MIN_RELATIVE_SERVED_RATIO * served[
+            False
+        ] * sent[True] and failed > _FAILED_CONSTANT + _FAILED_FRACTION * len(
+            answers
+        ):
+            self._record.violations.append(
+                f"served {served[True]} of {sent[True]} at instances that are "
+                f"cut off, {served[False]} of {sent[False]} at others"
+            )
+
+    def _strand(self, hosts: set[str], form: str) -> None:
+        """Cuts entry instances off from all upstreams.
+
+        Args:
+            hosts: IP addresses of the instances; others are not cut off.
+            form: `hang`, `reset`, or `refuse` if existing connections live on.
+        """
+        is_hanging = form == "hang"
+        for relay in self._relays:
+            relay.set_faults(
+                cut_sources=frozenset(hosts if is_hanging else ()),
+                refused_sources=frozenset(() if is_hanging else hosts),
+            )
+            if form == "reset":
+                for host in hosts:
+                    relay.reset(host)
+
     async def _end_faults(self) -> None:
         for relay in self._relays:
             relay.heal()
@@ -323,7 +385,9 @@
 
     async def _check_recovery(self, session: aiohttp.ClientSession) -> None:
         since_s = time.monotonic() - _RECOVERY_CHECK_S
-        recent = [status for at_s, status in self._statuses if at_s >= since_s]
+        recent = [
+            each.status for each in self._answers if each.sent_s >= since_s
+        ]
         served_ratio = recent.count(200) / max(1, len(recent))
         if served_ratio < _MIN_SERVED_RATIO:
             self._record.violations.append(
--- a/packages/dev/src/bamboosill_dev/relay.py
+++ b/packages/dev/src/bamboosill_dev/relay.py
@@ -31,6 +31,7 @@
         hold_new: Whether new connections are accepted but not forwarded.
         cut_sources: IP addresses whose connections are neither forwarded nor
             closed.
+        refused_sources: IP addresses whose new connections are closed at once.
     """
 
     refuse: bool = False
@@ -39,6 +40,7 @@
     cut_to_client: bool = False
     hold_new: bool = False
     cut_sources: frozenset[str] = frozenset()
+    refused_sources: frozenset[str] = frozenset()
 
 
 class _RelayedConnection:
@@ -109,17 +111,21 @@
         for connection in self._connections:
             connection.silent = True
 
-    def reset(self) -> None:
-        """Aborts existing connections."""
+    def reset(self, source_ip: str = "") -> None:
+        """Aborts existing connections, of all sources or of one."""
         for connection in tuple(self._connections):
-            connection.abort()
+            if source_ip in ("", connection.source_ip):
+                connection.abort()
 
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.accepted += 1
         connection = _RelayedConnection(writer)
-        if self.faults.refuse:
+        if (
+            self.faults.refuse
+            or connection.source_ip in self.faults.refused_sources
+        ):
             connection.abort()
             return
         self._connections.add(connection)
