Forward requests to other entry instances while no upstream is reached

Cause: an entry instance had no way to an upstream but its own connections, and nothing told it from one whose upstreams have failed. The class: one instance's view taken for the state of the others.

Evidence: failures last for the whole cut, at cut-off instances only (connect, refused, holder does not answer), while the leader and all other instances are reached.

Ruled out: time limits of dead connections (they explain the first 1.5 s only); not being ready, which changes nothing for open connections and for a zone of which most is cut off (docs/design.md 2.10).

Why it works: if two upstreams fail and up to four that are probed do not respond, the instance forwards whole requests over HTTP to instances that the leader names. A forward that may have arrived is not repeated; time, attempts and configuration version go with it; a forwarded request is not forwarded again; each instance takes 128 at most; a stopping one takes none and ends those it has; a caller that leaves ends the request at the upstream. Probes go on every 0.5 s until one is answered. The leader ignores reports on upstreams from instances that are cut off: three of them would have marked healthy upstreams as suspect for all.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -191,6 +191,15 @@
     "Questions for permits to send to upstreams with a rate limit, by outcome.",
     ["outcome"],
 )
+gateway_cut_off = prometheus_client.Gauge(
+    "bamboosill_gateway_cut_off",
+    "1 while this instance reaches no upstream.",
+)
+gateway_forwards = prometheus_client.Counter(
+    "bamboosill_gateway_forwards_total",
+    "Requests forwarded to other entry instances, by outcome.",
+    ["outcome"],
+)
 gateway_sync_age = prometheus_client.Gauge(
     "bamboosill_gateway_sync_age_seconds",
     "Time since the leader last answered this entry instance.",
--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -174,6 +174,10 @@
   loads @4 :List(UpstreamLoad);
   # Whether the sender supports `FollowReply.packed`.
   takesPacked @5 :Bool;
+  # Whether the sender reaches no upstream, and the version of the list of
+  # instances that it can forward requests to.
+  isCutOff @6 :Bool;
+  forwardersVersion @7 :UInt64;
 }
 
 struct RevisedCommand {
@@ -187,6 +191,12 @@
   commands @0 :List(RevisedCommand);
 }
 
+struct EntryAddress {
+  # Peer address of an entry instance and its availability zone.
+  address @0 :Text;
+  zone @1 :Text;
+}
+
 struct FollowReply {
   # Reply to Follow; a non-empty `snapshot` replaces the state.
   revision @0 :UInt64;
@@ -203,6 +213,10 @@
   packed @7 :Data;
   # Rate limits that upstreams state, and those that ended recently.
   limits @8 :List(UpstreamLimit);
+  # Sent if the version is another one than that of the request: entry instances
+  # that take forwarded requests.
+  forwarders @9 :List(EntryAddress);
+  forwardersVersion @10 :UInt64;
 }
 
 struct UpstreamLimit {
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -375,7 +375,7 @@
                 "not_leader", leader.address if leader else ""
             )
         self.authority.observations.add(request)
-        reply = await self.feed.answer(request)
+        reply = await self.feed.answer(request, hello.zone)
         if not self.authority.is_active_leader():
             raise errors.HandlerError("not_leader", "")
         if request.takes_packed and not reply.loads:
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -39,6 +39,7 @@
     key_work: tuple[messages.KeyWork, ...] = ()
     relative_latencies: tuple[messages.UpstreamPace, ...] = ()
     loads: tuple[messages.UpstreamLoad, ...] = ()
+    is_cut_off: bool = False
 
 
 class UpstreamStats(NamedTuple):
@@ -75,6 +76,9 @@
         on_limits: Callable[
             [tuple[messages.UpstreamLimit, ...]], None
         ] = lambda limits: None,
+        on_forwarders: Callable[
+            [tuple[messages.EntryAddress, ...]], None
+        ] = lambda forwarders: None,
     ) -> None:
         self._instance = instance
         self._directory = directory
@@ -83,6 +87,8 @@
         self._pop_measurements = pop_measurements
         self._on_stats = on_stats
         self._on_limits = on_limits
+        self._on_forwarders = on_forwarders
+        self._forwarders_version = 0
         self._control_peers: tuple[str, ...] = ()
         self._leader = ""
         self._last_poll_succeeded = False
@@ -132,11 +138,16 @@
             Whether to start again at the leader: the instance leads, or it
             named the instance that does.
         """
+        measured = self._pop_measurements()
         request = messages.Follow(
             self.state.revision,
             self._instance,
-            *self._pop_measurements(),
+            measured.key_work,
+            measured.relative_latencies,
+            measured.loads,
             takes_packed=True,
+            is_cut_off=measured.is_cut_off,
+            forwarders_version=self._forwarders_version,
         )
         started_s = self._clock.monotonic()
         result = await self._directory.call(
@@ -206,6 +217,9 @@
             if each.revision > self.state.revision:
                 self.state.apply(each.revision, each.command)
         self._on_limits(reply.limits)
+        if reply.forwarders_version:
+            self._forwarders_version = reply.forwarders_version
+            self._on_forwarders(reply.forwarders)
         if reply.revision == self.state.revision:
             self._apply_stats(reply)
 
--- a/packages/daemon/src/bamboosilld/fleet/observations.py
+++ b/packages/daemon/src/bamboosilld/fleet/observations.py
@@ -50,11 +50,13 @@
         for each in request.paces:
             self.relative_latencies.add(each.upstream, each.pace, each.usual_ms)
         for load in request.loads:
-            if load.is_silent:
+            if load.is_silent and not request.is_cut_off:
                 self._suspicions.add(load.upstream, request.instance)
-            else:
+            elif not load.is_silent:
                 self._suspicions.clear(load.upstream)
                 self._add_load(load.upstream, load.requests)
+        if request.is_cut_off:
+            self._suspicions.drop_reporter(request.instance)
 
     def encode_loads(self, upstreams: Iterable[tuple[str, bool]]) -> bytes:
         """Returns the latest loads of upstreams, one byte each.
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Sequence
+import random
 from typing import NamedTuple
 import zlib
 
@@ -17,6 +18,7 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import change_notifier
+from bamboosilld.fleet import forwarders as forwarders_lib
 from bamboosilld.fleet import state as state_lib
 
 # A poll is answered after this time even without changes, so that an entry
@@ -98,11 +100,20 @@
             tuple[int, int], bytes
         ] = collections.OrderedDict()
         self._snapshot: _Snapshot | None = None
+        self._forwarders = forwarders_lib.Forwarders(random.Random())
 
-    async def answer(self, request: messages.Follow) -> messages.FollowReply:
-        """Waits for changes and returns them, or nothing after a while."""
+    async def answer(
+        self, request: messages.Follow, zone: str = ""
+    ) -> messages.FollowReply:
+        """Waits for changes and returns them, or nothing after a while.
+
+        Args:
+            request: The poll of an entry instance.
+            zone: Its availability zone.
+        """
         started_s = self._clock.monotonic()
         self._last_request_s[request.instance] = started_s
+        self._forwarders.add(request, zone)
         await self._changed.wait_until(
             lambda: self._state.revision > request.revision, _LONG_POLL_S
         )
@@ -119,6 +130,7 @@
             # The rest is sent without a delay.
             self._last_reply_s.pop(request.instance, None)
         reply = self._add_stats(reply, request)
+        reply = self._forwarders.add_to(reply, request)
         content = measure_content(reply)
         metrics.fleet_feed_replies.labels(content.name).inc()
         metrics.fleet_feed_bytes.labels(content.name).inc(content.size_bytes)
@@ -156,6 +168,9 @@
         stats = self._get_stats()
         is_due = now_s - sent_s >= _STATS_INTERVAL_S
         if not is_due or stats.revision != reply.revision:
+            if not request.revision:
+                # It serves callers from this reply on.
+                return reply._replace(limits=self._list_limits())
             return reply
         self._last_stats_s[request.instance] = now_s
         return reply._replace(
@@ -231,6 +246,7 @@
             for instance, request_s in self._last_request_s.items()
             if now_s - request_s < _ENTRY_EXPIRY_S
         }
+        self._forwarders.retain(self._last_request_s)
         return len(self._last_request_s)
 
 
--- a/packages/daemon/src/bamboosilld/fleet/suspicion.py
+++ b/packages/daemon/src/bamboosilld/fleet/suspicion.py
@@ -34,6 +34,11 @@
         """Drops all reports on an upstream, as it answered an instance."""
         self._reports.pop(upstream, None)
 
+    def drop_reporter(self, instance: str) -> None:
+        """Drops all reports of an instance that reaches no upstream."""
+        for reports in self._reports.values():
+            reports.pop(instance, None)
+
     def is_suspect(self, upstream: str, has_late_heartbeat: bool) -> bool:
         """Returns whether entry instances should avoid an upstream."""
         reports = self._reports.get(upstream)
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -64,6 +64,7 @@
             lambda: self.service.pop_measurements(),
             lambda stats: self._view.update_stats(stats),
             lambda limits: self._view.update_limits(limits),
+            lambda items: self.service.update_instances(items),
         )
         self._view = view_lib.View(
             self._follower.state,
@@ -79,6 +80,9 @@
             random.Random(),
         )
         self._caller_listener = listener_lib.Listener(self.service.handle)
+        self._forward_listener = listener_lib.Listener(
+            self.service.handle_forwarded
+        )
         self._readiness_listener = listener_lib.Listener(self._handle_readiness)
         self._metrics_listener = listener_lib.Listener(metrics_lib.handle)
         self._follower.state.add_listener(self._apply_limits)
@@ -96,10 +100,14 @@
         process, settings = self._process, self._settings
         await process.start(serves_peers=False)
         caller_address_parts = settings.caller_address.rpartition(":")
+        forward_address_parts = process.settings.peer_address.rpartition(":")
         readiness_address_parts = settings.readiness_address.rpartition(":")
         await self._readiness_listener.start(
             readiness_address_parts[0], int(readiness_address_parts[2])
         )
+        await self._forward_listener.start(
+            forward_address_parts[0], int(forward_address_parts[2])
+        )
         await self._caller_listener.start(
             caller_address_parts[0], int(caller_address_parts[2])
         )
@@ -125,20 +133,21 @@
         drain_deadline_s = (
             loop.time() + self._settings.grace_s * _DRAIN_FRACTION
         )
+        self.service.takes_forwarded = False
         self._caller_listener.is_closing = True
         await asyncio.sleep(_DEREGISTRATION_DELAY_S)
         self._caller_listener.stop_accepting()
         self._caller_listener.is_refusing = True
         while (
-            self._caller_listener.connections and loop.time() < drain_deadline_s
-        ):
+            self._caller_listener.connections or self.service.in_flight
+        ) and loop.time() < drain_deadline_s:
             self._caller_listener.close_idle()
             await asyncio.sleep(_DRAIN_POLL_S)
 
     async def _run_pool_sweeps(self) -> None:
         while True:
             await asyncio.sleep(_POOL_SWEEP_INTERVAL_S)
-            self._view.sweep()
+            self.service.sweep()
 
     async def _handle_readiness(
         self, request: http_messages.Request
--- a/packages/daemon/src/bamboosilld/gateway/request_context.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_context.py
@@ -5,8 +5,10 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import permit_client
+from bamboosilld.gateway import reachability as reachability_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import view as view_lib
 
@@ -25,6 +27,7 @@
         received_s: Monotonic time of receipt.
         deadline_s: Monotonic time at which the caller's deadline or the route's
             timeout ends, whichever is sooner.
+        is_forwarded: Whether another entry instance forwarded it.
     """
 
     request: http_messages.Request
@@ -34,6 +37,7 @@
     request_id: bytes
     received_s: float
     deadline_s: float
+    is_forwarded: bool = False
 
 
 class Outcome(NamedTuple):
@@ -64,3 +68,5 @@
     clock: clock_lib.Clock
     rng: random.Random
     permits: permit_client.PermitClient
+    reachability: reachability_lib.Reachability
+    instances: forwarding.Instances
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -12,9 +12,12 @@
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import keyranges
 from bamboosilld.gateway import budget as budget_lib
+from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import latency as latency_lib
+from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import permit_client
+from bamboosilld.gateway import reachability as reachability_lib
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import request_sender
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
@@ -30,6 +33,8 @@
 _UNSYNCED_RETRY_AFTER_S = 1.0
 # Fraction of the caller's timeout for which a request waits for the first sync.
 _SYNC_WAIT_FRACTION = 0.25
+# Requests of other entry instances that are handled at once, at most.
+_MAX_FORWARDED_IN_FLIGHT = 128
 
 _log = logs.get_logger("gateway")
 
@@ -40,6 +45,7 @@
     Attributes:
         instance: Name of this instance.
         zone: Availability zone of this instance.
+        local_host: Source IP address of outgoing connections.
         names: Names of the headers.
         retry_ratio: Agreed retries as a fraction of requests.
         retry_constant: Agreed retries beyond that in a window, over all entry
@@ -49,6 +55,7 @@
 
     instance: str
     zone: str
+    local_host: str
     names: http_messages.HeaderNames
     retry_ratio: float
     retry_constant: float
@@ -60,6 +67,7 @@
 
     Attributes:
         in_flight: Requests that are being handled.
+        takes_forwarded: Whether requests of other entry instances are taken.
     """
 
     def __init__(
@@ -85,6 +93,20 @@
                 clock,
                 rng,
             ),
+            reachability_lib.Reachability(
+                view.list_all_upstreams,
+                self._format_probe,
+                settings.zone,
+                clock,
+                rng,
+            ),
+            forwarding.Instances(
+                settings.zone,
+                clock,
+                rng,
+                settings.names.request_id,
+                settings.local_host,
+            ),
         )
         self._follower = follower
         self._view = view
@@ -94,6 +116,8 @@
         self._latencies: dict[str, latency_lib.Latency] = {}
         self._work_ms_by_block: dict[tuple[str, int], float] = {}
         self.in_flight = 0
+        self.takes_forwarded = True
+        self._forwarded_in_flight = 0
 
     def pop_measurements(self) -> follower_lib.Measurements:
         """Returns what was measured since the last call."""
@@ -110,8 +134,65 @@
                     self._view.list_new_loads()
                 )
             ),
+            self._context.reachability.is_cut_off,
         )
 
+    def update_instances(
+        self, items: tuple[messages.EntryAddress, ...]
+    ) -> None:
+        """Replaces the instances to which requests can be forwarded."""
+        self._context.instances.update(items)
+
+    def sweep(self) -> None:
+        """Closes idle connections that may not be reused any more."""
+        self._view.sweep()
+        self._context.instances.sweep()
+
+    async def handle_forwarded(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
+        """Handles a request that another entry instance has forwarded."""
+        parsed = forwarding.parse_request(request)
+        if parsed is None:
+            return forwarding.mark_response(
+                self._refuse_unrouted(400, request, "not forwarded"),
+                forwarding.NOT_RUN,
+            )
+        request, limits = parsed
+        reason = self._find_reason_not_to_take(limits)
+        if reason:
+            return forwarding.mark_response(
+                self._refuse_unrouted(503, request, reason),
+                forwarding.UNAVAILABLE,
+            )
+        self._forwarded_in_flight += 1
+        self.in_flight += 1
+        try:
+            response, outcome = await self._handle_routed(request, limits)
+            return forwarding.mark_response(response, outcome)
+        finally:
+            self.in_flight -= 1
+            self._forwarded_in_flight -= 1
+
+    def _find_reason_not_to_take(self, limits: forwarding.Limits) -> str:
+        """Returns why no forwarded request is taken, or an empty string."""
+        version = self._view.state.configuration.version
+        if not self.takes_forwarded:
+            return "stopping"
+        if self._context.reachability.is_cut_off:
+            return "no upstream reached"
+        if version < limits.configuration:
+            return "older configuration"
+        if self._forwarded_in_flight >= _MAX_FORWARDED_IN_FLIGHT:
+            return "too many forwarded requests"
+        return ""
+
+    def _format_probe(self, upstream: load_balancing.Upstream) -> bytes:
+        service = self._view.services.get(upstream.item.service)
+        path = service.health_path if service is not None else ""
+        head = f"GET {path or '/'} HTTP/1.1\r\nHost: {upstream.item.address}"
+        return head.encode("latin-1") + b"\r\n\r\n"
+
     async def handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
@@ -127,7 +208,6 @@
     async def _handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
-        received_s = self._clock.monotonic()
         if not self._follower.is_synced:
             # After startup, the leader usually responds within this time.
             await self._view.changed.wait_until(
@@ -136,15 +216,43 @@
             )
         if not self._follower.is_synced:
             return self._refuse_unrouted(503, request, "no configuration yet")
+        response, _ = await self._handle_routed(request)
+        return response
+
+    async def _handle_routed(
+        self,
+        request: http_messages.Request,
+        limits: forwarding.Limits | None = None,
+    ) -> tuple[http_messages.Response, bytes]:
+        """Handles a request of a caller, or one that was forwarded.
+
+        Args:
+            request: The request as its caller sent it.
+            limits: What the instance that forwarded it allows, if one did.
+
+        Returns:
+            The response and the outcome, a constant of `forwarding`.
+        """
+        received_s = self._clock.monotonic()
         host = (request.get(b"host") or b"").decode("latin-1")
         path = request.target.partition("?")[0]
         route = self._view.routes.find(host, path)
         if route is None:
-            return self._refuse_unrouted(404, request, "no route")
+            return (
+                self._refuse_unrouted(404, request, "no route"),
+                forwarding.NOT_RUN,
+            )
+        if limits is not None:
+            route = route._replace(
+                max_upstreams=min(route.max_upstreams, limits.sends)
+            )
         service = self._splitter.choose(route)
         key = self._read_key(request, service)
         if key is None:
-            return self._refuse_unrouted(400, request, "no valid key")
+            return (
+                self._refuse_unrouted(400, request, "no valid key"),
+                forwarding.NOT_RUN,
+            )
         timeout_s = self._read_timeout(request)
         routed = request_context.RoutedRequest(
             request,
@@ -154,7 +262,15 @@
             request.get(self._names.request_id) or b"",
             received_s,
             received_s + min(timeout_s, route.timeout_ms / 1000),
+            limits is not None,
         )
+        if not self._context.reachability.is_cut_off:
+            # The instance that sends a request counts it.
+            self._count_request(routed)
+        return await self._send(routed)
+
+    def _count_request(self, routed: request_context.RoutedRequest) -> None:
+        service, key, route = routed.service, routed.key, routed.route
         self._get_retry_budget(service).count_request()
         if key != request_context.NO_KEY:
             block = (service, key // keyranges.BLOCK_KEYS)
@@ -163,7 +279,6 @@
             self._work_ms_by_block[block] = (
                 self._work_ms_by_block.get(block, 0.0) + work_ms
             )
-        return await self._send(routed)
 
     def _read_key(
         self, request: http_messages.Request, service: str
@@ -195,8 +310,8 @@
 
     async def _send(
         self, routed: request_context.RoutedRequest
-    ) -> http_messages.Response:
-        """Sends a routed request and returns the response to the caller."""
+    ) -> tuple[http_messages.Response, bytes]:
+        """Sends a routed request; returns the response and the outcome."""
         sender = request_sender.RequestSender(
             routed,
             self._context,
@@ -224,7 +339,11 @@
                 status, routed.request, routed, outcome.retry_after_s
             )
         self._log_outcome(routed, outcome, response.status)
-        return response
+        if outcome.upstream_response is not None:
+            return response, forwarding.ANSWER
+        return response, (
+            forwarding.UNKNOWN if outcome.may_have_run else forwarding.NOT_RUN
+        )
 
     def _log_outcome(
         self,
@@ -262,6 +381,7 @@
             "key": routed.key,
             "took_ms": int((now_s - routed.received_s) * 1000),
             "left_ms": int((routed.deadline_s - now_s) * 1000),
+            "is_forwarded": routed.is_forwarded,
             "version": self._view.state.configuration.version,
             "revision": self._view.state.revision,
             "synced_ms_ago": int((now_s - self._follower.synced_s) * 1000),
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -315,6 +315,19 @@
             if connection.is_reusable:
                 return connection
             connection.abort()
+        return await self.open()
+
+    @property
+    def has_idle(self) -> bool:
+        """Whether a request can be sent without opening a connection."""
+        return any(each.is_reusable for each in self._idle)
+
+    async def open(self) -> Connection:
+        """Returns a new connection.
+
+        Raises:
+            ExchangeError: The connection could not be opened.
+        """
         self.opened += 1
         loop = asyncio.get_running_loop()
         try:
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -46,6 +46,10 @@
         """Returns the upstreams of a service that are not draining."""
         return self._by_service.get(service, [])
 
+    def list_all_upstreams(self) -> list[load_balancing.Upstream]:
+        """Returns the upstreams of all services."""
+        return list(self._upstreams.values())
+
     def find_holder(
         self, service: str, key: int
     ) -> load_balancing.Upstream | None:
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -7,8 +7,11 @@
 from returns.result import Failure
 
 from bamboosill_common import errors
+from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import permit_client
+from bamboosilld.gateway import reachability
+from bamboosilld.gateway import request_context
 
 NAMES = http_messages.HeaderNames(
     request_id=b"x-id",
@@ -93,6 +96,23 @@
     )
 
 
+def make_send_context(view, clock, rng, permits, instances=None):
+    """Returns a context; without `instances`, nothing can be forwarded."""
+    reach = reachability.Reachability(
+        view.list_all_upstreams,
+        lambda upstream: b"GET / HTTP/1.1\r\nHost: u\r\n\r\n",
+        "z1",
+        clock,
+        rng,
+    )
+    instances = instances or forwarding.Instances(
+        "z1", clock, rng, NAMES.request_id, ""
+    )
+    return request_context.SendContext(
+        "z1", NAMES, view, clock, rng, permits, reach, instances
+    )
+
+
 @pytest.fixture
 async def serve():
     """Starts scripted servers and stops them after the test."""
--- a/packages/daemon/tests/gateway/test_request_sender.py
+++ b/packages/daemon/tests/gateway/test_request_sender.py
@@ -20,6 +20,7 @@
 from .conftest import NAMES
 from .conftest import make_permit_client
 from .conftest import make_response
+from .conftest import make_send_context
 
 
 async def _respond(server, headers, writer):
@@ -121,9 +122,7 @@
                 now_s,
                 now_s + options.get("left_s", 2.0),
             ),
-            request_context.SendContext(
-                "z1",
-                NAMES,
+            make_send_context(
                 self.view,
                 self.clock,
                 random.Random(1),
--- a/packages/daemon/tests/gateway/test_service.py
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -38,7 +38,9 @@
 def _make_service(follower):
     clock = clock_lib.LoopClock()
     view = view_lib.View(follower.state, clock, NAMES.request_id)
-    settings = service_lib.GatewaySettings("e1", "z1", NAMES, 0.2, 10.0, 10.0)
+    settings = service_lib.GatewaySettings(
+        "e1", "z1", "", NAMES, 0.2, 10.0, 10.0
+    )
     return service_lib.Service(
         settings, follower, view, clock, random.Random(1)
     )
--- a/packages/daemon/tests/gateway/test_shared_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_shared_rate_limit.py
@@ -23,6 +23,7 @@
 from bamboosilld.gateway import view as view_lib
 
 from .conftest import NAMES
+from .conftest import make_send_context
 
 _LINK_S = 0.002
 _WORK_S = 0.15
@@ -146,14 +147,12 @@
             self._clock,
             self._rng,
         )
+        self._context = make_send_context(
+            self.view, self._clock, self._rng, self._permits
+        )
         self.is_cut_off = False
         self.outcomes = []
 
-    def make_context(self):
-        return request_context.SendContext(
-            "z1", NAMES, self.view, self._clock, self._rng, self._permits
-        )
-
     async def run_updates(self):
         """Receives limits of other instances, as with the replies to polls."""
         while True:
@@ -204,7 +203,7 @@
         self._budget.count_request()
         sender = request_sender.RequestSender(
             routed,
-            self.make_context(),
+            self._context,
             self._budget,
             self._latency,
             len(fleet.instances),
