Retry at the same upstream on a new connection

Cause: responses are matched to requests by the id, and a retry has the id of the first attempt. If it goes to the same upstream on the same connection, an earlier rejection that a faulty upstream writes once more matches it.

Evidence: the new test fails before this change for both kinds of service. Without keys the order runs twice (runs are r1, r1); with keys it has run, and the outcome is 'key has no holder', not run.

Ruled out: the same with requests of different ids; a response with another id is skipped, and one without an id is accepted only on a connection's first exchange (test_upstream_connection.py).

Why it works: a connection carries each request once.

--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -556,7 +556,12 @@
         overdue_timer = self._schedule_overdue_check(upstream, wait_factor)
         try:
             async with asyncio.timeout(self._get_remaining_s()):
-                connection = await upstream.pool.acquire()
+                if upstream.item.upstream in self._failed:
+                    # On a connection that carried this request before, an old
+                    # response to it could be repeated.
+                    connection = await upstream.pool.open()
+                else:
+                    connection = await upstream.pool.acquire()
                 self._upstream = upstream.item.upstream
                 response = await connection.exchange(
                     exchange.format_request(
--- a/packages/daemon/tests/gateway/test_request_sender.py
+++ b/packages/daemon/tests/gateway/test_request_sender.py
@@ -358,3 +358,44 @@
     assert (record.upstream, record.slots) == ("u0", 4)
     assert record.load >= 9
     assert record.expected_ms > record.limit_ms
+
+
+@pytest.mark.parametrize("is_sharded", [False, True])
+async def test_an_old_rejection_is_not_taken_for_that_of_a_retry(
+    serve, is_sharded
+):
+    """Guards against "not run" for an order that the upstream runs.
+
+    A faulty upstream repeats its earlier rejection on a kept connection. The
+    retry at the same upstream has the same request id.
+    """
+    runs = []
+
+    async def script(server, headers, writer):
+        if len(server.requests) == 1:
+            await _reject(server, headers, writer)
+            return
+        if server.connections == 1:
+            await _reject(server, headers, writer)
+        runs.append(headers["x-id"])
+        await _respond(server, headers, writer)
+
+    fleet = _Fleet(sharded=is_sharded)
+    server = await serve(script)
+    fleet.add("u0", server)
+    key = request_context.NO_KEY
+    if is_sharded:
+        key = 7
+        fleet.grant("u0")
+    task = asyncio.create_task(
+        fleet.make_sender(idempotent=False, key=key).run()
+    )
+    await server.wait_request()
+    if is_sharded:
+        # The key is granted to the same upstream once more.
+        await asyncio.sleep(0.1)
+        fleet.grant("u0")
+    outcome = await task
+    assert runs == ["r1"]
+    assert outcome.upstream_response is not None
+    assert outcome.upstream_response.status == 200
--- a/packages/daemon/tests/gateway/test_upstream_connection.py
+++ b/packages/daemon/tests/gateway/test_upstream_connection.py
@@ -50,6 +50,18 @@
 )
 
 
+_HEAD = make_response("r1", extra="Content-Type: text/plain\r\n")[:-5]
+
+
+@pytest.mark.parametrize("length", range(1, len(_HEAD)))
+async def test_a_response_that_ends_in_its_head_is_not_complete(serve, length):
+    """Guards against an empty or short body that looks like a whole one."""
+    server = await serve(_respond(_HEAD[:length], _close))
+    with pytest.raises(upstream_connection_lib.ExchangeError) as raised:
+        await _exchange(server.address)
+    assert raised.value.sent
+
+
 @pytest.mark.parametrize(
     ("data", "then", "is_reusable"),
     [
