Begin no order that the end of the grace period may break off

Cause: whether a stopping instance takes a request depended on the time of its arrival only, not on how long it may run.

Evidence: without the check, an order with 2 s left is sent on 0.5 s before the end (test_a_stopping_instance_begins_no_order_that_it_may_cut fails). Later than 2.5 s after SIGTERM every request was refused already, so requests late in the grace are not taken.

Ruled out for idempotent requests: their callers send them again, and most end in time, so they are still taken.

Why it works: such an order is refused as not run, with a close and a short Retry-After; another instance has the whole time for it.

--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -129,18 +129,18 @@
         return 0
 
     async def _drain(self) -> None:
-        loop = asyncio.get_running_loop()
+        clock = self._process.clock
         drain_deadline_s = (
-            loop.time() + self._settings.grace_s * _DRAIN_FRACTION
+            clock.monotonic() + self._settings.grace_s * _DRAIN_FRACTION
         )
-        self.service.takes_forwarded = False
+        self.service.stop(drain_deadline_s)
         self._caller_listener.is_closing = True
         await asyncio.sleep(_DEREGISTRATION_DELAY_S)
         self._caller_listener.stop_accepting()
         self._caller_listener.is_refusing = True
         while (
             self._caller_listener.connections or self.service.in_flight
-        ) and loop.time() < drain_deadline_s:
+        ) and clock.monotonic() < drain_deadline_s:
             self._caller_listener.close_idle()
             await asyncio.sleep(_DRAIN_POLL_S)
 
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -67,7 +67,6 @@
 
     Attributes:
         in_flight: Requests that are being handled.
-        takes_forwarded: Whether requests of other entry instances are taken.
     """
 
     def __init__(
@@ -116,7 +115,8 @@
         self._latencies: dict[str, latency_lib.Latency] = {}
         self._work_ms_by_block: dict[tuple[str, int], float] = {}
         self.in_flight = 0
-        self.takes_forwarded = True
+        # Time at which requests in flight are abandoned, once it is known.
+        self._abandon_s = float("inf")
         self._forwarded_in_flight = 0
 
     def pop_measurements(self) -> follower_lib.Measurements:
@@ -143,6 +143,18 @@
         """Replaces the instances to which requests can be forwarded."""
         self._context.instances.update(items)
 
+    @property
+    def _is_stopping(self) -> bool:
+        return self._abandon_s < float("inf")
+
+    def stop(self, abandon_s: float) -> None:
+        """Takes no more requests that could be broken off by the stop.
+
+        Args:
+            abandon_s: Monotonic time at which requests in flight are abandoned.
+        """
+        self._abandon_s = abandon_s
+
     def sweep(self) -> None:
         """Closes idle connections that may not be reused any more."""
         self._view.sweep()
@@ -177,7 +189,7 @@
     def _find_reason_not_to_take(self, limits: forwarding.Limits) -> str:
         """Returns why no forwarded request is taken, or an empty string."""
         version = self._view.state.configuration.version
-        if not self.takes_forwarded:
+        if self._is_stopping:
             return "stopping"
         if self._context.reachability.is_cut_off:
             return "no upstream reached"
@@ -264,6 +276,13 @@
             received_s + min(timeout_s, route.timeout_ms / 1000),
             limits is not None,
         )
+        if not route.idempotent and routed.deadline_s > self._abandon_s:
+            # Only a request that was not begun can be sent elsewhere.
+            self._log_refusal(503, request, "stopping")
+            response = self._make_error_response(
+                503, request, routed, _MIN_RETRY_AFTER_S
+            )
+            return response._replace(close=True), forwarding.NOT_RUN
         if not self._context.reachability.is_cut_off:
             # The instance that sends a request counts it.
             self._count_request(routed)
@@ -401,6 +420,12 @@
         self, status: int, request: http_messages.Request, reason: str
     ) -> http_messages.Response:
         """Refuses a request that could not be routed."""
+        self._log_refusal(status, request, reason)
+        return self._make_error_response(status, request, None)
+
+    def _log_refusal(
+        self, status: int, request: http_messages.Request, reason: str
+    ) -> None:
         request_id = request.get(self._names.request_id) or b""
         _log.info(
             "Request refused. Status: %d. Reason: %s.",
@@ -413,7 +438,6 @@
                 "revision": self._view.state.revision,
             },
         )
-        return self._make_error_response(status, request, None)
 
     def _make_error_response(
         self,
--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -210,7 +210,7 @@
     entry = _Entry(version=version)
     entry.cut_off(other)
     if cause == "stopping":
-        other.service.takes_forwarded = False
+        other.service.stop(0.0)
     elif cause == "full":
         other.service._forwarded_in_flight = 128
     elif cause == "refused":
@@ -234,7 +234,7 @@
     other = await _Entry(upstream.address).start()
     task = asyncio.create_task(_Entry().cut_off(other).send())
     await upstream.wait_request()
-    other.service.takes_forwarded = False
+    other.service.stop(0.0)
     assert other.service.in_flight == 1
     released.set()
     assert (await task).status == 200
--- a/packages/daemon/tests/gateway/test_service.py
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -16,6 +16,7 @@
 from bamboosilld.gateway import view as view_lib
 
 from .conftest import NAMES
+from .conftest import make_response
 
 
 class _Follower:
@@ -133,3 +134,60 @@
     ]
     assert record.route == "r"
     assert record.took_ms >= 0
+
+
+@pytest.mark.parametrize(
+    ("kind", "ends_in_s", "status"),
+    [("order", 0.5, 503), ("order", 5.0, 200), ("safe", 0.5, 200)],
+)
+async def test_a_stopping_instance_begins_no_order_that_it_may_cut(
+    serve, kind, ends_in_s, status
+):
+    """Guards against orders that the end of the grace period breaks off.
+
+    Their callers cannot send them again, but a refused order can be sent to
+    another instance.
+    """
+
+    async def respond(server, headers, writer):
+        writer.write(make_response(headers["x-id"]))
+
+    follower = _Follower()
+    service = _make_service(follower)
+    server = await serve(respond)
+    route = fleet_messages.RouteItem(
+        name="r",
+        host="a.example",
+        path_prefix="/",
+        idempotent=kind == "safe",
+        timeout_ms=3000,
+        target_latency_ms=1000,
+        max_upstreams=2,
+        service="s",
+    )
+    change = fleet_messages.ChangeConfiguration(
+        version=1,
+        whole=True,
+        routes=(route,),
+        services=(fleet_messages.ServiceItem("s"),),
+        has_limits=True,
+    )
+    item = fleet_messages.UpstreamItem(
+        upstream="u0", born_ms=1, address=server.address, service="s", slots=4
+    )
+    follower.state.apply(1, wire.pack(change))
+    follower.state.apply(2, wire.pack(fleet_messages.SetUpstreams((item,))))
+    service.stop(asyncio.get_running_loop().time() + ends_in_s)
+    headers = [
+        (b"Host", b"a.example"),
+        (b"x-id", b"r1"),
+        (b"x-deadline", b"2000"),
+    ]
+    response = await service.handle(
+        http_messages.Request("POST", "/", headers, b"", True)
+    )
+    assert response.status == status
+    assert len(server.requests) == (status == 200)
+    if status == 503:
+        assert response.close
+        assert float(dict(response.headers)[b"Retry-After"]) < 0.2
