Keep the number of entry instances over a change of the leader

What callers would see: after a change of the leader, more retries and hedges than the shared budget allows, and, without the leader, more requests to an upstream with a rate limit than its part.

Evidence: the new test fails before this change: entry_count is 1 after the first reply of a new leader, 8 before it.

Why it works: an instance uses the largest count of the last 5 s; parts that are too small for that time waste some of a limit but never exceed it.

--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -4,6 +4,7 @@
 it gets, and reports what the instance has measured with each poll.
 """
 
+import collections
 from collections.abc import Callable
 import random
 from typing import NamedTuple
@@ -26,6 +27,8 @@
 _CALL_TIMEOUT_S = 1.2
 _RETRY_DELAY_S = 0.1
 _PERMIT_TIMEOUT_S = 0.25
+# Longer than an election and the time until all instances follow again.
+_ENTRY_COUNT_KEPT_S = 5.0
 
 # Precedes the leader's address in the error of a peer that does not lead.
 _LEADER_PREFIX = "not_leader: "
@@ -61,7 +64,6 @@
 
     Attributes:
         state: The copy of the fleet's state.
-        entry_count: Number of entry instances that follow, this one included.
         synced_s: When the leader last replied, on the monotonic clock.
     """
 
@@ -93,7 +95,9 @@
         self._leader = ""
         self._last_poll_succeeded = False
         self.state = state_lib.FleetState()
-        self.entry_count = 1
+        self._entry_counts: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.synced_s = float("-inf")
 
     @property
@@ -101,6 +105,15 @@
         """Whether a configuration has been received."""
         return self.state.configuration.version > 0
 
+    @property
+    def entry_count(self) -> int:
+        """Number of entry instances that follow, this one included.
+
+        The largest of the last seconds: a new leader counts from one, and parts
+        of a limit that are too large add up to more than the limit.
+        """
+        return max((count for _, count in self._entry_counts), default=1)
+
     async def run(self) -> None:
         """Follows the leader until cancelled."""
         while True:
@@ -206,8 +219,8 @@
             )
         self._leader = address
         self._control_peers = reply.control_peers or self._control_peers
-        self.entry_count = max(1, reply.entry_count)
         self.synced_s = self._clock.monotonic()
+        self._add_entry_count(max(1, reply.entry_count))
         if reply.snapshot and reply.revision > self.state.revision:
             try:
                 self.state.restore(reply.snapshot)
@@ -223,6 +236,15 @@
         if reply.revision == self.state.revision:
             self._apply_stats(reply)
 
+    def _add_entry_count(self, count: int) -> None:
+        """Adds a count, and drops those that it or time replaces."""
+        counts = self._entry_counts
+        while counts and counts[-1][1] <= count:
+            counts.pop()
+        counts.append((self.synced_s, count))
+        while counts[0][0] < self.synced_s - _ENTRY_COUNT_KEPT_S:
+            counts.popleft()
+
     def _list_commands(
         self, reply: messages.FollowReply
     ) -> tuple[messages.RevisedCommand, ...]:
--- a/packages/daemon/tests/fleet/test_follower.py
+++ b/packages/daemon/tests/fleet/test_follower.py
@@ -237,3 +237,23 @@
         clock.now_s += 0.02
     assert count >= answers
     assert count <= answers * 2
+
+
+async def test_a_new_leader_does_not_enlarge_the_parts_of_shared_limits():
+    """Guards against limits that each instance takes for its own.
+
+    A new leader counts the entry instances from one: the others poll it later.
+    """
+    state, old = _make_leader(make_configuration())
+    directory = _Directory({"c1": old})
+    follower = _make_follower(directory)
+    for number in range(7):
+        await old.answer(messages.Follow(state.revision - 1, f"e{number + 2}"))
+    await _run_until(follower, lambda: follower.entry_count == 8)
+    polls = len(directory.asked)
+    _, new = _make_leader(make_configuration())
+    directory.members = {"c1": "c2", "c2": new}
+    await _run_until(follower, lambda: directory.asked[polls:].count("c2") > 1)
+    assert follower.entry_count == 8
+    follower._clock.now_s += 20.0
+    await _run_until(follower, lambda: follower.entry_count == 1)
