Play cuts of links and rate limits in the soak

Entry instances are cut off from upstreams in three forms, and upstreams name and end limits, at random beside the other faults of a seed (the faults of seeds 1 and 10 are the same as before). A run with a limit lets only control instances fail, as their failures excuse no entry instance, and checks the agreed bound.

--- a/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
@@ -18,6 +18,18 @@
     parser = argparse.ArgumentParser(prog="bamboosill_dev.fleetsoak")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument(
+        "--cut",
+        default="",
+        choices=("", *run.CUT_FORMS),
+        help="Cut off all entry instances but one in this way.",
+    )
+    parser.add_argument(
+        "--limit",
+        type=float,
+        default=0.0,
+        help="Rate limit of one upstream, while control instances fail.",
+    )
     parser.add_argument(
         "--keep", default="", help="Directory in which logs and data are kept."
     )
@@ -25,7 +37,10 @@
     with tempfile.TemporaryDirectory(prefix="bamboosill-soak-") as scratch:
         folder = pathlib.Path(options.keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = run.Soak(folder, options.seed)
+        scenario = run.Scenario(
+            options.cut, options.limit, not (options.cut or options.limit)
+        )
+        soak = run.Soak(folder, options.seed, scenario)
         result = asyncio.run(soak.run(options.seconds))
     print(json.dumps({"seed": options.seed, **result._asdict()}))
     return 1 if result.violations else 0
--- a/packages/dev/src/bamboosill_dev/fleetsoak/run.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/run.py
@@ -34,8 +34,23 @@
 # From this time after a cut on, entry instances that reach no upstream serve at
 # least a share of what others serve, or few requests fail there.
 _CUT_GRACE_S = 3.0
+CUT_FORMS = ("hang", "reset", "refuse")
 _MIN_RELATIVE_SERVED_RATIO = 2 / 3
 _FAILED_CONSTANT, _FAILED_FRACTION = 10, 1 / 50
+# From this time after an upstream has named a limit on, it gets at most this
+# multiple of it and a constant in any window.
+_RATE_GRACE_S = 3.0
+_RATE_WINDOW_S = 4.0
+_RATE_FACTOR, _RATE_CONSTANT = 1.5, 5
+_CONTROL_FAULTS = (
+    *("kill control", "pause control", "stop control"),
+    "kill all control",
+)
+_FAULTS = (
+    *("kill control", "pause control", "stop control"),
+    *("kill entry", "pause entry", "stop entry"),
+    *("crash upstream", "relay", "kill all control"),
+)
 
 
 class _Answer(NamedTuple):
@@ -57,17 +72,42 @@
     violations: tuple[str, ...]
 
 
+class Scenario(NamedTuple):
+    """What happens in a run, beside load and changes of the configuration.
+
+    Attributes:
+        cut_form: How all entry instances but one are cut off from upstreams, in
+            place of random faults: `hang`, `reset` or `refuse`.
+        rate_limit: Limit in requests a second that one upstream states, while
+            only control instances fail; 0 for none.
+        has_link_faults: Whether instances are cut off and limits change at
+            random, beside the random faults.
+    """
+
+    cut_form: str = ""
+    rate_limit: float = 0.0
+    has_link_faults: bool = False
+
+
+DEFAULT_SCENARIO = Scenario()
+
+
 class Soak:
     """The processes, stand-in upstreams and callers of one run."""
 
     def __init__(
-        self, folder: pathlib.Path, seed: int, cut_form: str = ""
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        scenario: Scenario = DEFAULT_SCENARIO,
     ) -> None:
         # Callers have a separate generator, so that the faults of a seed do not
         # depend on the number of requests sent before them.
         self._rng = random.Random(seed)
         self._caller_rng = random.Random(seed)
-        self._cut_form = cut_form
+        self._link_rng = random.Random(f"{seed}/links")
+        self._scenario = scenario
+        self._stranded: tuple[frozenset[str], str] = (frozenset(), "")
         # Each run has its own loopback network, so that concurrent runs do not
         # share addresses.
         network = f"127.{100 + seed % 100}.{time.time_ns() // 1000 % 250}"
@@ -136,11 +176,21 @@
         ]
         tasks.append(asyncio.create_task(self._run_operator(session)))
         end_s = time.monotonic() + seconds
-        if self._cut_form:
+        faults: tuple[str, ...] = _FAULTS
+        if self._scenario.cut_form:
             await self._cut_off_entries(seconds)
+        if self._scenario.rate_limit:
+            faults = _CONTROL_FAULTS
+            self._upstreams[0].rate_limit = self._scenario.rate_limit
+            limited_s = time.monotonic()
+        link_faults = asyncio.create_task(self._run_link_faults())
         while time.monotonic() < end_s:
-            await self._inject_fault()
+            await self._inject_fault(faults)
             await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+        link_faults.cancel()
+        await asyncio.gather(link_faults, return_exceptions=True)
+        if self._scenario.rate_limit:
+            self._check_rate(limited_s)
         await self._end_faults()
         await asyncio.sleep(_RECOVERY_S)
         self._is_over = True
@@ -152,6 +202,7 @@
         relay = relay_lib.Relay(upstream.address)
         upstream.announced_address = await relay.start("127.0.0.1:0")
         self._relays.append(relay)
+        self._strand(*self._stranded)
 
     async def _run_caller(self, number: int) -> None:
         pools = {
@@ -262,19 +313,51 @@
             return None
         return int(document["version"].removeprefix("r"))
 
-    async def _inject_fault(self) -> None:
+    async def _run_link_faults(self) -> None:
+        """Cuts entry instances off and changes limits, until cancelled."""
+        rng = self._link_rng
+        hosts = [each.host for each in self._entries]
+        while self._scenario.has_link_faults:
+            await asyncio.sleep(rng.uniform(0.0, 3.0))
+            if rng.random() < 0.5:
+                rate_limit = rng.choice((0.0, 0.5, 5.0, 50.0))
+                rng.choice(self._upstreams).rate_limit = rate_limit
+                continue
+            cut = frozenset(rng.sample(hosts, rng.randrange(1, len(hosts))))
+            self._strand(cut, rng.choice(CUT_FORMS))
+            await asyncio.sleep(rng.uniform(0.5, 6.0))
+            self._strand(frozenset(), "")
+
+    def _check_rate(self, limited_s: float) -> None:
+        """Checks that the limited upstream got no more than it allows."""
+        upstream = self._upstreams[0]
+        rate_limit = self._scenario.rate_limit
+        allowed = _RATE_FACTOR * _RATE_WINDOW_S * rate_limit + _RATE_CONSTANT
+        arrivals = [
+            each
+            for each in upstream.arrivals_s
+            if each >= limited_s + _RATE_GRACE_S
+        ]
+        most = max(
+            (
+                sum(0 <= each - first < _RATE_WINDOW_S for each in arrivals)
+                for first in arrivals
+            ),
+            default=0,
+        )
+        if most > allowed:
+            self._record.violations.append(
+                f"{upstream.name} allows {rate_limit} a second and got {most} "
+                f"requests in {_RATE_WINDOW_S} s"
+            )
+
+    async def _inject_fault(self, faults: tuple[str, ...]) -> None:
         """Injects one random fault.
 
         Processes that were killed or paused are restarted or resumed after a
         random delay.
         """
-        fault = self._rng.choice(
-            (
-                *("kill control", "pause control", "stop control"),
-                *("kill entry", "pause entry", "stop entry"),
-                *("crash upstream", "relay", "kill all control"),
-            )
-        )
+        fault = self._rng.choice(faults)
         self._faults.append(fault)
         if fault == "crash upstream":
             upstream = self._rng.choice(self._upstreams)
@@ -334,12 +417,12 @@
 
     async def _cut_off_entries(self, seconds: float) -> None:
         """Cuts all entry instances but one off and checks what they serve."""
-        hosts = {each.host for each in self._entries[1:]}
-        self._strand(hosts, self._cut_form)
+        hosts = frozenset(each.host for each in self._entries[1:])
+        self._strand(hosts, self._scenario.cut_form)
         since_s = time.monotonic() + _CUT_GRACE_S
         await asyncio.sleep(seconds)
         answers = [each for each in self._answers if each.sent_s >= since_s]
-        self._strand(set(), self._cut_form)
+        self._strand(frozenset(), "")
         served = {True: 0, False: 0}
         sent = {True: 0, False: 0}
         for each in answers:
@@ -357,24 +440,28 @@
                 f"cut off, {served[False]} of {sent[False]} at others"
             )
 
-    def _strand(self, hosts: set[str], form: str) -> None:
+    def _strand(self, hosts: frozenset[str], form: str) -> None:
         """Cuts entry instances off from all upstreams.
 
         Args:
             hosts: IP addresses of the instances; others are not cut off.
             form: `hang`, `reset`, or `refuse` if existing connections live on.
         """
+        self._stranded = hosts, form
         is_hanging = form == "hang"
         for relay in self._relays:
             relay.set_faults(
-                cut_sources=frozenset(hosts if is_hanging else ()),
-                refused_sources=frozenset(() if is_hanging else hosts),
+                cut_sources=hosts if is_hanging else frozenset(),
+                refused_sources=frozenset() if is_hanging else hosts,
             )
             if form == "reset":
                 for host in hosts:
                     relay.reset(host)
 
     async def _end_faults(self) -> None:
+        self._strand(frozenset(), "")
+        for upstream in self._upstreams:
+            upstream.rate_limit = 0.0
         for relay in self._relays:
             relay.heal()
             relay.reset()
--- a/packages/dev/src/bamboosill_dev/fleetsoak/upstream.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/upstream.py
@@ -42,6 +42,10 @@
     """One upstream, which can be started again after `crash`.
 
     Each start is a new incarnation that holds no keys.
+
+    Attributes:
+        rate_limit: Requests a second that it states to take; 0 for no limit.
+        arrivals_s: Times of requests for keys that it holds.
     """
 
     def __init__(self, name: str, record: Record, control: list[str]) -> None:
@@ -53,6 +57,8 @@
         self._highest_fences: dict[int, int] = {}
         self.is_up = False
         self.announced_address = ""
+        self.rate_limit = 0.0
+        self.arrivals_s: list[float] = []
         record.upstreams.append(self)
 
     async def start(self) -> None:
@@ -185,6 +191,7 @@
         key = int(fields.get("shard-key", "0"))
         if fields.get("expected-instance") != self.name or not self.holds(key):
             return _format_response(421, attempt, "Not-Executed: 1\r\n")
+        self.arrivals_s.append(time.monotonic())
         if self._running >= _SLOTS * 2:
             return _format_response(503, attempt, "Not-Executed: 1\r\n")
         self._record.record_run(self, attempt, key)
@@ -194,6 +201,8 @@
         finally:
             self._running -= 1
         load = f"Server-Load: {self._running},0,{_SLOTS}\r\n"
+        if self.rate_limit:
+            load += f"Server-Limit: {self.rate_limit}\r\n"
         return _format_response(
             200, attempt, f"Response-Signature: {self.name}\r\n{load}", attempt
         )
--- a/packages/dev/tests/fleetsoak/test_soak.py
+++ b/packages/dev/tests/fleetsoak/test_soak.py
@@ -9,6 +9,7 @@
 # Start and recovery add some seconds to each run.
 _FAULTS_S = 6.0
 _CUT_S = 9.0
+_LIMIT_S = 12.0
 
 
 # Seed 10 sends SIGTERM to processes that do not handle signals yet; the signal
@@ -32,6 +33,21 @@
 
     Two of three entry instances are cut off; other guarantees hold as well.
     """
-    soak = run.Soak(tmp_path, 1, form)
+    soak = run.Soak(tmp_path, 1, run.Scenario(cut_form=form))
     result = asyncio.run(soak.run(_CUT_S))
     assert result.violations == ()
+
+
+def test_a_limit_holds_while_control_instances_fail(tmp_path):
+    """Guards against permits of two leaders for the same requests."""
+    soak = run.Soak(tmp_path, 3, run.Scenario(rate_limit=2.0))
+    result = asyncio.run(soak.run(_LIMIT_S))
+    assert result.violations == ()
+
+
+@pytest.mark.parametrize("seed", [1])
+def test_the_promises_hold_while_links_and_limits_change(tmp_path, seed):
+    """Guards against forwarded requests that run twice or after a refusal."""
+    soak = run.Soak(tmp_path, seed, run.Scenario(has_link_faults=True))
+    result = asyncio.run(soak.run(_FAULTS_S))
+    assert result.violations == ()
