Retry rejected requests on a new connection in the product's own protocol too

Evidence: the new cases fail before this change; by reading, the exchange matches responses by id alone.

Why it works: a connection carries each request once.

--- a/packages/daemon/src/bamboosilld/entry/retry.py
+++ b/packages/daemon/src/bamboosilld/entry/retry.py
@@ -41,8 +41,9 @@
     # process announces itself or the loss of the former one is detected.
     "identity": RetryRule(reroute=True, budget=False, hold=True),
     "identity-silent": RetryRule(new_connection=True),
-    "stale-fence": RetryRule(reroute=True),
-    "shed": RetryRule(backoff=True),
+    # A faulty upstream may repeat a rejection, which has the id of the retry.
+    "stale-fence": RetryRule(new_connection=True, reroute=True),
+    "shed": RetryRule(new_connection=True, backoff=True),
     "refused": RetryRule(reroute=True, backoff=True),
     "connect": RetryRule(reroute=True, backoff=True),
 }
--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -89,6 +89,14 @@
     assert (rule is not None) is retried
 
 
+@pytest.mark.parametrize("code", ["shed", "stale-fence"])
+def test_a_retry_after_a_rejection_needs_a_new_connection(code):
+    """Guards against an old rejection taken for the response to the retry."""
+    rule = retry.find_rule(faults.Fault(code, "", False), False, False, 1)
+    assert rule is not None
+    assert rule.new_connection
+
+
 async def test_later_not_run_does_not_hide_an_unknown_attempt(harness):
     """Guards against outcome "not run" after an attempt that may have run."""
     await harness.start()
