--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -11,6 +11,7 @@
 from bamboosill_common import metrics
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import exchange
+from bamboosilld.gateway import forward_sender
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
@@ -26,9 +27,6 @@
 # before any byte was written. Route limits cover only those that may have run.
 _MAX_REJECTIONS = 4
 _MAX_UNSENT_ATTEMPTS = 4
-# Other entry instances to which one request is forwarded, at most: the first
-# ones may be cut off as well.
-_MAX_FORWARDS = 3
 # Longest wait for the leader's reply to a question for a permit.
 _PERMIT_WAIT_S = 0.25
 # Multiples of the route's target latency beyond which a request is refused, by
@@ -103,21 +101,27 @@
             The outcome, or None if no instance took the request and it can be
             sent on a connection that lives on.
         """
-        excluded: set[str] = set()
-        while not self._routed.is_forwarded and len(excluded) < _MAX_FORWARDS:
-            instance = self._context.instances.choose(excluded)
-            if instance is None:
-                break
+        result = forward_sender.NOT_TAKEN
+        if not self._routed.is_forwarded:
             if not self._may_send():
                 return self._make_failed_outcome()
-            excluded.add(instance.item.address)
-            outcome = await self._attempt_forward(instance)
-            if outcome is not None:
-                return outcome
-        if self._has_live_connection():
-            return None
-        self._reason = f"{self._reason}, no upstream reached"
-        return self._make_failed_outcome()
+            sends_left = self._routed.route.max_upstreams - self._sends
+            result = await forward_sender.forward(
+                self._routed, self._context, sends_left
+            )
+        if result.outcome == forwarding.UNAVAILABLE:
+            if self._has_live_connection():
+                return None
+            self._reason = result.reason
+            return self._make_failed_outcome()
+        is_refused = result.outcome == forwarding.NOT_RUN
+        if result.response is None or (is_refused and self._may_have_run):
+            self._reason = result.reason
+            self._may_have_run = True
+            return self._make_failed_outcome()
+        return request_context.Outcome(
+            result.response, "", True, result.instance
+        )
 
     def _has_live_connection(self) -> bool:
         """Returns whether a connection from before the cut can be used."""
@@ -131,95 +135,6 @@
             each.pool.has_idle for each in view.list_upstreams(routed.service)
         )
 
-    async def _attempt_forward(
-        self, instance: forwarding.Instance
-    ) -> request_context.Outcome | None:
-        """Forwards the request once.
-
-        Returns:
-            The outcome, or None if the instance certainly sent the request to
-            no upstream and another one may be tried. An instance whose response
-            is lost may have used up the attempts.
-        """
-        outcome, sent = b"", True
-        try:
-            response, outcome = await self._exchange_forwarded(instance)
-        except upstream_connection_lib.ExchangeError as error:
-            self._reason, sent = f"other instance: {error.code}", error.sent
-        except TimeoutError:
-            self._reason = "timeout"
-        except _NotWrittenError:
-            self._reason, sent = "deadline", False
-        if not sent:
-            outcome = forwarding.UNAVAILABLE
-        elif outcome == forwarding.UNAVAILABLE:
-            self._reason = "other instance is not available"
-        metrics.gateway_forwards.labels(
-            (outcome or forwarding.UNKNOWN).decode("ascii")
-        ).inc()
-        is_refused = outcome == forwarding.NOT_RUN and self._may_have_run
-        if outcome in forwarding.FINAL_OUTCOMES and not is_refused:
-            return request_context.Outcome(
-                response, "", True, instance.item.address
-            )
-        self._log_failed_forward(instance)
-        if outcome == forwarding.UNAVAILABLE:
-            self._context.instances.avoid(instance)
-            return None
-        if not is_refused:
-            self._record_possible_run()
-        return self._make_failed_outcome()
-
-    def _log_failed_forward(self, instance: forwarding.Instance) -> None:
-        _log.info(
-            "Forward failed. Instance: %s. Reason: %s.",
-            instance.item.address,
-            self._reason,
-            extra={
-                "request": self._routed.request_id.decode("latin-1"),
-                "in_flight": instance.in_flight,
-                "left_ms": int(self._get_remaining_s() * 1000),
-            },
-        )
-
-    async def _exchange_forwarded(
-        self, instance: forwarding.Instance
-    ) -> tuple[upstream_connection_lib.UpstreamResponse, bytes]:
-        """Sends the request to an instance over a pooled connection.
-
-        Raises:
-            upstream_lib.ExchangeError: No complete response was received.
-            TimeoutError: The deadline passed after a connection was acquired.
-            _NotWrittenError: The deadline passed before that.
-        """
-        routed = self._routed
-        connection: upstream_connection_lib.Connection | None = None
-        instance.in_flight += 1
-        try:
-            async with asyncio.timeout(self._get_remaining_s()):
-                connection = await instance.pool.acquire()
-                response = await connection.exchange(
-                    forwarding.format_request(
-                        routed.request,
-                        self._context.names,
-                        forwarding.Limits(
-                            routed.route.max_upstreams - self._sends,
-                            self._context.view.state.configuration.version,
-                        ),
-                        self._get_remaining_s(),
-                    ),
-                    routed.request_id,
-                )
-        except TimeoutError as error:
-            if connection is None:
-                raise _NotWrittenError from error
-            raise
-        finally:
-            instance.in_flight -= 1
-            if connection is not None:
-                instance.pool.release(connection)
-        return forwarding.parse_response(response)
-
     def _make_failed_outcome(self) -> request_context.Outcome:
         return request_context.Outcome(
             None,
