--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -195,10 +195,10 @@
             return None
         if not self._is_fast_enough(holder):
             return None
-        if not await self._acquire_permit(holder):
-            self._refuse_for_limit([holder])
-            return None
-        return holder
+        if await self._acquire_permit(holder):
+            return holder
+        self._refuse_for_limit([holder])
+        return None
 
     async def _acquire_permit(self, upstream: load_balancing.Upstream) -> bool:
         timeout_s = max(0.0, min(_PERMIT_WAIT_S, self._get_remaining_s()))
@@ -239,6 +239,10 @@
         chosen = self._choose_upstream(excluded)
         if chosen is None or await self._acquire_permit(chosen):
             return chosen
+        candidates = self._context.view.list_upstreams(self._routed.service)
+        if not any(each.rate_limit.has_permit() for each in candidates):
+            self._refuse_for_limit(candidates)
+            return None
         return self._choose_upstream(excluded, needs_permit=True)
 
     def _choose_upstream(
@@ -250,9 +254,6 @@
             for each in candidates
             if not needs_permit or each.rate_limit.has_permit()
         ]
-        if candidates and not usable:
-            self._refuse_for_limit(candidates)
-            return None
         untried = [
             each for each in usable if each.item.upstream not in excluded
         ]
