Count the deadline from the receipt of a request again

What callers would see: in the first second after a start, an upstream got up to a quarter of the caller's timeout more than was left.

Cause: took the time of receipt after the wait for the first configuration.

Evidence: the new test fails before this change: the deadline is 1.1 s after the receipt of a request with 1.0 s.

--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -148,7 +148,9 @@
         return self._abandon_s < float("inf")
 
     def stop(self, abandon_s: float) -> None:
-        """Takes no more requests that could be broken off by the stop.
+        """Begins no more orders that may last until the stop.
+
+        Idempotent requests are still taken, as their callers can repeat them.
 
         Args:
             abandon_s: Monotonic time at which requests in flight are abandoned.
@@ -180,7 +182,9 @@
         self._forwarded_in_flight += 1
         self.in_flight += 1
         try:
-            response, outcome = await self._handle_routed(request, limits)
+            response, outcome = await self._handle_routed(
+                request, self._clock.monotonic(), limits
+            )
             return forwarding.mark_response(response, outcome)
         finally:
             self.in_flight -= 1
@@ -220,6 +224,7 @@
     async def _handle(
         self, request: http_messages.Request
     ) -> http_messages.Response:
+        received_s = self._clock.monotonic()
         if not self._follower.is_synced:
             # After startup, the leader usually responds within this time.
             await self._view.changed.wait_until(
@@ -228,24 +233,25 @@
             )
         if not self._follower.is_synced:
             return self._refuse_unrouted(503, request, "no configuration yet")
-        response, _ = await self._handle_routed(request)
+        response, _ = await self._handle_routed(request, received_s)
         return response
 
     async def _handle_routed(
         self,
         request: http_messages.Request,
+        received_s: float,
         limits: forwarding.Limits | None = None,
     ) -> tuple[http_messages.Response, bytes]:
         """Handles a request of a caller, or one that was forwarded.
 
         Args:
             request: The request as its caller sent it.
+            received_s: Monotonic time of receipt.
             limits: What the instance that forwarded it allows, if one did.
 
         Returns:
             The response and the outcome, a constant of `forwarding`.
         """
-        received_s = self._clock.monotonic()
         host = (request.get(b"host") or b"").decode("latin-1")
         path = request.target.partition("?")[0]
         route = self._view.routes.find(host, path)
--- a/packages/daemon/tests/gateway/test_service.py
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -47,6 +47,37 @@
     )
 
 
+def _configure(follower, upstream_address, is_idempotent=True):
+    """Gives the follower one route and one upstream."""
+    route = fleet_messages.RouteItem(
+        name="r",
+        host="a.example",
+        path_prefix="/",
+        idempotent=is_idempotent,
+        timeout_ms=3000,
+        target_latency_ms=1000,
+        max_upstreams=2,
+        service="s",
+    )
+    change = fleet_messages.ChangeConfiguration(
+        version=1,
+        whole=True,
+        routes=(route,),
+        services=(fleet_messages.ServiceItem("s"),),
+        has_limits=True,
+    )
+    item = fleet_messages.UpstreamItem(
+        upstream="u0",
+        born_ms=1,
+        address=upstream_address,
+        service="s",
+        slots=4,
+    )
+    commands = (change, fleet_messages.SetUpstreams(upstreams=(item,)))
+    for index, command in enumerate(commands, 1):
+        follower.state.apply(index, wire.pack(command))
+
+
 def _make_request(deadline_ms):
     headers = [(b"Host", b"a.example"), (b"x-deadline", b"%d" % deadline_ms)]
     return http_messages.Request("GET", "/none/", headers, b"", True)
@@ -103,28 +134,7 @@
     follower = _Follower()
     service = _make_service(follower)
     server = await serve(_hang)
-    route = fleet_messages.RouteItem(
-        name="r",
-        host="a.example",
-        path_prefix="/none/",
-        timeout_ms=3000,
-        target_latency_ms=1000,
-        max_upstreams=2,
-        service="s",
-    )
-    change = fleet_messages.ChangeConfiguration(
-        version=1,
-        whole=True,
-        routes=(route,),
-        services=(fleet_messages.ServiceItem("s"),),
-        has_limits=True,
-    )
-    item = fleet_messages.UpstreamItem(
-        upstream="u0", born_ms=1, address=server.address, service="s", slots=4
-    )
-    commands = (change, fleet_messages.SetUpstreams(upstreams=(item,)))
-    for index, command in enumerate(commands, 1):
-        follower.state.apply(index, wire.pack(command))
+    _configure(follower, server.address)
     task = asyncio.create_task(service.handle(_make_request(2000)))
     await server.wait_request()
     task.cancel()
@@ -155,28 +165,7 @@
     follower = _Follower()
     service = _make_service(follower)
     server = await serve(respond)
-    route = fleet_messages.RouteItem(
-        name="r",
-        host="a.example",
-        path_prefix="/",
-        idempotent=kind == "safe",
-        timeout_ms=3000,
-        target_latency_ms=1000,
-        max_upstreams=2,
-        service="s",
-    )
-    change = fleet_messages.ChangeConfiguration(
-        version=1,
-        whole=True,
-        routes=(route,),
-        services=(fleet_messages.ServiceItem("s"),),
-        has_limits=True,
-    )
-    item = fleet_messages.UpstreamItem(
-        upstream="u0", born_ms=1, address=server.address, service="s", slots=4
-    )
-    follower.state.apply(1, wire.pack(change))
-    follower.state.apply(2, wire.pack(fleet_messages.SetUpstreams((item,))))
+    _configure(follower, server.address, is_idempotent=kind == "safe")
     service.stop(asyncio.get_running_loop().time() + ends_in_s)
     headers = [
         (b"Host", b"a.example"),
@@ -191,3 +180,24 @@
     if status == 503:
         assert response.close
         assert float(dict(response.headers)[b"Retry-After"]) < 0.2
+
+
+@pytest.mark.looptime
+async def test_the_deadline_includes_the_wait_for_a_configuration(monkeypatch):
+    """Guards against upstreams that get more time than the caller has left."""
+    follower = _Follower()
+    service = _make_service(follower)
+    sent = []
+
+    async def send(routed):
+        sent.append(routed)
+        return http_messages.Response(200, [], b""), b"answer"
+
+    monkeypatch.setattr(service, "_send", send)
+    started_s = asyncio.get_running_loop().time()
+    task = asyncio.create_task(service.handle(_make_request(1000)))
+    await asyncio.sleep(0.1)
+    _configure(follower, "127.0.0.1:1")
+    response = await task
+    assert response.status == 200
+    assert sent[0].deadline_s - started_s == pytest.approx(1.0)
