Log limits that could not be reported to the leader

An error was dropped without a line. Nothing else changes: the next question for a permit carries the limit.

--- a/packages/daemon/src/bamboosilld/gateway/permit_client.py
+++ b/packages/daemon/src/bamboosilld/gateway/permit_client.py
@@ -103,11 +103,17 @@
         task.add_done_callback(self._reports.discard)
 
     async def _report(self, upstream: load_balancing.Upstream) -> None:
-        result = await self._ask_leader(self._make_request(upstream, 0))
-        if isinstance(result, Success):
-            upstream.rate_limit.apply(
-                result.unwrap().limit, self._clock.monotonic()
-            )
+        match await self._ask_leader(self._make_request(upstream, 0)):
+            case Success(reply):
+                now_s = self._clock.monotonic()
+                upstream.rate_limit.apply(reply.limit, now_s)
+            case Failure(error):
+                # The next question for a permit carries the limit as well.
+                _log.info(
+                    "Rate limit not reported. Upstream: %s. Reason: %s.",
+                    upstream.item.upstream,
+                    error.code,
+                )
 
     async def _ask(
         self, upstream: load_balancing.Upstream, demand: _Demand
