End a rate limit only by a response to a later request

Cause: the absence of a limit was dated by the receipt of the response. A limit that comes with a response was true when it was sent; its absence says only that there was none when the request arrived.

Ruled out: rejections and malformed values; they end no limit already.

Why it works: absence counts from the time at which the request was sent, so an observation that another instance or response made since then is newer.

--- a/packages/daemon/src/bamboosilld/gateway/rate_limit.py
+++ b/packages/daemon/src/bamboosilld/gateway/rate_limit.py
@@ -52,13 +52,19 @@
         self.next_permit_s = float("-inf")
         self._promised_s = float("-inf")
 
-    def observe(self, values: Sequence[bytes], is_rejection: bool) -> bool:
+    def observe(
+        self, values: Sequence[bytes], is_rejection: bool, sent_s: float
+    ) -> bool:
         """Applies the values of the limit's header in a response.
 
+        A response may have been on its way when another one stated the limit,
+        so the absence of a limit counts from when the request was sent.
+
         Args:
             values: All values of the header.
             is_rejection: Whether the upstream did not run the request. Such a
                 response ends no limit: an upstream may omit headers there.
+            sent_s: Monotonic time at which the request was sent.
 
         Returns:
             Whether the limit changed.
@@ -73,8 +79,9 @@
             return False
         if rate_per_s is None and is_rejection:
             return False
-        has_changed = self.update(rate_per_s, self._clock.monotonic())
-        self.observed_s = self._clock.monotonic()
+        observed_s = sent_s if rate_per_s is None else self._clock.monotonic()
+        has_changed = self.update(rate_per_s, observed_s)
+        self.observed_s = max(self.observed_s, observed_s)
         return has_changed
 
     def update(self, rate_per_s: float | None, observed_s: float) -> bool:
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -479,6 +479,7 @@
                 else:
                     connection = await upstream.pool.acquire()
                 self._upstream = upstream.item.upstream
+                sent_s = clock.monotonic()
                 response = await connection.exchange(
                     exchange.format_request(
                         self._routed.request,
@@ -506,6 +507,7 @@
             has_changed = upstream.rate_limit.observe(
                 response.list_values(self._context.names.rate_limit),
                 exchange.is_rejection(response, self._context.names),
+                sent_s,
             )
             if has_changed:
                 self._context.permits.report(upstream)
--- a/packages/daemon/tests/gateway/test_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_rate_limit.py
@@ -56,19 +56,42 @@
 ):
     """Guards against a limit that a rejection or malformed value ends."""
     limit = _make_upstream().rate_limit
-    limit.observe([b"2"], False)
+    limit.observe([b"2"], False, 0.0)
     await asyncio.sleep(1)
-    limit.observe(values, is_rejection)
+    limit.observe(values, is_rejection, 1.0)
     assert limit.rate_per_s == rate
 
 
+@pytest.mark.looptime
+async def test_a_response_that_was_on_its_way_ends_no_limit():
+    """Guards against requests beyond a limit until it is stated again."""
+    limit = _make_upstream().rate_limit
+    await asyncio.sleep(5)
+    limit.observe([b"2"], False, 4.9)
+    await asyncio.sleep(1)
+    assert not limit.observe([], False, 4.8)
+    assert limit.rate_per_s == 2.0
+    assert limit.observe([], False, 5.1)
+    assert limit.rate_per_s is None
+
+
+@pytest.mark.looptime
+async def test_a_limit_of_another_instance_outlasts_a_response_on_its_way():
+    """Guards against ignoring a limit because of an earlier request."""
+    limit = _make_upstream().rate_limit
+    await asyncio.sleep(5)
+    limit.observe([], False, 3.0)
+    limit.apply(messages.UpstreamLimit("u0", 1, 2.0, 500), 5.0)
+    assert limit.rate_per_s == 2.0
+
+
 @pytest.mark.looptime
 async def test_an_older_limit_of_another_instance_is_ignored():
     """Guards against a limit that returns after the upstream has ended it."""
     limit = _make_upstream().rate_limit
     await asyncio.sleep(5)
-    limit.observe([b"2"], False)
-    limit.observe([], False)
+    limit.observe([b"2"], False, 5.0)
+    limit.observe([], False, 5.0)
     now_s = asyncio.get_running_loop().time()
     limit.apply(messages.UpstreamLimit("u0", 1, 2.0, 500), now_s)
     assert limit.rate_per_s is None
@@ -81,7 +104,7 @@
 async def test_refused_callers_are_told_different_times():
     """Guards against callers that return together for the same permit."""
     limit = _make_upstream().rate_limit
-    limit.observe([b"2"], False)
+    limit.observe([b"2"], False, 0.0)
     now_s = asyncio.get_running_loop().time()
     limit.set_next_permit(now_s + 0.3, now_s + 1)
     told = [round(limit.promise_retry_after(), 3) for _ in range(3)]
@@ -92,7 +115,7 @@
 async def test_a_permit_that_arrives_after_a_freeze_is_not_used():
     """Guards against permits that add up while an instance is frozen."""
     upstream = _make_upstream()
-    upstream.rate_limit.observe([b"2"], False)
+    upstream.rate_limit.observe([b"2"], False, 0.0)
 
     async def ask(request):
         await asyncio.sleep(2)
@@ -106,7 +129,7 @@
 async def test_the_leader_is_not_asked_again_before_the_time_it_said():
     """Guards against a question to the leader for each refused request."""
     upstream = _make_upstream()
-    upstream.rate_limit.observe([b"2"], False)
+    upstream.rate_limit.observe([b"2"], False, 0.0)
     asked = []
 
     async def ask(request):
