Probe upstreams whatever the characters of their health path

What callers would see: an instance that reaches no upstream never notices it, so its callers are refused for the whole cut; or, if the path is configured during a cut, it forwards for ever.

Cause: a health path outside of latin-1 made the formatting of the probe raise, and one with a line break wrote further headers. The error ended the task that probes, and left the instance in the state that it was in.

Evidence: the new tests fail before this change.

Ruled out: errors of connections, which count as no response already.

Why it works: the path is percent-encoded, and an unexpected error ends the cut: requests go to upstreams again, and their failures start the next check.

--- a/packages/daemon/src/bamboosilld/gateway/reachability.py
+++ b/packages/daemon/src/bamboosilld/gateway/reachability.py
@@ -101,11 +101,11 @@
             while not await self._probe_several():
                 self._set_cut_off()
                 await self._clock.sleep(_PROBE_INTERVAL_S)
-            self._end_cut()
         except Exception:
-            _log.exception("Probing failed.")
+            _log.exception("Probing failed; requests go to upstreams again.")
         finally:
             self._check = None
+        self._end_cut()
 
     def _set_cut_off(self) -> None:
         if self.is_cut_off:
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from typing import NamedTuple
+import urllib.parse
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
@@ -33,6 +34,8 @@
 _UNSYNCED_RETRY_AFTER_S = 1.0
 # Fraction of the caller's timeout for which a request waits for the first sync.
 _SYNC_WAIT_FRACTION = 0.25
+# Characters of a path and query that need no percent-encoding.
+_URL_SAFE_CHARACTERS = "/?&=%:@!$'()*+,;~"
 # Requests of other entry instances that are handled at once, at most.
 _MAX_FORWARDED_IN_FLIGHT = 128
 
@@ -206,8 +209,9 @@
     def _format_probe(self, upstream: load_balancing.Upstream) -> bytes:
         service = self._view.services.get(upstream.item.service)
         path = service.health_path if service is not None else ""
-        head = f"GET {path or '/'} HTTP/1.1\r\nHost: {upstream.item.address}"
-        return head.encode("latin-1") + b"\r\n\r\n"
+        target = urllib.parse.quote(path or "/", safe=_URL_SAFE_CHARACTERS)
+        head = f"GET {target} HTTP/1.1\r\nHost: {upstream.item.address}"
+        return head.encode("ascii") + b"\r\n\r\n"
 
     async def handle(
         self, request: http_messages.Request
--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -39,7 +39,13 @@
 class _Entry:
     """An entry instance whose view has the upstreams that a test names."""
 
-    def __init__(self, *upstream_addresses, version=1, retry_constant=50.0):
+    def __init__(
+        self,
+        *upstream_addresses,
+        version=1,
+        retry_constant=50.0,
+        health_path="/health",
+    ):
         follower = _Follower()
         clock = clock_lib.LoopClock()
         self.view = view_lib.View(follower.state, clock, NAMES.request_id)
@@ -71,7 +77,7 @@
             version=version,
             whole=True,
             routes=routes,
-            services=(messages.ServiceItem("s"),),
+            services=(messages.ServiceItem("s", health_path=health_path),),
             has_limits=True,
         )
         items = tuple(
@@ -308,3 +314,38 @@
         entry.reachability.record_failure(f"u{number}", True)
     await asyncio.sleep(0.3)
     assert entry.reachability.is_cut_off == is_cut_off
+
+
+@pytest.mark.parametrize(
+    "health_path", ["/salud/é", "/santé €", "/a b\r\nx: y"]
+)
+async def test_a_health_path_with_any_characters_does_not_prevent_probes(
+    serve, health_path
+):
+    """Guards against an instance that never notices a cut, or its end."""
+    upstream = await serve(_respond)
+    entry = _Entry(upstream.address, health_path=health_path)
+    entry.reachability.record_failure("u0", True)
+    await upstream.wait_request()
+    ((line, headers, _),) = upstream.requests
+    assert line.isascii() and line.count(" ") == 2
+    assert set(headers) == {"Host"}
+    upstream._server.close()
+    entry = _Entry("127.0.0.1:9", health_path=health_path)
+    entry.reachability.record_failure("u0", True)
+    await asyncio.sleep(0.3)
+    assert entry.reachability.is_cut_off
+
+
+async def test_an_error_in_a_probe_ends_a_cut(serve):
+    """Guards against requests that are forwarded for ever."""
+    upstream = await serve(_respond)
+    entry = _Entry(upstream.address).cut_off()
+
+    def fail(upstream):
+        raise ValueError("not expected")
+
+    entry.reachability._format_probe = fail
+    entry.reachability.record_failure("u0", True)
+    await asyncio.sleep(0.3)
+    assert not entry.reachability.is_cut_off
