Ask instances again that take forwarded requests again

What callers would see: during a cut, refusals for up to 2 s after each change of the configuration, at the instances that are cut off: they know it first, all others that they ask are older, and are then not asked for 2 s. The same after all others were full once.

Cause: instances that did not take a request were excluded for a while, where the doc comment and the reason for it only ask for others to be preferred.

Evidence: with three other instances that are older and get the new version, the next request is refused before this change and served after it.

Ruled out for instances that did not respond at all: asking those again would hold each request for the connect timeout, so they stay excluded (the second test, which passes before and after).

--- a/packages/daemon/src/bamboosilld/gateway/forward_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/forward_sender.py
@@ -27,12 +27,14 @@
         response: The response to the caller, if there is one.
         reason: Why there is none.
         instance: Address of the last instance that was asked.
+        has_responded: Whether that instance responded.
     """
 
     outcome: bytes
     response: upstream_connection.UpstreamResponse | None
     reason: str
     instance: str
+    has_responded: bool = False
 
 
 NOT_TAKEN = Result(forwarding.UNAVAILABLE, None, "no upstream reached", "")
@@ -76,7 +78,7 @@
             )
         if result.outcome != forwarding.UNAVAILABLE:
             break
-        context.instances.avoid(instance)
+        context.instances.avoid(instance, result.has_responded)
     return result
 
 
@@ -120,9 +122,13 @@
     response, outcome = forwarding.parse_response(received)
     if outcome == forwarding.UNAVAILABLE:
         reason = "no upstream reached, other instances not available"
-        return Result(outcome, None, reason, address)
+        return Result(outcome, None, reason, address, True)
     if outcome not in forwarding.FINAL_OUTCOMES:
         return Result(
-            forwarding.UNKNOWN, None, "malformed forwarded response", address
+            forwarding.UNKNOWN,
+            None,
+            "malformed forwarded response",
+            address,
+            True,
         )
-    return Result(outcome, response, "", address)
+    return Result(outcome, response, "", address, True)
--- a/packages/daemon/src/bamboosilld/gateway/forwarding.py
+++ b/packages/daemon/src/bamboosilld/gateway/forwarding.py
@@ -57,6 +57,7 @@
         item: Its address and zone.
         in_flight: Requests forwarded to it that are in flight.
         avoid_until_s: Monotonic time until which others are preferred.
+        has_responded: Whether it responded when it was last asked.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         )
         self.in_flight = 0
         self.avoid_until_s = float("-inf")
+        self.has_responded = True
 
 
 class Instances:
@@ -108,15 +110,21 @@
     def choose(self, excluded: set[str]) -> Instance | None:
         """Returns the instance with the fewest forwarded requests of a sample.
 
+        Instances to avoid are asked if there are no others, but only those that
+        refuse at once if they still do not take requests.
+
         Args:
             excluded: Addresses of instances that did not take the request.
         """
         now_s = self._clock.monotonic()
-        available = [
+        candidates = [
             each
             for address, each in self._by_address.items()
-            if address not in excluded and now_s >= each.avoid_until_s
+            if address not in excluded
         ]
+        available = [
+            each for each in candidates if now_s >= each.avoid_until_s
+        ] or [each for each in candidates if each.has_responded]
         sampled = [
             each
             for is_same_zone in (True, False)
@@ -124,9 +132,10 @@
         ]
         return min(sampled, key=self._compute_cost, default=None)
 
-    def avoid(self, instance: Instance) -> None:
+    def avoid(self, instance: Instance, has_responded: bool) -> None:
         """Prefers other instances for a while."""
         instance.avoid_until_s = self._clock.monotonic() + _AVOID_S
+        instance.has_responded = has_responded
 
     def sweep(self) -> None:
         """Closes idle connections that may not be reused any more."""
--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -60,6 +60,22 @@
         )
         self.reachability = self.service._context.reachability
         self.listener = listener_lib.Listener(self.service.handle_forwarded)
+        items = tuple(
+            messages.UpstreamItem(
+                upstream=f"u{number}",
+                born_ms=1,
+                address=address,
+                service="s",
+                zone="z1",
+                slots=4,
+            )
+            for number, address in enumerate(upstream_addresses)
+        )
+        self.view.state.apply(1, wire.pack(messages.SetUpstreams(items)))
+        self.configure(version, health_path)
+
+    def configure(self, version, health_path="/health"):
+        """Puts a version of the configuration into force."""
         routes = tuple(
             messages.RouteItem(
                 name=kind,
@@ -75,24 +91,15 @@
         )
         change = messages.ChangeConfiguration(
             version=version,
+            base=self.view.state.configuration.version,
+            digest=b"%d" % version,
             whole=True,
             routes=routes,
             services=(messages.ServiceItem("s", health_path=health_path),),
             has_limits=True,
         )
-        items = tuple(
-            messages.UpstreamItem(
-                upstream=f"u{number}",
-                born_ms=1,
-                address=address,
-                service="s",
-                zone="z1",
-                slots=4,
-            )
-            for number, address in enumerate(upstream_addresses)
-        )
-        follower.state.apply(1, wire.pack(change))
-        follower.state.apply(2, wire.pack(messages.SetUpstreams(items)))
+        revision = self.view.state.revision + 1
+        self.view.state.apply(revision, wire.pack(change))
 
     async def start(self):
         await self.listener.start("127.0.0.1", 0)
@@ -228,6 +235,32 @@
     assert len(upstream.requests) == 1
 
 
+async def test_instances_that_take_requests_again_are_asked_at_once(serve):
+    """Guards against refusals for longer than all others are unavailable.
+
+    A changed configuration reaches them later than the one that forwards.
+    """
+    upstream = await serve(_respond)
+    others = [await _Entry(upstream.address).start() for _ in range(3)]
+    entry = _Entry(version=2).cut_off(*others)
+    assert (await entry.send()).status == 503
+    others[0].configure(2)
+    assert (await entry.send()).status == 200
+
+
+async def test_an_instance_that_does_not_respond_delays_one_request_only(serve):
+    """Guards against requests that wait for an instance that was lost."""
+    lost = await serve(_hang)
+    lost._server.close()
+    entry = _Entry().cut_off(lost.address)
+    asked = []
+    for _ in range(2):
+        assert (await entry.send()).status == 503
+        (instance,) = entry.service._context.instances._by_address.values()
+        asked.append(instance.pool.opened)
+    assert asked == [1, 1]
+
+
 async def test_a_stopping_instance_ends_the_requests_that_it_took(serve):
     """Guards against forwarded requests that a planned stop breaks off."""
     released = asyncio.Event()
