Apply the limits of callers' requests to forwarded ones

What callers would see: 502 during a cut for requests with headers of more than 64 KiB, where the configuration allows them: the other instance refuses them without an outcome. Besides, connections of instances that were lost stayed open for ever at the others.

Cause: the listener for other instances had fixed limits, and its timeouts were never checked.

Why it works: limits follow the configuration, with room for the headers that forwarding adds, so an instance takes whatever another one took.

--- a/packages/daemon/src/bamboosilld/gateway/forwarding.py
+++ b/packages/daemon/src/bamboosilld/gateway/forwarding.py
@@ -19,6 +19,9 @@
 _CONFIGURATION = b"bamboosill-configuration"
 _OUTCOME = b"bamboosill-outcome"
 _INTERNAL_HEADERS = frozenset((_SENDS_LEFT, _CONFIGURATION, _OUTCOME))
+# Largest size of the headers that a forwarded request has beyond those that its
+# caller sent.
+MAX_ADDED_HEADER_BYTES = 512
 
 # Values of the outcome. An instance that is unavailable did not run the request
 # and takes no others now.
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -9,6 +9,7 @@
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import process as process_lib
 from bamboosilld.fleet import settings as settings_lib
+from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import listener as listener_lib
 from bamboosilld.gateway import metrics as metrics_lib
@@ -115,11 +116,7 @@
             await self._metrics_listener.start(
                 caller_address_parts[0], settings.metrics_port
             )
-        tasks = [
-            asyncio.create_task(self._follower.run()),
-            asyncio.create_task(self._caller_listener.run_timeout_checks()),
-            asyncio.create_task(self._run_pool_sweeps()),
-        ]
+        tasks = self._start_tasks()
         await process.stopping.wait()
         _log.info("Stopping. Requests in flight: %d.", self.service.in_flight)
         await self._drain()
@@ -128,6 +125,14 @@
         await process.stop()
         return 0
 
+    def _start_tasks(self) -> list[asyncio.Task[None]]:
+        return [
+            asyncio.create_task(self._follower.run()),
+            asyncio.create_task(self._caller_listener.run_timeout_checks()),
+            asyncio.create_task(self._forward_listener.run_timeout_checks()),
+            asyncio.create_task(self._run_pool_sweeps()),
+        ]
+
     async def _drain(self) -> None:
         clock = self._process.clock
         drain_deadline_s = (
@@ -158,13 +163,19 @@
 
     def _apply_limits(self, command: object) -> None:
         limits = self._follower.state.configuration.limits
-        if limits.max_header_bytes:
-            self._caller_listener.limits = listener_lib.Limits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.header_timeout_ms / 1000,
-                limits.idle_timeout_ms / 1000,
-            )
+        if not limits.max_header_bytes:
+            return
+        self._caller_listener.limits = listener_lib.Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        )
+        # What one instance takes from a caller, another one takes from it.
+        self._forward_listener.limits = self._caller_listener.limits._replace(
+            max_header_bytes=limits.max_header_bytes
+            + forwarding.MAX_ADDED_HEADER_BYTES
+        )
 
 
 def run(
