Forward to another instance what one lost its links for

What callers would see: refusals in the first second of a cut that many instances notice one after the other: an instance forwards to one that reaches no upstream either, and takes its refusal for final. Found by reading.

Cause: an instance that finds out that it is cut off after it took a request answered "not run", as after a rejection of an upstream, in place of "unavailable".

Evidence: the new test is refused before this change and served after it. If the request may have run at the upstream, it is 502 before and after.

--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -368,11 +368,18 @@
                 status, routed.request, routed, outcome.retry_after_s
             )
         self._log_outcome(routed, outcome, response.status)
+        return response, self._classify(outcome)
+
+    def _classify(self, outcome: request_context.Outcome) -> bytes:
+        """Returns the outcome for an instance that forwarded the request."""
         if outcome.upstream_response is not None:
-            return response, forwarding.ANSWER
-        return response, (
-            forwarding.UNKNOWN if outcome.may_have_run else forwarding.NOT_RUN
-        )
+            return forwarding.ANSWER
+        if outcome.may_have_run:
+            return forwarding.UNKNOWN
+        if self._context.reachability.is_cut_off:
+            # The links were lost after the request was taken.
+            return forwarding.UNAVAILABLE
+        return forwarding.NOT_RUN
 
     def _log_outcome(
         self,
--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -235,6 +235,30 @@
     assert len(upstream.requests) == 1
 
 
+@pytest.mark.parametrize(("script", "status"), [(None, 200), (_drop, 502)])
+async def test_another_instance_takes_what_one_lost_its_links_for(
+    serve, script, status
+):
+    """Guards against refusals because cuts are noticed one after the other."""
+    upstream = await serve(_respond)
+    address = (await serve(script)).address if script else "127.0.0.1:9"
+    other = await _Entry(address).start()
+
+    def record_failure(upstream, is_connect):
+        other.reachability.is_cut_off = True
+
+    other.reachability.record_failure = record_failure
+    entry = _Entry().cut_off(other)
+    taker = await _Entry(upstream.address).start()
+    task = asyncio.create_task(entry.send())
+    async with asyncio.timeout(5):
+        while not other.service.in_flight:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+    entry.cut_off(other, taker)
+    assert (await task).status == status
+    assert len(upstream.requests) == (status == 200)
+
+
 async def test_instances_that_take_requests_again_are_asked_at_once(serve):
     """Guards against refusals for longer than all others are unavailable.
 
