Tell refused callers of all instances different permits

What callers would see: a Retry-After that is not true. Of the callers that an upstream's rate limit refuses, hardly one is served when it returns, although nobody else takes the permits.

Cause: each instance told its own callers one permit after the other, without knowing what other instances told theirs. Two more causes showed up once that was fixed: an instance did not ask the leader again for a caller that returned when it was told, and a bucket of one permit lost time whenever a caller returned a little late.

Why it works: the leader keeps up to when permits were told, for each upstream, and gives an instance those that it may tell. Returning callers and told permits are reasons to ask it, as many as there are permits; after 30 s of told permits there are no more.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -241,10 +241,12 @@
   # Reply to AcquirePermits, with the newest limit that the leader knows.
   limit @0 :UpstreamLimit;
   granted @1 :UInt32;
-  # Time until the next permit for any instance, and until this one should ask
-  # again.
+  # Time until the next permit that no refused caller of any instance was told, and
+  # until this instance should ask again.
   nextPermitMs @2 :UInt32;
   askAgainMs @3 :UInt32;
+  # Number of permits, from the next one on, that this instance may tell callers.
+  tellable @4 :UInt32;
 }
 
 struct ReleasedRange {
--- a/packages/daemon/src/bamboosilld/fleet/permits.py
+++ b/packages/daemon/src/bamboosilld/fleet/permits.py
@@ -5,6 +5,7 @@
 only; a new leader starts with empty buckets.
 """
 
+import math
 import random
 from typing import NamedTuple
 
@@ -17,7 +18,8 @@
 # responses tell when the limit ends.
 MIN_RATE_PER_S = 0.1
 NO_LIMIT = -1.0
-# A bucket holds the permits of this time, but at least one.
+# A bucket holds one permit, and those of this time: it loses nothing if callers
+# return a little later than they were told.
 _BURST_S = 0.25
 # Instances that asked within this time share the next permits.
 _ASKERS_WINDOW_S = 2.0
@@ -27,12 +29,28 @@
 # instances that were cut off meanwhile learn of it when they ask.
 _ENDED_LIMIT_KEPT_S = 60.0
 _ENDED_LIMIT_SENT_S = 5.0
+# Callers are told to return within this time, also if all permits until then
+# were told to others.
+MAX_RETRY_AFTER_S = 30.0
 # Time after which to ask again for an upstream that the leader does not know.
 _UNKNOWN_UPSTREAM_WAIT_S = 1.0
 
 _log = logs.get_logger("permits")
 
 
+class _Reservation(NamedTuple):
+    """Permits that refused callers are told.
+
+    Attributes:
+        first_s: Time in seconds until the first one, or until the next one that
+            no caller was told.
+        permits: Number of them.
+    """
+
+    first_s: float
+    permits: int
+
+
 class _Bucket:
     """Limit, available permits and recent askers of one upstream."""
 
@@ -42,6 +60,8 @@
         self._tokens = 0.0
         self._filled_s = now_s
         self._askers: dict[str, float] = {}
+        # Permits that are due until then were told to refused callers.
+        self._told_until_s = now_s
 
     def set_rate(
         self, rate_per_s: float | None, observed_s: float, now_s: float
@@ -50,6 +70,8 @@
         self._fill(now_s)
         if self.rate_per_s is None:
             self._tokens = 0.0
+        if rate_per_s != self.rate_per_s:
+            self._told_until_s = now_s
         self.rate_per_s = rate_per_s
         self.observed_s = observed_s
         if rate_per_s is not None:
@@ -66,6 +88,23 @@
         """Returns the time in seconds until the next permit is available."""
         return max(0.0, 1.0 - self._tokens) / self._get_rate()
 
+    def reserve_to_tell(self, count: int, now_s: float) -> _Reservation:
+        """Reserves permits that refused callers are told, as far as possible.
+
+        Args:
+            count: Number of permits.
+            now_s: Current monotonic time.
+        """
+        latest_s = now_s + MAX_RETRY_AFTER_S
+        first_s = min(
+            max(now_s + self.get_next_permit_s(), self._told_until_s), latest_s
+        )
+        free = int((latest_s - first_s) * self._get_rate())
+        reserved = min(count, free)
+        if reserved:
+            self._told_until_s = first_s + reserved / self._get_rate()
+        return _Reservation(first_s - now_s, reserved)
+
     def spread_s(self, instance: str, now_s: float) -> float:
         """Returns over how long the questions of all askers are spread."""
         self._askers = {
@@ -81,7 +120,7 @@
         return max(MIN_RATE_PER_S, self.rate_per_s or 0.0)
 
     def _get_capacity(self) -> float:
-        return max(1.0, self._get_rate() * _BURST_S)
+        return 1.0 + self._get_rate() * _BURST_S
 
     def _fill(self, now_s: float) -> None:
         added = (now_s - self._filled_s) * self._get_rate()
@@ -118,7 +157,10 @@
         if not self._is_known(incarnation):
             wait_ms = int(_UNKNOWN_UPSTREAM_WAIT_S * 1000)
             return messages.AcquirePermitsReply(
-                limit, next_permit_ms=wait_ms, ask_again_ms=wait_ms
+                limit,
+                next_permit_ms=wait_ms,
+                ask_again_ms=wait_ms,
+                tellable=request.wanted,
             )
         bucket = self._buckets.get(incarnation)
         if bucket is None:
@@ -128,16 +170,18 @@
         if bucket.rate_per_s is None or not request.wanted:
             return messages.AcquirePermitsReply(known)
         granted = bucket.take(request.wanted, now_s)
-        next_permit_s = bucket.get_next_permit_s()
         spread_s = bucket.spread_s(request.instance, now_s)
         ask_again_s = 0.0
         if not granted:
-            ask_again_s = next_permit_s + self._rng.uniform(0.0, spread_s)
+            ask_again_s = bucket.get_next_permit_s()
+            ask_again_s += self._rng.uniform(0.0, spread_s)
+        reservation = bucket.reserve_to_tell(request.wanted - granted, now_s)
         return messages.AcquirePermitsReply(
             known,
             granted,
-            next_permit_ms=round(next_permit_s * 1000),
-            ask_again_ms=round(ask_again_s * 1000),
+            next_permit_ms=math.ceil(reservation.first_s * 1000),
+            ask_again_ms=math.ceil(ask_again_s * 1000),
+            tellable=reservation.permits,
         )
 
     def list_limits(self) -> tuple[messages.UpstreamLimit, ...]:
--- a/packages/daemon/src/bamboosilld/gateway/permit_client.py
+++ b/packages/daemon/src/bamboosilld/gateway/permit_client.py
@@ -33,6 +33,8 @@
 # Fraction of an equal part of the limit that is used without the leader. All
 # instances together use half of the limit, beside one that a leader grants.
 _SELF_GRANTED_FRACTION = 0.5
+# Permits of this part that callers may be told: all.
+_MAX_TELLABLE = 1 << 30
 
 _log = logs.get_logger("permits")
 
@@ -90,7 +92,7 @@
         if limit.has_permit():
             return True
         if demand.pending is None:
-            if now_s < limit.ask_again_s:
+            if not limit.may_ask():
                 return False
             demand.pending = asyncio.create_task(self._ask(upstream, demand))
         await asyncio.wait([demand.pending], timeout=timeout_s)
@@ -172,6 +174,8 @@
         limit.set_next_permit(
             now_s + reply.next_permit_ms / 1000,
             now_s + reply.ask_again_ms / 1000,
+            reply.tellable,
+            1 / _bound_rate(limit.rate_per_s),
         )
         metrics.gateway_permits.labels(
             "granted" if reply.granted else "refused"
@@ -185,9 +189,8 @@
         if limit.rate_per_s is None:
             return
         now_s = self._clock.monotonic()
-        rate_per_s = max(permits_lib.MIN_RATE_PER_S, limit.rate_per_s)
         part = _SELF_GRANTED_FRACTION / self._get_entry_count()
-        interval_s = 1 / (rate_per_s * part)
+        interval_s = 1 / (_bound_rate(limit.rate_per_s) * part)
         if demand.self_granted_s is None:
             # Instances that lose the leader together start at different times.
             _log.info(
@@ -200,5 +203,12 @@
             demand.self_granted_s = now_s
             limit.add_permits(1, now_s + _PERMIT_LIFETIME_S)
         limit.set_next_permit(
-            now_s + 1 / rate_per_s, now_s + _FAILED_ASK_PAUSE_S
+            demand.self_granted_s + interval_s,
+            now_s + _FAILED_ASK_PAUSE_S,
+            _MAX_TELLABLE,
+            interval_s,
         )
+
+
+def _bound_rate(rate_per_s: float) -> float:
+    return max(permits_lib.MIN_RATE_PER_S, rate_per_s)
--- a/packages/daemon/src/bamboosilld/gateway/rate_limit.py
+++ b/packages/daemon/src/bamboosilld/gateway/rate_limit.py
@@ -7,7 +7,6 @@
 
 import collections
 from collections.abc import Sequence
-import math
 import re
 
 from bamboosill_common import clock as clock_lib
@@ -17,7 +16,8 @@
 
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 _MAX_LOGGED_BYTES = 40
-_MAX_RETRY_AFTER_S = 30.0
+# Callers that are expected to return, at most.
+_MAX_TOLD = 1024
 
 _log = logs.get_logger("limit")
 
@@ -38,8 +38,7 @@
     Attributes:
         rate_per_s: Requests a second, or None without a limit.
         observed_s: When the limit was observed, on the monotonic clock.
-        next_permit_s: When the next permit is due for any instance.
-        ask_again_s: Time before which the leader is not asked for a permit.
+        next_permit_s: When the next permit is due that no caller was told.
     """
 
     def __init__(self, upstream: str, clock: clock_lib.Clock) -> None:
@@ -47,10 +46,18 @@
         self._clock = clock
         self.rate_per_s: float | None = None
         self.observed_s = float("-inf")
-        self.ask_again_s = float("-inf")
         self._permit_ends_s: collections.deque[float] = collections.deque()
+        self._forget_permits()
+
+    def _forget_permits(self) -> None:
+        self._permit_ends_s.clear()
+        self._ask_again_s = float("-inf")
         self.next_permit_s = float("-inf")
-        self._promised_s = float("-inf")
+        self._tellable = 0
+        self._has_told_all = False
+        self._interval_s = 0.0
+        # Times at which refused callers return.
+        self._told_s: collections.deque[float] = collections.deque()
 
     def observe(
         self, values: Sequence[bytes], is_rejection: bool, sent_s: float
@@ -98,9 +105,7 @@
             "none" if rate_per_s is None else f"{rate_per_s:g}",
         )
         self.rate_per_s = rate_per_s
-        self._permit_ends_s.clear()
-        self.ask_again_s = self.next_permit_s = float("-inf")
-        self._promised_s = float("-inf")
+        self._forget_permits()
         return True
 
     def apply(self, limit: messages.UpstreamLimit, now_s: float) -> None:
@@ -126,25 +131,55 @@
         """Adds permits that may be used until a monotonic time."""
         self._permit_ends_s.extend([end_s] * count)
 
-    def set_next_permit(self, next_permit_s: float, ask_again_s: float) -> None:
-        """Sets when the next permit is due for any instance, and for this."""
+    def set_next_permit(
+        self,
+        next_permit_s: float,
+        ask_again_s: float,
+        tellable: int,
+        interval_s: float,
+    ) -> None:
+        """Sets when the next permits are due.
+
+        Args:
+            next_permit_s: When the next one is due that no caller was told.
+            ask_again_s: Time before which the leader is not asked again.
+            tellable: Permits, from that one on, that callers may be told; 0 if
+                the leader has no more.
+            interval_s: Time between two of them.
+        """
         self.next_permit_s = next_permit_s
-        self.ask_again_s = ask_again_s
+        self._ask_again_s = ask_again_s
+        self._tellable = tellable
+        self._has_told_all = False
+        self._interval_s = interval_s
 
-    def promise_retry_after(self) -> float:
+    def may_ask(self) -> bool:
+        """Returns whether the leader is asked for a permit now.
+
+        It is also asked if a caller returns when it was told, and once all are
+        told: together, twice for each permit at most.
+        """
+        now_s = self._clock.monotonic()
+        has_returning = False
+        while self._told_s and self._told_s[0] <= now_s:
+            self._told_s.popleft()
+            has_returning = True
+        return has_returning or self._has_told_all or now_s >= self._ask_again_s
+
+    def tell_retry_after(self) -> float:
         """Returns the seconds until the next permit that no caller was told.
 
         Callers that return together would be refused together.
         """
         now_s = self._clock.monotonic()
-        rate_per_s = max(permits.MIN_RATE_PER_S, self.rate_per_s or 0.0)
-        next_permit_s = max(self.next_permit_s, self.observed_s)
-        if next_permit_s <= now_s:
+        if self.next_permit_s <= now_s:
             # Others have got the permits since then.
-            passed = math.floor((now_s - next_permit_s) * rate_per_s) + 1
-            next_permit_s += passed / rate_per_s
-        self._promised_s = min(
-            now_s + _MAX_RETRY_AFTER_S,
-            max(next_permit_s, self._promised_s + 1 / rate_per_s),
-        )
-        return self._promised_s - now_s
+            self.next_permit_s = now_s + self._interval_s
+        told_s = min(self.next_permit_s, now_s + permits.MAX_RETRY_AFTER_S)
+        self.next_permit_s = told_s + self._interval_s
+        if self._tellable:
+            self._tellable -= 1
+            self._has_told_all = not self._tellable
+        if len(self._told_s) < _MAX_TOLD:
+            self._told_s.append(told_s)
+        return told_s - now_s
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -210,7 +210,7 @@
         """Sets the outcome of a request that no upstream takes at this rate."""
         first = min(upstreams, key=lambda each: each.rate_limit.next_permit_s)
         self._reason = "rate limit of upstream"
-        self._retry_after_s = first.rate_limit.promise_retry_after()
+        self._retry_after_s = first.rate_limit.tell_retry_after()
 
     def _find_holder(self) -> load_balancing.Upstream | None:
         """Returns the key's holder, unless it rejected this request's key.
--- a/packages/daemon/tests/gateway/test_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_rate_limit.py
@@ -106,8 +106,8 @@
     limit = _make_upstream().rate_limit
     limit.observe([b"2"], False, 0.0)
     now_s = asyncio.get_running_loop().time()
-    limit.set_next_permit(now_s + 0.3, now_s + 1)
-    told = [round(limit.promise_retry_after(), 3) for _ in range(3)]
+    limit.set_next_permit(now_s + 0.3, now_s + 1, 3, 0.5)
+    told = [round(limit.tell_retry_after(), 3) for _ in range(3)]
     assert told == [0.3, 0.8, 1.3]
 
 
--- a/packages/daemon/tests/gateway/test_shared_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_shared_rate_limit.py
@@ -178,14 +178,15 @@
         try:
             while True:
                 await asyncio.sleep(self._rng.expovariate(rate_per_s))
-                task = asyncio.create_task(self._send())
+                task = asyncio.create_task(self.send())
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
         finally:
             for task in tasks:
                 task.cancel()
 
-    async def _send(self):
+    async def send(self):
+        """Sends a request; returns the outcome."""
         fleet, now_s = self._fleet, self._clock.monotonic()
         is_idempotent = self._rng.random() < 0.6
         request_id = b"%d" % self._rng.getrandbits(60)
@@ -211,6 +212,7 @@
         outcome = await sender.run()
         ended_s = self._clock.monotonic()
         self.outcomes.append((now_s, ended_s - now_s, outcome))
+        return outcome
 
 
 class _Fleet:
@@ -405,3 +407,40 @@
             assert took_s < 0.3
             assert not outcome.may_have_run
             assert outcome.retry_after_s > 0.0
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("seed", [8, 11])
+@pytest.mark.parametrize(
+    ("instance_count", "rate", "callers"),
+    [(8, b"2", 30), (91, b"2", 40), (91, b".5", 10), (91, b"20", 300)],
+)
+async def test_callers_that_return_when_they_were_told_are_served(
+    seed, instance_count, rate, callers
+):
+    """Guards against the same permit told to callers of many instances.
+
+    Nobody else takes the permits, so most who return should get one.
+    """
+    served_at_return = []
+
+    async def call(fleet):
+        instance = fleet.rng.choice(fleet.instances)
+        await asyncio.sleep(fleet.rng.uniform(0.0, 1.0))
+        outcome = await instance.send()
+        if outcome.reason != "rate limit of upstream":
+            return
+        await asyncio.sleep(outcome.retry_after_s)
+        outcome = await instance.send()
+        served_at_return.append(outcome.reason != "rate limit of upstream")
+
+    async def run_burst(fleet):
+        await asyncio.sleep(10.0)
+        await asyncio.gather(*(call(fleet) for _ in range(callers)))
+        await asyncio.sleep(60.0)
+
+    fleet = _Fleet(seed, instance_count, True, [(5.0, [rate])])
+    await fleet.run(55.0, 0.2, run_burst)
+    assert len(served_at_return) >= 0.7 * callers
+    assert sum(served_at_return) >= 0.8 * len(served_at_return)
+    assert fleet.limited.find_excess(55.0) == []
