Count the time limits of large replies from the last byte received

Cause: limits meant for a peer that has failed counted from the start of the transfer, so a slow peer could not be told from one that is gone.

The new test in test_peer shows that an instance that only answers pings does not extend a call, and that parts of a frame do.

Looked for elsewhere: calls of the consensus keep their limits, as elections depend on them; control instances have links of 170 Mbit/s and more.

Why it works: each part of a frame that arrives restarts both limits. A call is extended by 60 s at most.

--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -113,15 +113,8 @@
     """The peer violated the protocol or failed authentication."""
 
 
-async def _read_frame(reader: asyncio.StreamReader) -> messages.Frame:
-    prefix = await reader.readexactly(_LENGTH_PREFIX.size)
-    (length,) = _LENGTH_PREFIX.unpack(prefix)
-    if length > _MAX_FRAME_BYTES:
-        raise _ProtocolError(f"frame of {length} bytes is too large")
-    try:
-        return wire.decode(messages.Frame, await reader.readexactly(length))
-    except wire.DecodeError as error:
-        raise _ProtocolError(str(error)) from error
+def _do_nothing() -> None:
+    pass
 
 
 class _Connection:
@@ -136,6 +129,8 @@
         self.context = context
         self.reader = reader
         self.writer = writer
+        # Called when a part of a frame has arrived.
+        self.on_part: Callable[[], None] = _do_nothing
 
     def send(
         self, kind: str, correlation: int, type_name: str, body: bytes
@@ -150,11 +145,38 @@
         data = wire.encode(frame)
         self.writer.write(_LENGTH_PREFIX.pack(len(data)) + data)
 
-    async def receive(self) -> messages.Frame:
-        frame = await _read_frame(self.reader)
+    async def receive(self, silence_s: float | None = None) -> messages.Frame:
+        """Returns the next frame.
+
+        Args:
+            silence_s: Timeout in seconds from the last byte that arrived.
+        """
+        prefix = await self._read(_LENGTH_PREFIX.size, silence_s)
+        (length,) = _LENGTH_PREFIX.unpack(prefix)
+        if length > _MAX_FRAME_BYTES:
+            raise _ProtocolError(f"frame of {length} bytes is too large")
+        data = await self._read(length, silence_s)
+        try:
+            frame = wire.decode(messages.Frame, data)
+        except wire.DecodeError as error:
+            raise _ProtocolError(str(error)) from error
         self.context.timeline.observe(frame.clock)
         return frame
 
+    async def _read(self, count: int, silence_s: float | None) -> bytes:
+        if silence_s is None:
+            return await self.reader.readexactly(count)
+        data = bytearray()
+        while True:
+            async with asyncio.timeout(silence_s):
+                part = await self.reader.read(count - len(data))
+            if not part:
+                raise asyncio.IncompleteReadError(bytes(data), count)
+            data += part
+            if len(data) == count:
+                return bytes(data)
+            self.on_part()
+
     def send_hello(self) -> None:
         identity = self.context.identity
         hello = messages.Hello(
@@ -290,6 +312,22 @@
         )
 
 
+class _PendingCall(NamedTuple):
+    """A call that waits for its reply.
+
+    Attributes:
+        reply: Result of the call.
+        timeout: Ends the call.
+        timeout_s: Its length in seconds.
+        latest_s: Time of the event loop until which it may be extended.
+    """
+
+    reply: asyncio.Future[messages.Frame]
+    timeout: asyncio.Timeout
+    timeout_s: float
+    latest_s: float
+
+
 class Client:
     """Client of one address; reconnects on the next call after a failure."""
 
@@ -299,14 +337,18 @@
         self._port = int(port)
         self.address = address
         self._connection: _Connection | None = None
-        self._pending_replies: dict[int, asyncio.Future[messages.Frame]] = {}
+        self._pending_calls: dict[int, _PendingCall] = {}
         self._last_correlation = 0
         self._connect_lock = asyncio.Lock()
         self._receive_task: asyncio.Task[None] | None = None
         self._last_failure_s = float("-inf")
 
     async def call(
-        self, message: Any, reply_type: type[Reply], deadline_s: float
+        self,
+        message: Any,
+        reply_type: type[Reply],
+        deadline_s: float,
+        transfer_s: float = 0.0,
     ) -> Result[Reply, errors.PeerError]:
         """Sends a request and returns its reply, connecting first if needed.
 
@@ -315,17 +357,21 @@
             reply_type: Expected class of the reply.
             deadline_s: Timeout in seconds for the whole call, including the
                 connection attempt.
+            transfer_s: Longest time in seconds by which the timeout is
+                extended while a large frame arrives.
         """
         sent = False
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(deadline_s):
+            async with asyncio.timeout(deadline_s) as timeout:
                 connection = await self._ensure_connection()
                 self._last_correlation += 1
                 correlation = self._last_correlation
-                future: asyncio.Future[messages.Frame] = (
-                    asyncio.get_running_loop().create_future()
+                reply: asyncio.Future[messages.Frame] = loop.create_future()
+                latest_s = loop.time() + transfer_s
+                self._pending_calls[correlation] = _PendingCall(
+                    reply, timeout, deadline_s, latest_s
                 )
-                self._pending_replies[correlation] = future
                 try:
                     sent = True
                     connection.send(
@@ -335,9 +381,9 @@
                         wire.encode(message),
                     )
                     await connection.writer.drain()
-                    frame = await future
+                    frame = await reply
                 finally:
-                    self._pending_replies.pop(correlation, None)
+                    self._pending_calls.pop(correlation, None)
         except TimeoutError:
             return Failure(errors.PeerError("timeout", self.address, sent))
         except (OSError, EOFError, _ProtocolError) as error:
@@ -394,13 +440,13 @@
     async def _receive_replies(self, connection: _Connection) -> None:
         ping_task = asyncio.create_task(self._send_pings(connection))
         error: Exception = ConnectionResetError("connection closed")
+        connection.on_part = self._extend_timeouts
         try:
             while True:
-                async with asyncio.timeout(_RECEIVE_TIMEOUT_S):
-                    frame = await connection.receive()
-                future = self._pending_replies.get(frame.correlation)
-                if frame.kind != "pong" and future and not future.done():
-                    future.set_result(frame)
+                frame = await connection.receive(_RECEIVE_TIMEOUT_S)
+                call = self._pending_calls.get(frame.correlation)
+                if frame.kind != "pong" and call and not call.reply.done():
+                    call.reply.set_result(frame)
         except TimeoutError:
             metrics.peer_silent_connections.inc()
             _log.info("Connection to %s went silent.", self.address)
@@ -413,9 +459,18 @@
             ping_task.cancel()
             connection.writer.close()
             self._connection = None
-            for future in self._pending_replies.values():
-                if not future.done():
-                    future.set_exception(error)
+            for call in self._pending_calls.values():
+                if not call.reply.done():
+                    call.reply.set_exception(error)
+
+    def _extend_timeouts(self) -> None:
+        """Extends calls whose reply may be behind the frame that arrives."""
+        now_s = asyncio.get_running_loop().time()
+        for call in self._pending_calls.values():
+            ends_s = min(now_s + call.timeout_s, call.latest_s)
+            current_s = call.timeout.when()
+            if current_s is not None and ends_s > current_s > now_s:
+                call.timeout.reschedule(ends_s)
 
     async def _send_pings(self, connection: _Connection) -> None:
         while True:
@@ -453,12 +508,13 @@
         message: Any,
         reply_type: type[Reply],
         deadline_s: float,
+        transfer_s: float = 0.0,
     ) -> Result[Reply, errors.PeerError]:
-        """Sends a request to the instance at `address`."""
+        """Sends a request to the instance at `address`, see `Client.call`."""
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = Client(self._context, address)
-        return await client.call(message, reply_type, deadline_s)
+        return await client.call(message, reply_type, deadline_s, transfer_s)
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/packages/common/tests/test_peer.py
+++ b/packages/common/tests/test_peer.py
@@ -97,3 +97,45 @@
     assert not reply.failure().sent
     await client.close()
     silent_server.close()
+
+
+@pytest.mark.parametrize(("parts", "ping_interval_s"), [(0, 0.02), (4, 60.0)])
+async def test_a_call_is_not_extended_without_parts_of_a_frame(
+    monkeypatch, parts, ping_interval_s
+):
+    """Guards against waiting for an instance that only answers pings.
+
+    The parts of a frame that never ends extend the call while they arrive.
+    """
+    monkeypatch.setattr(peer, "_PING_INTERVAL_S", ping_interval_s)
+    handlers = peer.Handlers()
+
+    @handlers.register(control.ZoneBeat)
+    async def send_parts(message, hello):
+        (connection,) = connections
+        for number in range(parts):
+            data = b"\x00\x01\x00\x00" if number == 0 else b"a"
+            connection.writer.write(data)
+            await asyncio.sleep(0.15)
+        await asyncio.sleep(60)
+
+    connections = []
+    server, port = await start_server(handlers)
+    accept = server._serve_connection
+
+    async def serve_connection(connection):
+        connections.append(connection)
+        await accept(connection)
+
+    server._serve_connection = serve_connection
+    client = peer.Client(make_context("client"), f"127.0.0.1:{port}")
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    reply = await client.call(
+        control.ZoneBeat(), control.ZoneBeatReply, 0.2, 60.0
+    )
+    assert reply.failure().code == "timeout"
+    is_extended = loop.time() - started_s > 0.4
+    assert is_extended == (parts > 0)
+    await client.close()
+    await server.stop()
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -25,6 +25,8 @@
 
 # The leader replies within half a second even if nothing changes.
 _CALL_TIMEOUT_S = 1.2
+# A snapshot of a large state takes that long over a slow link.
+_TRANSFER_TIMEOUT_S = 60.0
 _RETRY_DELAY_S = 0.1
 _PERMIT_TIMEOUT_S = 0.25
 # Longer than an election and the time until all instances follow again.
@@ -164,7 +166,11 @@
         )
         started_s = self._clock.monotonic()
         result = await self._directory.call(
-            address, request, messages.FollowReply, _CALL_TIMEOUT_S
+            address,
+            request,
+            messages.FollowReply,
+            _CALL_TIMEOUT_S,
+            _TRANSFER_TIMEOUT_S,
         )
         self._last_poll_succeeded = isinstance(result, Success)
         reason = ""
