Probe upstreams without a rate limit only

What upstreams would see: requests beyond the limit that they stated. Each entry instance that sees two upstreams fail probes up to four others a second, without permits; whether upstreams count such requests is not known. Found by reading.

Cause: what is sent without a request of a caller was left out of the limit.

Evidence: the new test fails before this change: the upstream with a limit is probed.

Ruled out: a permit for each probe; an instance that is cut off may not get one, and needs no particular upstream. If all state a limit, they are probed as before.

--- a/packages/daemon/src/bamboosilld/gateway/reachability.py
+++ b/packages/daemon/src/bamboosilld/gateway/reachability.py
@@ -156,6 +156,10 @@
 
     def _choose_probed(self) -> list[load_balancing.Upstream]:
         upstreams = list(self._list_upstreams())
+        # Probes need no permit, so they spare upstreams with a rate limit.
+        upstreams = [
+            each for each in upstreams if each.rate_limit.rate_per_s is None
+        ] or upstreams
         self._rng.shuffle(upstreams)
         same_zone = [e for e in upstreams if e.item.zone == self._zone]
         first = same_zone[:_PROBED_SAME_ZONE]
--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -406,3 +406,22 @@
     entry.reachability.record_failure("u0", True)
     await asyncio.sleep(0.3)
     assert not entry.reachability.is_cut_off
+
+
+@pytest.mark.parametrize(
+    ("limited", "probed"), [([1], {0, 2}), ([0, 1, 2], {0, 1, 2})]
+)
+async def test_probes_spare_upstreams_with_a_rate_limit(serve, limited, probed):
+    """Guards against probes that exceed the limit of an upstream in need."""
+    upstreams = [await serve(_respond) for _ in range(3)]
+    entry = _Entry(*(each.address for each in upstreams))
+    for number, each in enumerate(entry.view.list_upstreams("s")):
+        if number in limited:
+            each.rate_limit.observe([b"1"], False, 0.0)
+    entry.reachability.record_failure("u0", True)
+    entry.reachability.record_failure("u1", True)
+    await asyncio.sleep(0.3)
+    opened = {
+        number for number, each in enumerate(upstreams) if each.connections
+    }
+    assert opened == probed
