Move the choice of an upstream for a request into a module of its own

request_sender.py had 550 lines and two jobs: choosing the upstream, with keys, permits and latency, and sending with retries and hedges. Rejected grants are a set of their own in place of strings among the ids.

--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -17,21 +17,14 @@
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
+from bamboosilld.gateway import upstream_selection
 
 # A request with less time left until its deadline is not sent any more.
 _MIN_SEND_S = 0.02
-# Longest wait for a key to get a holder, as a fraction of the time left until
-# the route's target latency or the deadline, whichever is sooner.
-_KEY_HOLDER_WAIT_FRACTION = 0.6
 # Bounds on attempts that did not run: rejected by the upstream, or failed
 # before any byte was written. Route limits cover only those that may have run.
 _MAX_REJECTIONS = 4
 _MAX_UNSENT_ATTEMPTS = 4
-# Longest wait for the leader's reply to a question for a permit.
-_PERMIT_WAIT_S = 0.25
-# Multiples of the route's target latency beyond which a request is refused, by
-# priority from the most urgent. Under overload, low priorities go first.
-_LATENCY_FACTOR_BY_PRIORITY = (1.6, 1.4, 1.0)
 # Error codes after which no upstream is assumed to listen at the address.
 _NO_RESPONSE_CODES = frozenset(("connect", "refused"))
 _FIRST_ERROR_STATUS = 500
@@ -59,14 +52,14 @@
         self._retry_budget = budget
         self._route_latency = latency
         self._entry_count = entry_count
-        self._failed: set[str] = set()
+        self._selector = upstream_selection.UpstreamSelector(
+            routed, context, latency, entry_count
+        )
         self._sends = 0
         self._rejections = 0
         self._unsent_attempts = 0
         self._may_have_run = False
-        self._reason = "no upstream"
         self._upstream = ""
-        self._retry_after_s = 0.0
         self._error_response: (
             upstream_connection_lib.UpstreamResponse | None
         ) = None
@@ -78,7 +71,7 @@
                 outcome = await self._forward()
                 if outcome is not None:
                     return outcome
-            upstream = await self._wait_for_upstream()
+            upstream = await self._selector.wait_for_upstream()
             if upstream is None or not self._may_send():
                 break
             response = await self._send_hedged(upstream)
@@ -112,11 +105,11 @@
         if result.outcome == forwarding.UNAVAILABLE:
             if self._has_live_connection():
                 return None
-            self._reason = result.reason
+            self._selector.reason = result.reason
             return self._make_failed_outcome()
         is_refused = result.outcome == forwarding.NOT_RUN
         if result.response is None or (is_refused and self._may_have_run):
-            self._reason = result.reason
+            self._selector.reason = result.reason
             self._may_have_run = True
             return self._make_failed_outcome()
         return request_context.Outcome(
@@ -129,7 +122,7 @@
         if not self._context.reachability.has_live_connections:
             return False
         if routed.key != request_context.NO_KEY:
-            holder = self._find_holder()
+            holder = self._selector.find_holder()
             return holder is not None and holder.pool.has_idle
         return any(
             each.pool.has_idle for each in view.list_upstreams(routed.service)
@@ -138,21 +131,21 @@
     def _make_failed_outcome(self) -> request_context.Outcome:
         return request_context.Outcome(
             None,
-            self._reason,
+            self._selector.reason,
             self._may_have_run,
             self._upstream,
-            self._retry_after_s,
+            self._selector.retry_after_s,
         )
 
     def _may_send(self) -> bool:
         if self._get_remaining_s() < _MIN_SEND_S:
-            self._reason = "deadline"
+            self._selector.reason = "deadline"
             return False
         if (
             self._sends + self._rejections
             and not self._retry_budget.try_acquire(self._entry_count)
         ):
-            self._reason = f"{self._reason}, no retry budget"
+            self._selector.reason += ", no retry budget"
             return False
         if self._sends + self._rejections:
             metrics.gateway_repeats.labels("failure").inc()
@@ -168,135 +161,6 @@
             or self._unsent_attempts >= _MAX_UNSENT_ATTEMPTS
         )
 
-    async def _wait_for_upstream(self) -> load_balancing.Upstream | None:
-        """Returns the upstream to send to; waits for the holder of a key."""
-        routed, view = self._routed, self._context.view
-        if routed.key == request_context.NO_KEY:
-            return await self._choose_permitted(self._failed)
-        target_s = routed.route.target_latency_ms / 1000
-        target_remaining_s = (
-            routed.received_s + target_s - self._context.clock.monotonic()
-        )
-        wait_s = max(
-            0.0,
-            min(target_remaining_s, self._get_remaining_s())
-            * _KEY_HOLDER_WAIT_FRACTION,
-        )
-        await view.changed.wait_until(
-            lambda: self._find_holder() is not None, wait_s
-        )
-        holder = self._find_holder()
-        if holder is None:
-            self._reason = "key has no holder"
-            return None
-        if holder.is_unreachable():
-            # A new connection attempt would only time out at the deadline.
-            self._reason = "key's holder does not answer"
-            return None
-        if not self._is_fast_enough(holder):
-            return None
-        if await self._acquire_permit(holder):
-            return holder
-        self._refuse_for_limit([holder])
-        return None
-
-    async def _acquire_permit(self, upstream: load_balancing.Upstream) -> bool:
-        timeout_s = max(0.0, min(_PERMIT_WAIT_S, self._get_remaining_s()))
-        return await self._context.permits.acquire(upstream, timeout_s)
-
-    def _refuse_for_limit(
-        self, upstreams: list[load_balancing.Upstream]
-    ) -> None:
-        """Sets the outcome of a request that no upstream takes at this rate."""
-        first = min(upstreams, key=lambda each: each.rate_limit.next_permit_s)
-        self._reason = "rate limit of upstream"
-        self._retry_after_s = first.rate_limit.tell_retry_after()
-
-    def _find_holder(self) -> load_balancing.Upstream | None:
-        """Returns the key's holder, unless it rejected this request's key.
-
-        The fence identifies the grant: after a new grant, the same upstream
-        is tried again.
-        """
-        routed = self._routed
-        holder = self._context.view.find_holder(routed.service, routed.key)
-        if holder is None or self._has_rejected_key(holder):
-            return None
-        return holder
-
-    def _has_rejected_key(self, holder: load_balancing.Upstream) -> bool:
-        routed = self._routed
-        fence = self._context.view.get_fence(routed.service, routed.key)
-        return f"{holder.item.upstream}/{fence}" in self._failed
-
-    async def _choose_permitted(
-        self, excluded: set[str]
-    ) -> load_balancing.Upstream | None:
-        """Returns an upstream that takes a request now.
-
-        Asks for a permit at most once: meanwhile, other upstreams can serve.
-        """
-        chosen = self._choose_upstream(excluded)
-        if chosen is None or await self._acquire_permit(chosen):
-            return chosen
-        candidates = self._context.view.list_upstreams(self._routed.service)
-        if not any(each.rate_limit.has_permit() for each in candidates):
-            self._refuse_for_limit(candidates)
-            return None
-        return self._choose_upstream(excluded, needs_permit=True)
-
-    def _choose_upstream(
-        self, excluded: set[str], needs_permit: bool = False
-    ) -> load_balancing.Upstream | None:
-        candidates = self._context.view.list_upstreams(self._routed.service)
-        usable = [
-            each
-            for each in candidates
-            if not needs_permit or each.rate_limit.has_permit()
-        ]
-        untried = [
-            each for each in usable if each.item.upstream not in excluded
-        ]
-        chosen = load_balancing.choose(
-            untried or usable,
-            self._context.zone,
-            self._context.rng,
-            self._entry_count,
-        )
-        if chosen is None:
-            self._reason = "all upstreams are full" if candidates else "none"
-            return None
-        return chosen if self._is_fast_enough(chosen) else None
-
-    def _is_fast_enough(self, upstream: load_balancing.Upstream) -> bool:
-        """Returns whether the upstream is expected to respond in time."""
-        route = self._routed.route
-        rank = min(route.priority, len(_LATENCY_FACTOR_BY_PRIORITY) - 1)
-        limit_s = (
-            route.target_latency_ms / 1000 * _LATENCY_FACTOR_BY_PRIORITY[rank]
-        )
-        elapsed_s = self._context.clock.monotonic() - self._routed.received_s
-        latency_s = upstream.estimate_latency(self._route_latency.mean_s)
-        has_queue = upstream.estimate_load() >= upstream.slots
-        if upstream.is_full():
-            self._reason = "upstream is full"
-        elif has_queue and elapsed_s + latency_s > limit_s:
-            self._reason = "upstreams are too slow now"
-        else:
-            return True
-        _log.info(
-            "Upstream not used. Upstream: %s. Reason: %s.",
-            upstream.item.upstream,
-            self._reason,
-            extra={
-                **self._get_log_fields(upstream),
-                "pace": round(upstream.relative_latency, 2),
-                "expected_ms": int(latency_s * 1000),
-                "limit_ms": int(limit_s * 1000),
-            },
-        )
-        return False
-
     async def _send_hedged(
         self, first: load_balancing.Upstream
     ) -> upstream_connection_lib.UpstreamResponse | None:
@@ -342,8 +206,8 @@
     def _choose_hedge(
         self, first: load_balancing.Upstream
     ) -> load_balancing.Upstream | None:
-        excluded = self._failed | {first.item.upstream}
-        second = self._choose_upstream(excluded, needs_permit=True)
+        excluded = self._selector.failed | {first.item.upstream}
+        second = self._selector.choose(excluded, needs_permit=True)
         if (
             second is None
             or second.item.upstream in excluded
@@ -397,7 +261,9 @@
                 # Another upstream now listens at this address.
                 upstream.record_failure(no_response=True)
             self._record_failed_attempt(
-                upstream, f"rejected with {response.status}"
+                upstream,
+                f"rejected with {response.status}",
+                is_rejection=True,
             )
             return None
         fault = exchange.find_response_fault(response, self._context.names)
@@ -419,41 +285,26 @@
         self._may_have_run = True
 
     def _record_failed_attempt(
-        self, upstream: load_balancing.Upstream, reason: str
+        self,
+        upstream: load_balancing.Upstream,
+        reason: str,
+        is_rejection: bool = False,
     ) -> None:
-        routed = self._routed
-        self._reason = reason
-        self._failed.add(upstream.item.upstream)
-        if routed.key != request_context.NO_KEY and reason.startswith(
-            "rejected"
-        ):
-            fence = self._context.view.get_fence(routed.service, routed.key)
-            self._failed.add(f"{upstream.item.upstream}/{fence}")
+        self._selector.record_failure(upstream, reason, is_rejection)
         metrics.gateway_failed_sends.labels(reason.partition(" ")[0]).inc()
         _log.info(
             "Send failed. Upstream: %s. Reason: %s.",
             upstream.item.upstream,
             reason,
             extra={
-                **self._get_log_fields(upstream),
+                **upstream_selection.make_log_fields(
+                    self._routed, upstream, self._context.clock
+                ),
                 "address": upstream.item.address,
                 "failures": upstream.failures,
             },
         )
 
-    def _get_log_fields(
-        self, upstream: load_balancing.Upstream
-    ) -> dict[str, object]:
-        """Returns the log fields of the request and an upstream."""
-        return {
-            "request": self._routed.request_id.decode("latin-1"),
-            "upstream": upstream.item.upstream,
-            "load": round(upstream.estimate_load(), 1),
-            "load_age_ms": upstream.get_load_age_ms(),
-            "slots": upstream.slots,
-            "left_ms": int(self._get_remaining_s() * 1000),
-        }
-
     async def _exchange(
         self, upstream: load_balancing.Upstream
     ) -> upstream_connection_lib.UpstreamResponse:
@@ -472,7 +323,7 @@
         overdue_timer = self._schedule_overdue_check(upstream, wait_factor)
         try:
             async with asyncio.timeout(self._get_remaining_s()):
-                if upstream.item.upstream in self._failed:
+                if upstream.item.upstream in self._selector.failed:
                     # On a connection that carried this request before, an old
                     # response to it could be repeated.
                     connection = await upstream.pool.open()
--- /dev/null
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -0,0 +1,216 @@
+"""Chooses the upstream to which one request is sent.
+
+Only the holder of a key may run a request for it. Other requests go to the
+upstream with the lowest expected latency that takes requests at its rate.
+"""
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
+from bamboosilld.gateway import latency as latency_lib
+from bamboosilld.gateway import load_balancing
+from bamboosilld.gateway import request_context
+
+# Longest wait for a key to get a holder, as a fraction of the time left until
+# the route's target latency or the deadline, whichever is sooner.
+_KEY_HOLDER_WAIT_FRACTION = 0.6
+# Longest wait for the leader's reply to a question for a permit.
+_PERMIT_WAIT_S = 0.25
+# Multiples of the route's target latency beyond which a request is refused, by
+# priority from the most urgent. Under overload, low priorities go first.
+_LATENCY_FACTOR_BY_PRIORITY = (1.6, 1.4, 1.0)
+
+_log = logs.get_logger("gateway")
+
+
+def make_log_fields(
+    routed: request_context.RoutedRequest,
+    upstream: load_balancing.Upstream,
+    clock: clock_lib.Clock,
+) -> dict[str, object]:
+    """Returns the log fields of a request and an upstream."""
+    return {
+        "request": routed.request_id.decode("latin-1"),
+        "upstream": upstream.item.upstream,
+        "load": round(upstream.estimate_load(), 1),
+        "load_age_ms": upstream.get_load_age_ms(),
+        "slots": upstream.slots,
+        "left_ms": int((routed.deadline_s - clock.monotonic()) * 1000),
+    }
+
+
+class UpstreamSelector:
+    """Chooses upstreams for one request, and remembers which have failed.
+
+    Attributes:
+        failed: Ids of upstreams to which an attempt has failed.
+        reason: Why none was chosen, or why the last attempt failed.
+        retry_after_s: Seconds after which a permit is due for the caller, or 0
+            if no rate limit is the reason.
+    """
+
+    def __init__(
+        self,
+        routed: request_context.RoutedRequest,
+        context: request_context.SendContext,
+        latency: latency_lib.Latency,
+        entry_count: int,
+    ) -> None:
+        self._routed = routed
+        self._context = context
+        self._route_latency = latency
+        self._entry_count = entry_count
+        self.failed: set[str] = set()
+        # Grants whose holder has rejected the key.
+        self._rejected_grants: set[tuple[str, int]] = set()
+        self.reason = "no upstream"
+        self.retry_after_s = 0.0
+
+    async def wait_for_upstream(self) -> load_balancing.Upstream | None:
+        """Returns the upstream to send to; waits for the holder of a key."""
+        routed, view = self._routed, self._context.view
+        if routed.key == request_context.NO_KEY:
+            return await self._choose_permitted(self.failed)
+        target_s = routed.route.target_latency_ms / 1000
+        target_remaining_s = (
+            routed.received_s + target_s - self._context.clock.monotonic()
+        )
+        wait_s = max(
+            0.0,
+            min(target_remaining_s, self._get_remaining_s())
+            * _KEY_HOLDER_WAIT_FRACTION,
+        )
+        await view.changed.wait_until(
+            lambda: self.find_holder() is not None, wait_s
+        )
+        holder = self.find_holder()
+        if holder is None:
+            self.reason = "key has no holder"
+            return None
+        if holder.is_unreachable():
+            # A new connection attempt would only time out at the deadline.
+            self.reason = "key's holder does not answer"
+            return None
+        if not self._is_fast_enough(holder):
+            return None
+        if await self._acquire_permit(holder):
+            return holder
+        self._refuse_for_limit([holder])
+        return None
+
+    async def _acquire_permit(self, upstream: load_balancing.Upstream) -> bool:
+        timeout_s = max(0.0, min(_PERMIT_WAIT_S, self._get_remaining_s()))
+        return await self._context.permits.acquire(upstream, timeout_s)
+
+    def _refuse_for_limit(
+        self, upstreams: list[load_balancing.Upstream]
+    ) -> None:
+        """Sets the outcome of a request that no upstream takes at this rate."""
+        first = min(upstreams, key=lambda each: each.rate_limit.next_permit_s)
+        self.reason = "rate limit of upstream"
+        self.retry_after_s = first.rate_limit.tell_retry_after()
+
+    def find_holder(self) -> load_balancing.Upstream | None:
+        """Returns the key's holder, unless it rejected this request's key.
+
+        The fence identifies the grant: after a new grant, the same upstream
+        is tried again.
+        """
+        routed = self._routed
+        holder = self._context.view.find_holder(routed.service, routed.key)
+        if holder is None or self._has_rejected_key(holder):
+            return None
+        return holder
+
+    def _has_rejected_key(self, holder: load_balancing.Upstream) -> bool:
+        routed = self._routed
+        fence = self._context.view.get_fence(routed.service, routed.key)
+        return (holder.item.upstream, fence) in self._rejected_grants
+
+    async def _choose_permitted(
+        self, excluded: set[str]
+    ) -> load_balancing.Upstream | None:
+        """Returns an upstream that takes a request now.
+
+        Asks for a permit at most once: meanwhile, other upstreams can serve.
+        """
+        chosen = self.choose(excluded)
+        if chosen is None or await self._acquire_permit(chosen):
+            return chosen
+        candidates = self._context.view.list_upstreams(self._routed.service)
+        if not any(each.rate_limit.has_permit() for each in candidates):
+            self._refuse_for_limit(candidates)
+            return None
+        return self.choose(excluded, needs_permit=True)
+
+    def choose(
+        self, excluded: set[str], needs_permit: bool = False
+    ) -> load_balancing.Upstream | None:
+        """Returns the upstream with the lowest cost if it is fast enough.
+
+        Args:
+            excluded: Ids of upstreams that are chosen only if there are no
+                others.
+            needs_permit: Whether upstreams without a permit are left out.
+        """
+        candidates = self._context.view.list_upstreams(self._routed.service)
+        usable = [
+            each
+            for each in candidates
+            if not needs_permit or each.rate_limit.has_permit()
+        ]
+        untried = [
+            each for each in usable if each.item.upstream not in excluded
+        ]
+        chosen = load_balancing.choose(
+            untried or usable,
+            self._context.zone,
+            self._context.rng,
+            self._entry_count,
+        )
+        if chosen is None:
+            self.reason = "all upstreams are full" if candidates else "none"
+            return None
+        return chosen if self._is_fast_enough(chosen) else None
+
+    def _is_fast_enough(self, upstream: load_balancing.Upstream) -> bool:
+        """Returns whether the upstream is expected to respond in time."""
+        route = self._routed.route
+        rank = min(route.priority, len(_LATENCY_FACTOR_BY_PRIORITY) - 1)
+        limit_s = (
+            route.target_latency_ms / 1000 * _LATENCY_FACTOR_BY_PRIORITY[rank]
+        )
+        elapsed_s = self._context.clock.monotonic() - self._routed.received_s
+        latency_s = upstream.estimate_latency(self._route_latency.mean_s)
+        has_queue = upstream.estimate_load() >= upstream.slots
+        if upstream.is_full():
+            self.reason = "upstream is full"
+        elif has_queue and elapsed_s + latency_s > limit_s:
+            self.reason = "upstreams are too slow now"
+        else:
+            return True
+        _log.info(
+            "Upstream not used. Upstream: %s. Reason: %s.",
+            upstream.item.upstream,
+            self.reason,
+            extra={
+                **make_log_fields(self._routed, upstream, self._context.clock),
+                "pace": round(upstream.relative_latency, 2),
+                "expected_ms": int(latency_s * 1000),
+                "limit_ms": int(limit_s * 1000),
+            },
+        )
+        return False
+
+    def record_failure(
+        self, upstream: load_balancing.Upstream, reason: str, is_rejection: bool
+    ) -> None:
+        """Records a failed attempt, for the choice of the next upstream."""
+        routed = self._routed
+        self.reason = reason
+        self.failed.add(upstream.item.upstream)
+        if is_rejection and routed.key != request_context.NO_KEY:
+            fence = self._context.view.get_fence(routed.service, routed.key)
+            self._rejected_grants.add((upstream.item.upstream, fence))
+
+    def _get_remaining_s(self) -> float:
+        return self._routed.deadline_s - self._context.clock.monotonic()
