Let callers return to the upstream whose permit they were told

Cause: the time was taken from an upstream whose next permit was not known, which counted as due at once; and when the caller returned, the upstream with the lowest load was asked, and not one that keeps a permit due.

Ruled out: asking for every upstream in turn; that is a question each for the leader, and a wait for each.

Why it works: the time comes from an upstream with known permits, or the one that was asked for; a request that no upstream takes without a permit asks for one for which callers are due first.

--- a/packages/daemon/src/bamboosilld/gateway/rate_limit.py
+++ b/packages/daemon/src/bamboosilld/gateway/rate_limit.py
@@ -55,7 +55,7 @@
         self.next_permit_s = float("-inf")
         self._tellable = 0
         self._has_told_all = False
-        self._interval_s = 0.0
+        self._interval_s = 1 / max(permits.MIN_RATE_PER_S, self.rate_per_s or 0)
         # Times at which refused callers return.
         self._told_s: collections.deque[float] = collections.deque()
 
@@ -153,6 +153,11 @@
         self._has_told_all = False
         self._interval_s = interval_s
 
+    @property
+    def is_caller_due(self) -> bool:
+        """Whether a refused caller was told to return by now."""
+        return bool(self._told_s and self._told_s[0] <= self._clock.monotonic())
+
     def may_ask(self) -> bool:
         """Returns whether the leader is asked for a permit now.
 
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -207,7 +207,7 @@
         self, first: load_balancing.Upstream
     ) -> load_balancing.Upstream | None:
         excluded = self._selector.failed | {first.item.upstream}
-        second = self._selector.choose(excluded, needs_permit=True)
+        second = self._selector.choose_permitted_now(excluded)
         if (
             second is None
             or second.item.upstream in excluded
--- a/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -104,8 +104,20 @@
     def _refuse_for_limit(
         self, upstreams: list[load_balancing.Upstream]
     ) -> None:
-        """Sets the outcome of a request that no upstream takes at this rate."""
-        first = min(upstreams, key=lambda each: each.rate_limit.next_permit_s)
+        """Sets the outcome of a request that no upstream takes at this rate.
+
+        Args:
+            upstreams: Upstreams with a rate limit and no permit. The first one
+                is that which was asked for.
+        """
+        now_s = self._context.clock.monotonic()
+        known = [
+            each for each in upstreams if each.rate_limit.next_permit_s > now_s
+        ]
+        first = min(
+            known or upstreams[:1],
+            key=lambda each: each.rate_limit.next_permit_s,
+        )
         self.reason = "rate limit of upstream"
         self.retry_after_s = first.rate_limit.tell_retry_after()
 
@@ -133,36 +145,42 @@
 
         Asks for a permit at most once: meanwhile, other upstreams can serve.
         """
-        chosen = self.choose(excluded)
+        candidates = self._context.view.list_upstreams(self._routed.service)
+        chosen = self._choose_from(
+            _list_due(candidates) or candidates, excluded
+        )
         if chosen is None or await self._acquire_permit(chosen):
             return chosen
         candidates = self._context.view.list_upstreams(self._routed.service)
         if not any(each.rate_limit.has_permit() for each in candidates):
-            self._refuse_for_limit(candidates)
+            self._refuse_for_limit([chosen, *candidates])
             return None
-        return self.choose(excluded, needs_permit=True)
+        return self.choose_permitted_now(excluded)
 
-    def choose(
-        self, excluded: set[str], needs_permit: bool = False
+    def choose_permitted_now(
+        self, excluded: set[str]
     ) -> load_balancing.Upstream | None:
-        """Returns the upstream with the lowest cost if it is fast enough.
+        """Returns an upstream that needs no permit or has one, or None.
 
         Args:
             excluded: Ids of upstreams that are chosen only if there are no
                 others.
-            needs_permit: Whether upstreams without a permit are left out.
         """
         candidates = self._context.view.list_upstreams(self._routed.service)
-        usable = [
-            each
-            for each in candidates
-            if not needs_permit or each.rate_limit.has_permit()
+        permitted = [
+            each for each in candidates if each.rate_limit.has_permit()
         ]
+        return self._choose_from(permitted, excluded)
+
+    def _choose_from(
+        self, candidates: list[load_balancing.Upstream], excluded: set[str]
+    ) -> load_balancing.Upstream | None:
+        """Returns the upstream with the lowest cost if it is fast enough."""
         untried = [
-            each for each in usable if each.item.upstream not in excluded
+            each for each in candidates if each.item.upstream not in excluded
         ]
         chosen = load_balancing.choose(
-            untried or usable,
+            untried or candidates,
             self._context.zone,
             self._context.rng,
             self._entry_count,
@@ -214,3 +232,15 @@
 
     def _get_remaining_s(self) -> float:
         return self._routed.deadline_s - self._context.clock.monotonic()
+
+
+def _list_due(
+    upstreams: list[load_balancing.Upstream],
+) -> list[load_balancing.Upstream]:
+    """Returns the upstreams for whose permits refused callers return now.
+
+    Returns none if an upstream takes requests without asking.
+    """
+    if any(each.rate_limit.has_permit() for each in upstreams):
+        return []
+    return [each for each in upstreams if each.rate_limit.is_caller_due]
--- a/packages/daemon/tests/gateway/test_shared_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_shared_rate_limit.py
@@ -135,9 +135,8 @@
         self.view = view_lib.View(self.state, self._clock, NAMES.request_id)
         for index, command in enumerate(fleet.commands, 1):
             self.state.apply(index, wire.pack(command))
-        by_name = {each.name: each for each in fleet.upstreams}
         for each in self.view.list_upstreams("s"):
-            each.pool = _Pool(self, by_name[each.item.upstream])
+            each.pool = _Pool(self, fleet.by_name[each.item.upstream])
         self._budget = budget_lib.RetryBudget(self._clock, 0.2, 50, 10.0)
         self._latency = latency_lib.Latency()
         self._permits = permit_client.PermitClient(
@@ -172,6 +171,14 @@
         await asyncio.sleep(self._rng.uniform(0.0005, 0.005))
         return Success(reply)
 
+    def report_limits(self):
+        """Lets all instances know the limits in force."""
+        for each in self.view.list_upstreams("s"):
+            upstream = self._fleet.by_name[each.item.upstream]
+            values = upstream.get_values(self._clock.monotonic())
+            if each.rate_limit.observe(values, False, 0.0):
+                self._permits.report(each)
+
     async def run(self, rate_per_s):
         updates = asyncio.create_task(self.run_updates())
         tasks = {updates}
@@ -230,13 +237,17 @@
         service="s",
     )
 
-    def __init__(self, seed, instance_count, is_sharded, schedule):
+    def __init__(
+        self, seed, instance_count, is_sharded, schedule, limits_all=False
+    ):
         self.seed = seed
         self.rng = random.Random(seed)
         self.is_sharded = is_sharded
         self.upstreams = [_Upstream("u0", self.rng, schedule)] + [
-            _Upstream(f"u{number}", self.rng) for number in range(1, 5)
+            _Upstream(f"u{number}", self.rng, schedule if limits_all else ())
+            for number in range(1, 5)
         ]
+        self.by_name = {each.name: each for each in self.upstreams}
         items = tuple(
             messages.UpstreamItem(
                 upstream=each.name,
@@ -412,11 +423,17 @@
 @pytest.mark.looptime
 @pytest.mark.parametrize("seed", [8, 11])
 @pytest.mark.parametrize(
-    ("instance_count", "rate", "callers"),
-    [(8, b"2", 30), (91, b"2", 40), (91, b".5", 10), (91, b"20", 300)],
+    ("instance_count", "rate", "callers", "limits_all"),
+    [
+        (8, b"2", 30, False),
+        (91, b"2", 40, False),
+        (91, b".5", 10, False),
+        (91, b"20", 300, False),
+        (91, b".5", 40, True),
+    ],
 )
 async def test_callers_that_return_when_they_were_told_are_served(
-    seed, instance_count, rate, callers
+    seed, instance_count, rate, callers, limits_all
 ):
     """Guards against the same permit told to callers of many instances.
 
@@ -435,12 +452,15 @@
         served_at_return.append(outcome.reason != "rate limit of upstream")
 
     async def run_burst(fleet):
-        await asyncio.sleep(10.0)
+        await asyncio.sleep(6.0)
+        fleet.instances[0].report_limits()
+        await asyncio.sleep(4.0)
         await asyncio.gather(*(call(fleet) for _ in range(callers)))
         await asyncio.sleep(60.0)
 
-    fleet = _Fleet(seed, instance_count, True, [(5.0, [rate])])
-    await fleet.run(55.0, 0.2, run_burst)
+    schedule = [(5.0, [rate])]
+    fleet = _Fleet(seed, instance_count, not limits_all, schedule, limits_all)
+    await fleet.run(55.0, 0.5 if limits_all else 0.2, run_burst)
     assert len(served_at_return) >= 0.7 * callers
     assert sum(served_at_return) >= 0.8 * len(served_at_return)
     assert fleet.limited.find_excess(55.0) == []
