Begin no waiting order that the end of the grace period may break off

Cause: the check was made when a request arrives, not when it is sent.

Evidence: the new test of a waiting order fails before this change.

Ruled out for orders that were sent already: their upstreams are at work, and they keep the whole grace period.

Why it works: the check is made before each wait and each send. A forwarded order that is left unsent goes to another instance (the second new test, which the code before passes by sending it).

--- a/packages/daemon/src/bamboosilld/gateway/request_context.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_context.py
@@ -13,6 +13,8 @@
 from bamboosilld.gateway import view as view_lib
 
 NO_KEY = -1
+# Shortest time after which a refused caller is told to return.
+MIN_RETRY_AFTER_S = 0.1
 
 
 class RoutedRequest(NamedTuple):
@@ -59,6 +61,32 @@
     retry_after_s: float = 0.0
 
 
+class Shutdown:
+    """The planned end of this instance.
+
+    Attributes:
+        abandon_s: Monotonic time at which requests in flight are abandoned;
+            infinity until the instance is stopped.
+    """
+
+    def __init__(self) -> None:
+        self.abandon_s = float("inf")
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether this instance is stopping."""
+        return self.abandon_s < float("inf")
+
+    def may_break_off(self, routed: RoutedRequest) -> bool:
+        """Returns whether the shutdown may end a request for good.
+
+        Idempotent requests are not meant, as their callers can repeat them.
+        """
+        return (
+            not routed.route.idempotent and routed.deadline_s > self.abandon_s
+        )
+
+
 class SendContext(NamedTuple):
     """Dependencies that all request senders share."""
 
@@ -70,3 +98,4 @@
     permits: permit_client.PermitClient
     reachability: reachability_lib.Reachability
     instances: forwarding.Instances
+    shutdown: Shutdown
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -66,7 +66,7 @@
 
     async def run(self) -> request_context.Outcome:
         """Sends the request; returns the response or the reason of failure."""
-        while True:
+        while not self._may_be_broken_off():
             if self._context.reachability.is_cut_off:
                 outcome = await self._forward()
                 if outcome is not None:
@@ -137,7 +137,20 @@
             self._selector.retry_after_s,
         )
 
+    def _may_be_broken_off(self) -> bool:
+        """Returns whether the end of the grace period may end the request.
+
+        Only a request that was not begun can be sent elsewhere.
+        """
+        if not self._context.shutdown.may_break_off(self._routed):
+            return False
+        self._selector.reason = "stopping"
+        self._selector.retry_after_s = request_context.MIN_RETRY_AFTER_S
+        return True
+
     def _may_send(self) -> bool:
+        if self._may_be_broken_off():
+            return False
         if self._get_remaining_s() < _MIN_SEND_S:
             self._selector.reason = "deadline"
             return False
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -25,10 +25,8 @@
 from bamboosilld.gateway import view as view_lib
 
 _DEFAULT_DEADLINE_S = 30.0
-# Retry-After of a refused request: a fraction of its route's target latency,
-# but no less than the minimum.
+# Retry-After of a refused request: a fraction of its route's target latency.
 _RETRY_AFTER_FRACTION = 0.4
-_MIN_RETRY_AFTER_S = 0.1
 # Retry-After before this instance has synced with the leader: about the time of
 # an election and a heartbeat.
 _UNSYNCED_RETRY_AFTER_S = 1.0
@@ -109,6 +107,7 @@
                 settings.names.request_id,
                 settings.local_host,
             ),
+            request_context.Shutdown(),
         )
         self._follower = follower
         self._view = view
@@ -118,8 +117,6 @@
         self._latencies: dict[str, latency_lib.Latency] = {}
         self._work_ms_by_block: dict[tuple[str, int], float] = {}
         self.in_flight = 0
-        # Time at which requests in flight are abandoned, once it is known.
-        self._abandon_s = float("inf")
         self._forwarded_in_flight = 0
 
     def pop_measurements(self) -> follower_lib.Measurements:
@@ -146,10 +143,6 @@
         """Replaces the instances to which requests can be forwarded."""
         self._context.instances.update(items)
 
-    @property
-    def _is_stopping(self) -> bool:
-        return self._abandon_s < float("inf")
-
     def stop(self, abandon_s: float) -> None:
         """Begins no more orders that may last until the stop.
 
@@ -158,7 +151,7 @@
         Args:
             abandon_s: Monotonic time at which requests in flight are abandoned.
         """
-        self._abandon_s = abandon_s
+        self._context.shutdown.abandon_s = abandon_s
 
     def sweep(self) -> None:
         """Closes idle connections that may not be reused any more."""
@@ -196,7 +189,7 @@
     def _find_reason_not_to_take(self, limits: forwarding.Limits) -> str:
         """Returns why no forwarded request is taken, or an empty string."""
         version = self._view.state.configuration.version
-        if self._is_stopping:
+        if self._context.shutdown.has_begun:
             return "stopping"
         if self._context.reachability.is_cut_off:
             return "no upstream reached"
@@ -286,13 +279,6 @@
             received_s + min(timeout_s, route.timeout_ms / 1000),
             limits is not None,
         )
-        if not route.idempotent and routed.deadline_s > self._abandon_s:
-            # Only a request that was not begun can be sent elsewhere.
-            self._log_refusal(503, request, "stopping")
-            response = self._make_error_response(
-                503, request, routed, _MIN_RETRY_AFTER_S
-            )
-            return response._replace(close=True), forwarding.NOT_RUN
         if not self._context.reachability.is_cut_off:
             # The instance that sends a request counts it.
             self._count_request(routed)
@@ -367,6 +353,8 @@
             response = self._make_error_response(
                 status, routed.request, routed, outcome.retry_after_s
             )
+            if self._context.shutdown.has_begun:
+                response = response._replace(close=True)
         self._log_outcome(routed, outcome, response.status)
         return response, self._classify(outcome)
 
@@ -376,8 +364,11 @@
             return forwarding.ANSWER
         if outcome.may_have_run:
             return forwarding.UNKNOWN
-        if self._context.reachability.is_cut_off:
-            # The links were lost after the request was taken.
+        if (
+            self._context.reachability.is_cut_off
+            or self._context.shutdown.has_begun
+        ):
+            # The links were lost, or the stop began, after it was taken.
             return forwarding.UNAVAILABLE
         return forwarding.NOT_RUN
 
@@ -472,7 +463,7 @@
             if routed is not None:
                 target_s = routed.route.target_latency_ms / 1000
                 retry_after_s = max(
-                    _MIN_RETRY_AFTER_S,
+                    request_context.MIN_RETRY_AFTER_S,
                     known_retry_after_s or target_s * _RETRY_AFTER_FRACTION,
                 )
             headers.append((b"Retry-After", b"%.2f" % retry_after_s))
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -109,7 +109,15 @@
         "z1", clock, rng, NAMES.request_id, ""
     )
     return request_context.SendContext(
-        "z1", NAMES, view, clock, rng, permits, reach, instances
+        "z1",
+        NAMES,
+        view,
+        clock,
+        rng,
+        permits,
+        reach,
+        instances,
+        request_context.Shutdown(),
     )
 
 
--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -149,6 +149,14 @@
     await asyncio.sleep(60)
 
 
+def _make_wait(seconds):
+    async def acquire(upstream, timeout_s):
+        await asyncio.sleep(seconds)
+        return True
+
+    return acquire
+
+
 async def test_a_request_is_forwarded_unchanged(serve):
     """Guards against changed requests and headers that leak on either side."""
     upstream = await serve(_respond)
@@ -303,6 +311,25 @@
     assert (await task).status == 200
 
 
+async def test_another_instance_takes_an_order_that_a_stop_leaves_unsent(serve):
+    """Guards against refusals of orders that others have the time for."""
+    upstream = await serve(_respond)
+    other = await _Entry(upstream.address).start()
+    taker = await _Entry(upstream.address).start()
+    other.service._context.permits.acquire = _make_wait(0.2)
+    upstreams = other.view.list_upstreams("s")
+    upstreams[0].rate_limit.observe([b"1"], False, 0.0)
+    entry = _Entry().cut_off(other)
+    task = asyncio.create_task(entry.send())
+    async with asyncio.timeout(5):
+        while not other.service.in_flight:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+    entry.cut_off(other, taker)
+    other.service.stop(0.0)
+    assert (await task).status == 200
+    assert other.service.in_flight == 0
+
+
 async def test_a_caller_that_leaves_ends_the_request_at_the_upstream(serve):
     """Guards against work for callers that have left."""
     upstream = await serve(_hang)
--- a/packages/daemon/tests/gateway/test_request_sender.py
+++ b/packages/daemon/tests/gateway/test_request_sender.py
@@ -181,6 +181,29 @@
     ) == status
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "ends_in_s", "sends"),
+    [(False, 0.5, 0), (False, 5.0, 1), (True, 0.5, 1)],
+)
+async def test_an_order_that_waits_when_the_stop_begins_is_not_sent(
+    serve, idempotent, ends_in_s, sends
+):
+    """Guards against orders that the end of the grace period breaks off."""
+    fleet = _Fleet(sharded=True)
+    server = await serve(_respond)
+    fleet.add("u0", server)
+    sender = fleet.make_sender(key=1, idempotent=idempotent)
+    task = asyncio.create_task(sender.run())
+    await asyncio.sleep(0.01)
+    sender._context.shutdown.abandon_s = fleet.clock.monotonic() + ends_in_s
+    fleet.grant("u0")
+    outcome = await task
+    assert len(server.requests) == sends
+    if not sends:
+        assert not outcome.may_have_run
+        assert outcome.retry_after_s < 0.2
+
+
 async def test_no_upstream_means_not_run(serve):
     """Guards against "may have run" for a request that was never sent."""
     outcome, sends = await _run(_Fleet(), serve, [])
