Free released keys only if their holder had reported the present grant

If the acknowledgement is lost, or two heartbeats overlap, and the keys were granted to the same upstream again meanwhile, the repeated row frees the new grant. What a heartbeat reports as held or in use was not looked at.

Ruled out by reading: rows that reach over neighbouring ranges (only ranges of the same incarnation are freed).

Why it works: keys are freed if the holder's last heartbeat had them under the present fence and this one no longer has them. Otherwise the grant stays and is renewed; for a draining upstream, which gets no renewals, it ends with the lease.

--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -17,6 +17,7 @@
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import keyranges
 from bamboosilld.fleet import leases as leases_lib
+from bamboosilld.fleet import releases as releases_lib
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.fleet import work_rates as work_rates_lib
 
@@ -65,6 +66,11 @@
     def reset(self) -> None:
         """Drops all in-memory state; called after each election."""
         self.leases.reset()
+        # What each upstream has reported as held or in use with its last
+        # heartbeat.
+        self._holds: dict[
+            state_lib.UpstreamIncarnation, tuple[messages.KeyRange, ...]
+        ] = {}
         self._last_move_s: dict[str, float] = collections.defaultdict(float)
         # By service, keys that are no longer renewed, and when the lease on
         # them expires.
@@ -119,6 +125,11 @@
         """
         table = self._state.keys[service]
         now_s = self._clock.monotonic()
+        self._holds = {
+            incarnation: held
+            for incarnation, held in self._holds.items()
+            if self._state.is_registered(incarnation)
+        }
         await self._free_expired(service, table, now_s)
         await self._distribute_initially(service, table, now_s, last_join_s)
         self._update_reservations(service, work_rates)
@@ -143,21 +154,36 @@
         report: messages.UpstreamReport,
     ) -> None:
         service = report.item.service
-        table = self._state.keys[service]
-        freed = [
-            part._replace(upstream="", born_ms=0, handover=released.handover)
-            for released in report.released
-            for part in table.intersect(released.first, released.last)
-            if (part.upstream, part.born_ms) == incarnation
-        ]
-        if not freed:
-            return
-        for part in freed:
+        freed, unconfirmed = releases_lib.find_releases(
+            self._state.keys[service],
+            incarnation,
+            report,
+            self._holds.get(incarnation, ()),
+        )
+        self._holds[incarnation] = report.holds
+        if unconfirmed:
+            _log.info(
+                "Release of keys of %s not confirmed. Holder: %s.",
+                service,
+                incarnation.upstream,
+                extra={
+                    "service": service,
+                    "upstream": incarnation.upstream,
+                    "ranges": _format_ranges(unconfirmed),
+                },
+            )
+        excluded = [*freed]
+        if report.item.draining:
+            # It gets no renewals, so these are free when its lease has ended.
+            excluded += unconfirmed
+        for part in excluded:
             # Excluded from renewals while the command is being committed.
             move = keyplan.Move(incarnation, part.first, part.last)
             self._revoked[service].setdefault(
                 move, self.leases.get_expiry_s(incarnation)
             )
+        if not freed:
+            return
         await self._set_keys(service, freed)
         for part in freed:
             self._complete_revocations(service, incarnation, part)
--- a/packages/daemon/src/bamboosilld/fleet/permits.py
+++ b/packages/daemon/src/bamboosilld/fleet/permits.py
@@ -128,11 +128,6 @@
         self._filled_s = now_s
 
 
-class _Incarnation(NamedTuple):
-    upstream: str
-    born_ms: int
-
-
 class PermitBroker:
     """Grants permits, and passes on the limits that instances observe."""
 
@@ -145,7 +140,7 @@
         self._state = state
         self._clock = clock
         self._rng = rng
-        self._buckets: dict[_Incarnation, _Bucket] = {}
+        self._buckets: dict[state_lib.UpstreamIncarnation, _Bucket] = {}
 
     def acquire(
         self, request: messages.AcquirePermits
@@ -153,8 +148,10 @@
         """Applies the limit that an instance observed and grants permits."""
         now_s = self._clock.monotonic()
         limit = request.limit
-        incarnation = _Incarnation(limit.upstream, limit.born_ms)
-        if not self._is_known(incarnation):
+        incarnation = state_lib.UpstreamIncarnation(
+            limit.upstream, limit.born_ms
+        )
+        if not self._state.is_registered(incarnation):
             wait_ms = int(_UNKNOWN_UPSTREAM_WAIT_S * 1000)
             return messages.AcquirePermitsReply(
                 limit,
@@ -190,7 +187,7 @@
         self._buckets = {
             incarnation: bucket
             for incarnation, bucket in self._buckets.items()
-            if self._is_known(incarnation)
+            if self._state.is_registered(incarnation)
             and (
                 bucket.rate_per_s is not None
                 or now_s - bucket.observed_s < _ENDED_LIMIT_KEPT_S
@@ -220,13 +217,9 @@
             )
         bucket.set_rate(rate_per_s, observed_s, now_s)
 
-    def _is_known(self, incarnation: _Incarnation) -> bool:
-        item = self._state.upstreams.get(incarnation.upstream)
-        return item is not None and item.born_ms == incarnation.born_ms
-
 
 def _encode_limit(
-    incarnation: _Incarnation, bucket: _Bucket, now_s: float
+    incarnation: state_lib.UpstreamIncarnation, bucket: _Bucket, now_s: float
 ) -> messages.UpstreamLimit:
     rate_per_s = bucket.rate_per_s
     return messages.UpstreamLimit(
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -161,6 +161,11 @@
         """Returns whether the change with this digest was accepted before."""
         return digest in self._accepted_changes
 
+    def is_registered(self, incarnation: UpstreamIncarnation) -> bool:
+        """Returns whether an incarnation is the registered one of its id."""
+        item = self.upstreams.get(incarnation.upstream)
+        return item is not None and item.born_ms == incarnation.born_ms
+
     def has_ended(self, incarnation: UpstreamIncarnation) -> bool:
         """Returns whether an incarnation has ended for good.
 
