--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -10,14 +10,13 @@
 from collections.abc import Sequence
 import random
 from typing import NamedTuple
-import zlib
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common import metrics
-from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import change_notifier
+from bamboosilld.fleet import compression
 from bamboosilld.fleet import forwarders as forwarders_lib
 from bamboosilld.fleet import state as state_lib
 
@@ -226,7 +225,7 @@
                 return snapshot
         data = state.snapshot()
         self._snapshot = _Snapshot(
-            state.revision, version, data, len(zlib.decompress(data))
+            state.revision, version, data, len(compression.decompress(data))
         )
         return self._snapshot
 
@@ -277,8 +276,7 @@
 
 def pack_commands(commands: Sequence[messages.RevisedCommand]) -> bytes:
     """Returns commands, encoded and compressed."""
-    data = wire.encode(messages.RevisedCommands(tuple(commands)))
-    return zlib.compress(data, 1)
+    return compression.pack(messages.RevisedCommands(tuple(commands)))
 
 
 def unpack_commands(data: bytes) -> tuple[messages.RevisedCommand, ...]:
@@ -287,11 +285,4 @@
     Raises:
         wire.DecodeError: The bytes are not valid.
     """
-    unpacker = zlib.decompressobj()
-    try:
-        unpacked = unpacker.decompress(data, wire.MAX_MESSAGE_BYTES)
-    except zlib.error as error:
-        raise wire.DecodeError(
-            f"cannot decompress commands: {error}"
-        ) from error
-    return wire.decode(messages.RevisedCommands, unpacked).commands
+    return compression.unpack(messages.RevisedCommands, data).commands
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -9,12 +9,12 @@
 from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
-import zlib
 
 from bamboosill_common import logs
 from bamboosill_common import metrics
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import compression
 from bamboosilld.fleet import configuration as configuration_lib
 from bamboosilld.fleet import keyranges
 
@@ -128,11 +128,15 @@
                 for service, table in self.keys.items()
             ),
         )
-        return zlib.compress(wire.encode(snapshot), 1)
+        return compression.pack(snapshot)
 
     def restore(self, data: bytes) -> None:
-        """Replaces the state by that of a snapshot."""
-        snapshot = wire.decode(messages.FleetSnapshot, zlib.decompress(data))
+        """Replaces the state by that of a snapshot.
+
+        Raises:
+            wire.DecodeError: The bytes are not valid.
+        """
+        snapshot = compression.unpack(messages.FleetSnapshot, data)
         self.revision = self._trimmed_revision = snapshot.revision
         self.configuration = snapshot.configuration
         self._accepted_changes = {
--- a/packages/daemon/tests/fleet/test_state.py
+++ b/packages/daemon/tests/fleet/test_state.py
@@ -1,9 +1,12 @@
 """Commands, snapshots and copies of the fleet's state."""
 
+import zlib
+
 import pytest
 
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import compression
 from bamboosilld.fleet import state as state_lib
 
 from .conftest import make_configuration
@@ -160,3 +163,25 @@
     _apply(copy, 7, messages.SetUpstreams(upstreams=(make_item("u1"),)))
     assert [each.revision for each in copy.list_commands(1)] == [7]
     assert copy.list_commands(8) is None
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        lambda data: b"",
+        lambda data: b"no snapshot",
+        lambda data: data[:-9],
+        lambda data: data[: len(data) // 2],
+        lambda data: zlib.compress(b"no message"),
+        lambda data: zlib.compress(bytes(100_000)),
+    ],
+)
+def test_a_damaged_snapshot_is_refused_and_changes_nothing(damage, monkeypatch):
+    """Guards against a follower that one bad snapshot ends."""
+    monkeypatch.setattr(compression, "_MAX_UNPACKED_BYTES", 50_000)
+    state = state_lib.FleetState()
+    state.apply(1, wire.pack(make_configuration()))
+    before = state.snapshot()
+    with pytest.raises(wire.DecodeError):
+        state.restore(damage(before))
+    assert state.snapshot() == before
