Forget instances and upstreams that are gone for long

Cause: three tables in memory were written by heartbeats and polls and never cleaned: the last heartbeats of upstreams, and two times of the replication feed.

Evidence: two new tests with 200 replaced upstreams and instances fail before this change.

Why it works: entries go with what they are about; sequence numbers of heartbeats are kept for 60 s more, as late ones may still arrive.

--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -33,6 +33,9 @@
 # detect a failed upstream themselves, and one that only the leader cannot reach
 # still serves.
 _REMOVE_AFTER_S = 20.0
+# The sequence numbers of an upstream that is not registered any more are kept
+# for this time after its last heartbeat, as older ones may still arrive.
+_KEEP_REPORT_S = 60.0
 # An upstream that was silent for more than this fraction of a lease is granted
 # no more keys.
 _MAX_SILENCE_LEASE_FRACTION = 0.5
@@ -279,6 +282,12 @@
         return holders
 
     async def _remove_silent(self, now_s: float) -> None:
+        self._last_reports = {
+            incarnation: last_report
+            for incarnation, last_report in self._last_reports.items()
+            if self._state.is_registered(incarnation)
+            or now_s - last_report.received_s < _KEEP_REPORT_S
+        }
         silent = []
         for item in self._state.upstreams.values():
             incarnation = state_lib.UpstreamIncarnation(
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -245,6 +245,9 @@
             for instance, request_s in self._last_request_s.items()
             if now_s - request_s < _ENTRY_EXPIRY_S
         }
+        for times_s in (self._last_reply_s, self._last_stats_s):
+            for instance in times_s.keys() - self._last_request_s.keys():
+                del times_s[instance]
         self._forwarders.retain(self._last_request_s)
         return len(self._last_request_s)
 
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -354,3 +354,15 @@
     await fleet.report(items[1])
     table = fleet.state.keys["keyed"]
     assert all(each.upstream in ("u2", "u3") for each in table.ranges)
+
+
+async def test_upstreams_that_were_replaced_are_forgotten(fleet):
+    """Guards against tables that grow with each upstream that ever reported."""
+    for number in range(200):
+        fleet.clock.now_s += 5.0
+        await fleet.report(make_item("u1", born_ms=number + 1))
+        await fleet.report(make_item(f"v{number}"))
+        await fleet.authority.tick()
+    authority = fleet.authority
+    assert len(authority._last_reports) < 50
+    assert len(authority._granter._holds) < 50
--- a/packages/daemon/tests/fleet/test_replication_feed.py
+++ b/packages/daemon/tests/fleet/test_replication_feed.py
@@ -190,3 +190,19 @@
     begun_s = leader.clock.now_s
     await leader.catch_up(replica, "e1")
     assert leader.clock.now_s == begun_s
+
+
+async def test_instances_that_were_replaced_are_forgotten(monkeypatch):
+    """Guards against tables that grow with each instance that ever polled."""
+    leader = _Leader(monkeypatch)
+    for number in range(200):
+        leader.clock.now_s += 2.0
+        await leader.poll(state_lib.FleetState(), f"e{number}")
+    feed = leader._feed
+    for table in (
+        feed._last_request_s,
+        feed._last_reply_s,
+        feed._last_stats_s,
+        feed._forwarders._entries,
+    ):
+        assert len(table) < 10
