Take over nothing from a peer before its hello is verified

Cause: the timestamp of each frame was taken over when it was read, also of those before authentication, and whatever its value.

Why it works: the hello's timestamp counts once the hello is verified; before that, 64 KiB are read at most. Timestamps after the year 4199 are ignored with a log line.

--- a/packages/common/src/bamboosill_common/events.py
+++ b/packages/common/src/bamboosill_common/events.py
@@ -11,9 +11,14 @@
 from typing import TypedDict
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
 
 LOGICAL_BITS = 16
 MAX_EVENTS = 20_000
+# Timestamps of peers beyond it are ignored; it lies in the year 4199.
+_MAX_STAMP = 1 << 62
+
+_log = logs.get_logger("events")
 
 
 class EventDocument(TypedDict):
@@ -77,7 +82,13 @@
         return self._stamp
 
     def observe(self, stamp: int) -> None:
-        """Advances the clock to a timestamp received from another process."""
+        """Advances the clock to a timestamp received from another process.
+
+        An implausible one is ignored: no later one could be encoded.
+        """
+        if stamp > _MAX_STAMP:
+            _log.warning("Timestamp of a peer ignored. Value: %d.", stamp)
+            return
         self._stamp = max(self._stamp, stamp)
 
     def record(
--- a/packages/common/src/bamboosill_common/peer.py
+++ b/packages/common/src/bamboosill_common/peer.py
@@ -37,6 +37,8 @@
 MIN_PROTOCOL_VERSION = 1
 _LENGTH_PREFIX = struct.Struct(">I")
 _MAX_FRAME_BYTES = wire.MAX_MESSAGE_BYTES + 4096
+# Nothing larger is read from a peer before it has proved its identity.
+_MAX_HELLO_BYTES = 64 * 1024
 _PING_INTERVAL_S = 0.5
 _RECEIVE_TIMEOUT_S = 1.5
 # Short, so that a connection is made soon after a host boots: a host that is
@@ -146,22 +148,27 @@
         self.writer.write(_LENGTH_PREFIX.pack(len(data)) + data)
 
     async def receive(self, silence_s: float | None = None) -> messages.Frame:
-        """Returns the next frame.
+        """Returns the next frame of an authenticated peer.
 
         Args:
             silence_s: Timeout in seconds from the last byte that arrived.
         """
+        frame = await self._receive(silence_s, _MAX_FRAME_BYTES)
+        self.context.timeline.observe(frame.clock)
+        return frame
+
+    async def _receive(
+        self, silence_s: float | None, max_bytes: int
+    ) -> messages.Frame:
         prefix = await self._read(_LENGTH_PREFIX.size, silence_s)
         (length,) = _LENGTH_PREFIX.unpack(prefix)
-        if length > _MAX_FRAME_BYTES:
+        if length > max_bytes:
             raise _ProtocolError(f"frame of {length} bytes is too large")
         data = await self._read(length, silence_s)
         try:
-            frame = wire.decode(messages.Frame, data)
+            return wire.decode(messages.Frame, data)
         except wire.DecodeError as error:
             raise _ProtocolError(str(error)) from error
-        self.context.timeline.observe(frame.clock)
-        return frame
 
     async def _read(self, count: int, silence_s: float | None) -> bytes:
         if silence_s is None:
@@ -192,7 +199,7 @@
         # `asyncio.wait_for` can swallow a cancellation that arrives together
         # with the frame (fixed in Python 3.12), and `stop` would then hang.
         async with asyncio.timeout(_HELLO_TIMEOUT_S):
-            frame = await self.receive()
+            frame = await self._receive(None, _MAX_HELLO_BYTES)
         if frame.kind != "hello":
             raise _ProtocolError("the first frame is not a hello")
         try:
@@ -210,6 +217,7 @@
                 raise _ProtocolError(
                     "hello refused: token was issued to another instance"
                 )
+        self.context.timeline.observe(frame.clock)
         return peer_hello
 
 
--- a/packages/common/tests/test_peer.py
+++ b/packages/common/tests/test_peer.py
@@ -1,6 +1,7 @@
 """Tests of connections between instances."""
 
 import asyncio
+import random
 
 import pytest
 from returns.result import Failure
@@ -11,7 +12,9 @@
 from bamboosill_common import events
 from bamboosill_common import metrics
 from bamboosill_common import peer
+from bamboosill_common import wire
 from bamboosill_common.generated import control
+from bamboosill_common.generated import peer as peer_messages
 
 
 def make_context(name):
@@ -84,6 +87,70 @@
     await server.stop()
 
 
+def _make_frame(**fields):
+    data = wire.encode(peer_messages.Frame(**fields))
+    return len(data).to_bytes(4, "big") + data
+
+
+def _make_hello(token="", **fields):
+    hello = peer_messages.Hello(protocol=1, instance="x", token=token)
+    return _make_frame(kind="hello", body=wire.encode(hello), **fields)
+
+
+def _make_damaged_frames():
+    """Returns frames with bytes changed at random, with a fixed seed."""
+    rng = random.Random(7)
+    for _ in range(300):
+        data = bytearray(_make_hello(clock=rng.getrandbits(64)))
+        for _ in range(rng.randrange(1, 12)):
+            data[rng.randrange(len(data))] = rng.randrange(256)
+        yield bytes(data[: rng.randrange(1, len(data) + 1)])
+
+
+@pytest.mark.parametrize(
+    "frames",
+    [
+        [_make_hello(clock=2**64 - 1, token="forged")],
+        [_make_frame(kind="request", clock=2**64 - 1)],
+        [(65 * 1024).to_bytes(4, "big")],
+        list(_make_damaged_frames()),
+    ],
+)
+async def test_a_peer_without_a_valid_hello_changes_nothing(frames):
+    """Guards against state and memory that an unknown peer can use up."""
+    context = make_context("server")._replace(authenticator=_Refusing())
+    server = peer.Server(context, make_handlers())
+    port = await server.start("127.0.0.1", 0)
+    before = context.timeline.tick() >> events.LOGICAL_BITS
+    for data in frames:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        writer.write_eof()
+        async with asyncio.timeout(5):
+            assert await reader.read() == b""
+        writer.close()
+    after = context.timeline.tick() >> events.LOGICAL_BITS
+    assert after - before < 60_000
+    await server.stop()
+
+
+class _Refusing:
+    """Knows no peer."""
+
+    def sign(self, scope):
+        return ""
+
+    def verify(self, token, scope):
+        return Failure("unknown")
+
+
+def test_an_implausible_timestamp_of_a_peer_is_ignored():
+    """Guards against timestamps that no frame can carry."""
+    timeline = make_context("e1").timeline
+    timeline.observe(2**64 - 1)
+    assert timeline.tick() < 2**63
+
+
 async def test_call_to_dead_instance_ends_by_deadline():
     """Guards against a call that hangs when the server does not respond."""
     silent_server = await asyncio.start_server(
