Begin nothing in the product's own interface that a stop may break off

Evidence: the new test fails before this change: an order with 4 s is begun 2 s before the end. One with 0.4 s is served before and after.

Why it works: it is refused as not run with the reason `draining`, which other zones already take for a reason to ask another instance; its connection is closed.

--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -46,6 +46,14 @@
 _MIN_FLUSH_S = 0.1
 _MAX_FLUSH_S = 5.0
 
+_DRAINING = rejections.Rejection(
+    503,
+    headers.OUTCOME_NOT_RUN,
+    "draining",
+    "this instance stops before the request's deadline",
+    retry_after_s=1.0,
+)
+
 _log = logs.get_logger("entry")
 
 
@@ -114,6 +122,8 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._in_flight = 0
         self._draining = False
+        # Time at which requests in flight are broken off, once it is known.
+        self._stop_at_s = float("inf")
         self._instance_count = instance_count or (lambda: 1)
         self._load_recorder = load_stats_lib.LoadRecorder(
             clock, self._admission[0]
@@ -188,15 +198,15 @@
         """
         self._draining = True
         self._timeline.record("entry", "draining", in_flight=self._in_flight)
-        until = self._clock.monotonic() + grace_s
+        self._stop_at_s = self._clock.monotonic() + grace_s
         await self._clock.sleep(min(notice_s, grace_s))
         self._callers.stop_accepting()
-        while self._has_work() and self._clock.monotonic() < until:
+        while self._has_work() and self._clock.monotonic() < self._stop_at_s:
             await self._clock.sleep(_DRAIN_POLL_S)
         if self._has_work():
             _log.warning("Stopped with %d requests in flight.", self._in_flight)
         # Responses of finished requests may still be in write buffers.
-        remaining_s = until - self._clock.monotonic()
+        remaining_s = self._stop_at_s - self._clock.monotonic()
         flush_s = max(_MIN_FLUSH_S, min(_MAX_FLUSH_S, remaining_s))
         await self._callers.close(flush_s)
         await self._upstreams.close(_MIN_FLUSH_S)
@@ -275,6 +285,9 @@
             )
         inbound = parsed.unwrap()
         request[_TRAFFIC_CLASS_KEY] = inbound.operation.traffic_class
+        if inbound.until > self._stop_at_s:
+            # Another instance has the whole time for it.
+            return rejections.make_response(_DRAINING, inbound.request_id)
         responder = responder_lib.Responder(
             request,
             inbound.request_id,
--- a/packages/daemon/tests/entry/test_server.py
+++ b/packages/daemon/tests/entry/test_server.py
@@ -4,6 +4,7 @@
 import json
 
 import aiohttp
+import pytest
 
 
 async def test_answer_of_the_owner_reaches_the_caller(harness):
@@ -80,6 +81,37 @@
     assert harness.member.count("FinishRequest") == 1
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "status"), [("400", 201), ("4000", 503)]
+)
+async def test_a_stopping_instance_begins_nothing_that_it_may_cut(
+    harness, deadline_ms, status
+):
+    """Guards against orders that the end of the grace period breaks off."""
+    await harness.start()
+    upstream = await harness.start_upstream()
+    await harness.send()
+    begun = len(upstream.recorder.lines)
+    stopped = asyncio.create_task(harness.entry.stop(2.0, 1.0))
+    await asyncio.sleep(0.02)
+    response = await harness.send(
+        "POST",
+        "/shopfront/orders",
+        data=b"one",
+        headers={
+            "Bamboosill-Request-Id": "018bcfe5-6800-7000-8000-000000000001",
+            "Bamboosill-Deadline-Ms": deadline_ms,
+        },
+    )
+    assert response[0] == status
+    assert (len(upstream.recorder.lines) > begun) == (status == 201)
+    if status == 503:
+        assert response[1]["Bamboosill-Outcome"] == "not-run"
+        assert response[1]["Bamboosill-Reason"] == "draining"
+        assert response[1]["Connection"] == "close"
+    await stopped
+
+
 async def test_stop_ends_after_the_grace_period(harness):
     """Guards against a stop that waits indefinitely."""
     await harness.start()
