Count keys that are unserved until the end as unavailable

Cause: a gap was counted only when the next answer ended it.

Evidence: the new test gives 0 s before this change, and 8 s after it.

--- a/packages/dev/src/bamboosill_dev/faults/history.py
+++ b/packages/dev/src/bamboosill_dev/faults/history.py
@@ -219,7 +219,7 @@
     """Returns the longest time in seconds in which a key was not served.
 
     A gap begins with the first attempt that is not answered and ends with the
-    next answer for the same key.
+    next answer for the same key, or with the last attempt for any key.
     """
     by_key: dict[tuple[str, str], list[CallerRecord]] = collections.defaultdict(
         list
@@ -228,6 +228,10 @@
         if not record.final:
             by_key[record.customer, record.key].append(record)
     longest_ns = 0
+    run_end_ns = max(
+        (attempt.end_ns for each in by_key.values() for attempt in each),
+        default=0,
+    )
     for attempts in by_key.values():
         attempts.sort(key=lambda attempt: attempt.end_ns)
         gap_start_ns: int | None = None
@@ -238,4 +242,6 @@
                 gap_start_ns = None
             elif gap_start_ns is None:
                 gap_start_ns = attempt.start_ns
+        if gap_start_ns is not None:
+            longest_ns = max(longest_ns, run_end_ns - gap_start_ns)
     return longest_ns / 1e9
--- a/packages/dev/tests/faults/test_history.py
+++ b/packages/dev/tests/faults/test_history.py
@@ -150,6 +150,16 @@
     assert history.compute_longest_gap_s(records) == 5.0
 
 
+def test_gap_lasts_until_the_end_if_a_key_is_never_served_again():
+    """Guards against a report without the key that was lost for good."""
+    records = [
+        make_record("a", final=False, start=0, end=1),
+        make_record("b", "not-run", 503, final=False, start=1, end=2),
+        make_record("c", final=False, start=8, end=9, key="k2"),
+    ]
+    assert history.compute_longest_gap_s(records) == 8.0
+
+
 def test_plan_is_reproducible_by_seed():
     """Guards against fault plans that a seed does not reproduce."""
     assert plan.make_plan(7) == plan.make_plan(7)
