Explain logs beside lines of other forms and missing files

Evidence: four of the five new cases fail before this change; the fifth, a line without a time, was taken already.

Why it works: a missing file ends with exit code 2 and one line; what cannot be read as a range of keys or a time is passed over, as lines without a message were.

--- a/packages/cli/src/bamboosill/commands/logs_explain.py
+++ b/packages/cli/src/bamboosill/commands/logs_explain.py
@@ -60,9 +60,13 @@
 async def run(context: command_registry.Context) -> int:
     """Prints the selected lines of all files, ordered by time."""
     flags = context.flags
-    lines = sorted(
-        _read_files(flags.files), key=lambda line: float(line.get("time", 0))
-    )
+    try:
+        lines = sorted(
+            _read_files(flags.files), key=lambda line: float(line["time"])
+        )
+    except OSError as error:
+        context.warn(f"{error.filename}: {error.strerror}")
+        return exit_codes.USAGE
     selected = list(_select_lines(lines, flags))
     if not selected:
         context.warn("no line belongs to it")
@@ -108,7 +112,11 @@
             line = json.loads(text[start:]) if start >= 0 else None
         except ValueError:
             continue
-        if isinstance(line, dict) and "message" in line:
+        if (
+            isinstance(line, dict)
+            and "message" in line
+            and isinstance(line.setdefault("time", 0), int | float)
+        ):
             yield line
 
 
@@ -150,6 +158,10 @@
         return True
     for key_range in str(line.get("ranges", "")).split():
         first, _, last = key_range.partition("-")
+        last = last or first
+        # Lines of other programs may name ranges of something else.
+        if not (first.isdecimal() and last.isdecimal()):
+            continue
         if any(int(first) <= key <= int(last) for key in keys):
             return True
     return False
--- a/packages/cli/tests/test_logs_explain.py
+++ b/packages/cli/tests/test_logs_explain.py
@@ -74,3 +74,31 @@
     """Guards against exit code 0 when no line matches."""
     code, _ = _run(capsys, *logs, "--request", "r9")
     assert code == exit_codes.REFUSED
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        _make_line(19.8, "x", "Other.", ranges="150"),
+        _make_line(19.8, "x", "Other.", ranges="150- a-b -"),
+        _make_line("soon", "x", "Other.", key=150),
+        json.dumps({"message": "No time.", "key": 1}),
+    ],
+)
+def test_lines_of_another_form_are_no_error(logs, tmp_path, capsys, line):
+    """Guards against a traceback because of one line."""
+    (tmp_path / "other.log").write_text(line)
+    files = [*logs, str(tmp_path / "other.log")]
+    code, times = _run(capsys, *files, "--key", "150")
+    assert code == exit_codes.OK
+    assert times in ([19.5], [19.5, 19.8])
+
+
+def test_a_missing_file_is_a_usage_error(logs, tmp_path, capsys):
+    """Guards against a traceback in place of one line."""
+    missing = str(tmp_path / "missing.log")
+    code = main.main(["logs", "explain", *logs, missing, "--key", "150"])
+    assert code == exit_codes.USAGE
+    assert capsys.readouterr().err.strip().splitlines() == [
+        f"{missing}: No such file or directory"
+    ]
