Ask the next instance for the registry if one answers with an error

Cause: any answer counted as the registry, whatever its status.

Evidence: the new test fails before this change for 401; with 500 and 503, which the client takes for a failed attempt, it passes before and after.

--- a/packages/cli/src/bamboosill/commands/events.py
+++ b/packages/cli/src/bamboosill/commands/events.py
@@ -83,6 +83,8 @@
             )
         except client_lib.AttemptError:
             continue
+        if response.status != 200:
+            continue
         for each in response.document.get("instances", ()):
             if each["admin_address"] and not each["removed"]:
                 addresses[each["admin_address"]] = None
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -361,6 +361,26 @@
     assert "127.0.0.1:9: cannot connect" in err
 
 
+@pytest.mark.parametrize("status", [401, 500, 503])
+async def test_events_ask_the_next_instance_for_the_registry(
+    instances, run, status
+):
+    """Guards against events that miss instances because one has failed."""
+    registered = [INSTANCE | {"admin_address": instances[1].address}]
+    instances[0].set_responses("GET /v1/instances", (status, {"code": "x"}))
+    instances[1].set_responses(
+        "GET /v1/instances", (200, {"instances": registered})
+    )
+    for each in instances:
+        each.set_responses(
+            "GET /v1/events", (200, {"instance": "c1", "events": []})
+        )
+    code, _, _ = await run("events", "--json")
+    assert code == exit_codes.OK
+    asked = [path for _, path, _ in instances[1].requests]
+    assert "/v1/instances?stale=1" in asked
+
+
 def test_new_keys(tmp_path, capsys):
     """Guards against key files that others can read, and overwritten files."""
     path = tmp_path / "keys.json"
