--- a/packages/cli/src/bamboosill/main.py
+++ b/packages/cli/src/bamboosill/main.py
@@ -103,11 +103,15 @@
 ) -> int:
     """Runs the selected subcommand and returns its exit code."""
     clock = clock_lib.SystemClock()
-    tls = (
-        ssl.create_default_context(cafile=settings.tls_ca)
-        if settings.tls_ca
-        else None
-    )
+    try:
+        tls = (
+            ssl.create_default_context(cafile=settings.tls_ca)
+            if settings.tls_ca
+            else None
+        )
+    except OSError as error:
+        warn(f"tls-ca {settings.tls_ca}: {error.strerror or error}")
+        return exit_codes.USAGE
     client = client_lib.Client(
         settings.instances,
         settings.timeout_s,
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -381,6 +381,19 @@
     assert "/v1/instances?stale=1" in asked
 
 
+@pytest.mark.parametrize("content", [None, "no certificate"])
+async def test_a_tls_ca_that_cannot_be_read_is_a_usage_error(
+    run, tmp_path, content
+):
+    """Guards against a traceback in place of one line."""
+    path = tmp_path / "ca.pem"
+    if content is not None:
+        path.write_text(content)
+    code, _, err = await run("status", f"--tls-ca={path}")
+    assert code == exit_codes.USAGE
+    assert len(err.strip().splitlines()) == 1
+
+
 def test_new_keys(tmp_path, capsys):
     """Guards against key files that others can read, and overwritten files."""
     path = tmp_path / "keys.json"
