Keep a whole token when the limits of a bucket change

Cause: a change cut the saved tokens to the burst, where refilling allows one whole token at least.

Why it works: both use the same capacity. Looked for elsewhere: the buckets of fleet.permits already do.

--- a/packages/daemon/src/bamboosilld/admission/token_bucket.py
+++ b/packages/daemon/src/bamboosilld/admission/token_bucket.py
@@ -20,7 +20,7 @@
         self._refill(now_s)
         self.rate_per_s = rate_per_s
         self.burst = burst
-        self._tokens = min(self._tokens, burst)
+        self._tokens = min(self._tokens, self._capacity)
 
     def try_take(self, now_s: float) -> bool:
         """Takes one token if there is one."""
@@ -45,9 +45,14 @@
             return 0.0
         return missing / self.rate_per_s if self.rate_per_s > 0 else 1e9
 
+    @property
+    def _capacity(self) -> float:
+        # With a burst below one, the bucket could never hold a whole token.
+        return max(1.0, self.burst)
+
     def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._last_fill_s)
         self._last_fill_s = max(self._last_fill_s, now_s)
-        # With a burst below one, the bucket could never hold a whole token.
-        capacity = max(1.0, self.burst)
-        self._tokens = min(capacity, self._tokens + elapsed_s * self.rate_per_s)
+        self._tokens = min(
+            self._capacity, self._tokens + elapsed_s * self.rate_per_s
+        )
