Answer the relay's POST /set with what is set

Evidence: eight of the nine new cases fail before this change.

Why it works: a document is checked as a whole before anything is changed, and sets are lists on the wire.

--- a/packages/dev/src/bamboosill_dev/relay.py
+++ b/packages/dev/src/bamboosill_dev/relay.py
@@ -197,22 +197,57 @@
 def _make_control(relay: Relay) -> Any:
     async def handle(request: web.BaseRequest) -> web.Response:
         if request.method == "POST":
-            document = await request.json()
-            if document.pop("silence", False):
-                relay.silence()
-            if document.pop("reset", False):
-                relay.reset()
             try:
-                relay.set_faults(**document)
-            except ValueError as error:
+                _apply_changes(relay, await request.json())
+            except (TypeError, ValueError) as error:
                 return web.json_response({"detail": str(error)}, status=400)
         return web.json_response(
-            {**relay.faults._asdict(), "connections": relay.connections}
+            {
+                **{
+                    name: sorted(value)
+                    if isinstance(value, frozenset)
+                    else value
+                    for name, value in relay.faults._asdict().items()
+                },
+                "connections": relay.connections,
+            }
         )
 
     return handle
 
 
+def _apply_changes(relay: Relay, document: Any) -> None:
+    """Applies the document of a `POST /set`.
+
+    Raises:
+        ValueError: It is no JSON object, or a field is not known.
+        TypeError: The value of a field has another type.
+    """
+    if not isinstance(document, dict):
+        raise ValueError("no JSON object")
+    changes = {}
+    for name, value in document.items():
+        if name in ("silence", "reset"):
+            continue
+        expected = Faults._field_defaults.get(name)
+        if expected is None:
+            raise ValueError(f"no field: {name}")
+        if isinstance(expected, frozenset):
+            if not isinstance(value, list):
+                raise TypeError(f"{name} is no list")
+            value = frozenset(map(str, value))
+        elif isinstance(expected, bool) != isinstance(value, bool) or (
+            not isinstance(value, int | float)
+        ):
+            raise TypeError(f"{name} is no {type(expected).__name__}")
+        changes[name] = value
+    if document.get("silence"):
+        relay.silence()
+    if document.get("reset"):
+        relay.reset()
+    relay.set_faults(**changes)
+
+
 async def _run(options: argparse.Namespace) -> None:
     relay = Relay(options.target)
     await relay.start(options.listen)
--- a/packages/dev/tests/test_relay.py
+++ b/packages/dev/tests/test_relay.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import json
 
+from aiohttp import test_utils
 import pytest
 
 from bamboosill_dev import relay as relay_lib
@@ -85,3 +87,38 @@
     relay.reset()
     assert await send_and_receive(old_connection, 5) == b""
     assert await send_and_receive(await connect(relay), 5) == b"x"
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        ('{"delay_s": 0.5, "hold_new": true}', 200),
+        ('{"cut_sources": ["127.0.0.2"], "reset": true}', 200),
+        ("{}", 200),
+        ('{"delay": 1}', 400),
+        ('{"delay_s": "long"}', 400),
+        ('{"hold_new": 1}', 400),
+        ('{"cut_sources": "127.0.0.2"}', 400),
+        ("[1]", 400),
+        ("no JSON", 400),
+    ],
+)
+async def test_faults_are_set_over_http(relay, body, status):
+    """Guards against faults that are not set, or half of them."""
+    server = test_utils.RawTestServer(relay_lib._make_control(relay))
+    before = relay.faults
+    async with test_utils.TestClient(server) as client:
+        response = await client.post("/set", data=body)
+        assert response.status == status
+        if status == 200:
+            document = await response.json()
+            assert (
+                document.items()
+                >= {
+                    name: value
+                    for name, value in json.loads(body).items()
+                    if name != "reset"
+                }.items()
+            )
+        else:
+            assert relay.faults == before
