--- a/packages/daemon/src/bamboosilld/entry/reachability.py
+++ b/packages/daemon/src/bamboosilld/entry/reachability.py
@@ -126,6 +126,7 @@
                 continue
             await self._wait_for_next_probe(state)
         del self._states[address]
+        self._pools.sweep()
 
     async def _wait_for_next_probe(self, state: _AddressState) -> None:
         if state.unreachable:
--- a/packages/daemon/tests/entry/test_reachability.py
+++ b/packages/daemon/tests/entry/test_reachability.py
@@ -1,7 +1,10 @@
 """Tests of forwarding to zones that are unreachable."""
 
+import asyncio
+
 import pytest
 
+from bamboosill_common import clock as clock_lib
 from bamboosill_dev import relay as relay_lib
 from bamboosilld.entry import reachability
 
@@ -104,3 +107,18 @@
     assert len(monitor.select(addresses)) == reachability.MAX_ADDRESSES
     assert len(monitor._states) == reachability.MAX_ADDRESSES
     await harness.wait_until(lambda: not monitor._states)
+
+
+async def test_addresses_that_are_no_longer_used_are_forgotten(monkeypatch):
+    """Guards against a pool that stays for each address ever forwarded to."""
+    monkeypatch.setattr(reachability, "_UNUSED_TTL_S", 0.05)
+    monkeypatch.setattr(reachability, "_PROBE_INTERVAL_S", 0.02)
+    monitor = reachability.ReachabilityMonitor(
+        clock_lib.LoopClock(), None, "127.0.0.1"
+    )
+    monitor.select([f"127.0.0.1:{port}" for port in range(1, 9)])
+    async with asyncio.timeout(5):
+        while monitor._states:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    assert not monitor._pools._pools
+    await monitor.close()
