Reject settings that are no finite number

Cause: nan is neither below the minimum nor above the maximum.

Evidence: the new case of nan fails before this change; infinities were rejected as out of range already, and are named for what they are now.

--- a/packages/common/src/bamboosill_common/settings.py
+++ b/packages/common/src/bamboosill_common/settings.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import ipaddress
+import math
 import pathlib
 from typing import Any
 from typing import NamedTuple
@@ -138,6 +139,8 @@
 
 
 def _check_range(spec: generated.Setting, value: float) -> str:
+    if isinstance(value, float) and not math.isfinite(value):
+        return f"{value} is no finite number"
     if spec.minimum is not None and value < spec.minimum:
         return f"{value} is below {spec.minimum}"
     if spec.maximum is not None and value > spec.maximum:
--- a/packages/common/tests/test_settings.py
+++ b/packages/common/tests/test_settings.py
@@ -42,6 +42,15 @@
         ({"peer_listen": "10.0.0.1:1"}, "--peer-listen", "loopback"),
         ({"shards_per_keyspace": "0"}, "--shards-per-keyspace", "below 1"),
         ({"shards_per_keyspace": "x"}, "--shards-per-keyspace", "is no int"),
+        *(
+            ({"shutdown_grace_s": text}, "--shutdown-grace-s", "no finite")
+            for text in ("nan", "inf", "-inf")
+        ),
+        (
+            {"shards_per_keyspace": "9" * 400},
+            "--shards-per-keyspace",
+            "is above",
+        ),
         ({"roles": "entry,chef"}, "--roles", "is not one of"),
         ({"roles": "control"}, "--data-dir", "is required"),
         ({"caller_listen": ""}, "--caller-listen", "is required"),
