--- a/packages/common/src/bamboosill_common/yamldoc.py
+++ b/packages/common/src/bamboosill_common/yamldoc.py
@@ -160,6 +160,10 @@
             self._add_finding(node, path, f"{text!r} is not a decimal number")
             return None
         if tag_name == "bool":
+            if text.lower() not in ("true", "false"):
+                # YAML 1.1, which a document may ask for, has further words.
+                self._add_finding(node, path, f"{text!r} is not true or false")
+                return None
             return text.lower() == "true"
         return None if tag_name == "null" else text
 
--- a/packages/common/tests/test_contract.py
+++ b/packages/common/tests/test_contract.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bamboosill_common import contract
+from bamboosill_common import yamldoc
 
 GOOD_DOCUMENT = """\
 customer: grand-bois
@@ -227,3 +228,21 @@
 def test_any_text_gives_findings(text):
     """Guards against documents that raise an exception."""
     assert contract.parse(text).failure()
+
+
+@pytest.mark.parametrize(
+    ("text", "value", "is_found"),
+    [
+        ("a: true", True, False),
+        ("a: False", False, False),
+        ("a: yes", "yes", False),
+        ("%YAML 1.1\n---\na: true", True, False),
+        ("%YAML 1.1\n---\na: yes", None, True),
+        ("%YAML 1.1\n---\na: off", None, True),
+    ],
+)
+def test_words_of_another_yaml_version_are_found(text, value, is_found):
+    """Guards against "yes" that is taken for false."""
+    document = yamldoc.load(text, "c")
+    assert document.value == {"a": value}
+    assert bool(document.findings) == is_found
