Count moves of a zone that were committed, and log the others

Cause: the result of the command was ignored; without a quorum, or if the state refused it, the shards of the plan were counted, and nothing told why.

--- a/packages/daemon/src/bamboosilld/zone/moves.py
+++ b/packages/daemon/src/bamboosilld/zone/moves.py
@@ -15,10 +15,14 @@
 from typing import Any
 from typing import NamedTuple
 
+from returns.result import Failure
 from returns.result import Result
+from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import errors
 from bamboosill_common import events
+from bamboosill_common import logs
 from bamboosill_common.generated import zone as messages
 from bamboosilld.zone import assignments
 from bamboosilld.zone import grant_leases as grant_leases_lib
@@ -31,7 +35,9 @@
 _REVOCATION_RETRY_S = 0.25
 _PROPOSE_TIMEOUT_S = 2.0
 
-Propose = Callable[[Any], Coroutine[Any, Any, Result[Any, Any]]]
+_log = logs.get_logger("zone")
+
+Propose = Callable[[Any], Coroutine[Any, Any, Result[Any, errors.ProposeError]]]
 Batch = tuple[str, int, str]
 """Keyspace, fence and hot key of the moves that one command started."""
 
@@ -136,20 +142,22 @@
             keyspace, tuple(shards), owner.id, owner.incarnation, reason, key
         )
         try:
-            await self._propose(command)
+            result = await self._propose(command)
         finally:
             for shard in shards:
                 self._proposed.discard(
                     assignments.AssignmentKey(keyspace, shard, key)
                 )
-        self._timeline.record(
-            "zone",
-            "begin_move",
-            keyspace=keyspace,
-            shards=len(shards),
-            target=owner.id,
-            reason=reason,
-        )
+        begun = _count_shards("Moves not begun.", keyspace, result)
+        if begun:
+            self._timeline.record(
+                "zone",
+                "begin_move",
+                keyspace=keyspace,
+                shards=begun,
+                target=owner.id,
+                reason=reason,
+            )
 
     def advance(self, now_s: float) -> None:
         """Takes each move in progress one step further, if it may."""
@@ -307,7 +315,7 @@
         keyspace, fence, key = batch
         command = messages.FinishMove(keyspace, tuple(shards), fence, key)
         try:
-            await self._propose(command)
+            result = await self._propose(command)
         finally:
             for shard in shards:
                 progress = self._progress_by_key.get(
@@ -315,9 +323,11 @@
                 )
                 if progress is not None and progress.fence == fence:
                     progress.finish_proposed = False
-        self._timeline.record(
-            "zone", "finish_move", keyspace=keyspace, shards=len(shards)
-        )
+        finished = _count_shards("Moves not finished.", keyspace, result)
+        if finished:
+            self._timeline.record(
+                "zone", "finish_move", keyspace=keyspace, shards=finished
+            )
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         """Runs a coroutine as a task, cancelled when the leadership ends."""
@@ -326,6 +336,23 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _count_shards(
+    refusal: str,
+    keyspace: str,
+    result: Result[messages.CommandStatus, errors.ProposeError],
+) -> int:
+    """Returns how many shards a command has changed; logs why none."""
+    match result:
+        case Success(status) if status.ok:
+            return len(status.shards)
+        case Success(status):
+            code = status.code
+        case Failure(error):
+            code = error.code
+    _log.info("%s Keyspace: %s. Reason: %s.", refusal, keyspace, code)
+    return 0
+
+
 def _make_shard_notice(
     owner: assignments.Owner, batch: Batch, shards: list[int]
 ) -> client_lib.ShardNotice:
