--- a/packages/daemon/src/bamboosilld/zone/control_link.py
+++ b/packages/daemon/src/bamboosilld/zone/control_link.py
@@ -7,12 +7,10 @@
 
 from collections.abc import Callable
 from typing import Any
-from typing import NamedTuple
 
 from returns.result import Success
 
 from bamboosill_common import clock as clock_lib
-from bamboosill_common import logs
 from bamboosill_common import peer
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
@@ -21,15 +19,6 @@
 
 _CALL_TIMEOUT_S = 0.25
 
-_log = logs.get_logger("zone")
-
-
-class Reply(NamedTuple):
-    """The reply to an accepted heartbeat."""
-
-    message: control.ZoneBeatReply
-    sent_s: float
-
 
 class ControlLink:
     """Sends heartbeats to the control leader and tracks the lease.
@@ -67,12 +56,18 @@
             match result:
                 case Success(reply):
                     self._last_address = address
-                    self.wall_offset_ms = reply.wall_ms - self._clock.wall_ms()
+                    self._set_wall_offset(reply.wall_ms, sent_s)
                     expires_s = sent_s + reply.lease_ms / 1000
                     self.lease_expires_s = max(self.lease_expires_s, expires_s)
                     return reply
         return None
 
+    def _set_wall_offset(self, wall_ms: int, sent_s: float) -> None:
+        # The reply was made about half a round trip ago.
+        round_trip_s = self._clock.monotonic() - sent_s
+        replied_ms = self._clock.wall_ms() - round(round_trip_s * 500)
+        self.wall_offset_ms = wall_ms - replied_ms
+
     def get_lease_s(self) -> float:
         """Returns the remaining time of the delegation lease."""
         return max(0.0, self.lease_expires_s - self._clock.monotonic())
