--- a/packages/daemon/src/bamboosilld/zone/moves.py
+++ b/packages/daemon/src/bamboosilld/zone/moves.py
@@ -33,7 +33,6 @@
 # Moves in progress at one time; bounds memory and the size of drain reports.
 MAX_CONCURRENT_MOVES = 16_384
 _REVOCATION_RETRY_S = 0.25
-_PROPOSE_TIMEOUT_S = 2.0
 
 _log = logs.get_logger("zone")
 
