Found a new group in the zone simulation when one has lost its quorum

What the test showed: with seed 7 and upstreams that check no fences, no key has an owner 90 s after the last fault (listed in KNOWN-RED.txt).

Cause: three of four members restart within 1.3 s, and the members of a zone's group are in memory only, so its quorum is lost for good. The control group founds a new group then (control.founder); the simulation's stand-in for it did not. The fault is the simulation's, not the product's.

The check, the seeds and the limit of 90 s are unchanged.

--- a/packages/daemon/tests/zone/conftest.py
+++ b/packages/daemon/tests/zone/conftest.py
@@ -25,12 +25,14 @@
 from bamboosill_common.generated import control
 from bamboosill_common.generated import peer as peer_messages
 from bamboosill_common.generated import zone as messages
+from bamboosilld.control import timing
 from bamboosilld.placement import policy as policy_lib
 from bamboosilld.zone import member as member_lib
 from bamboosilld.zone import membership as membership_lib
 
 ZONE = "north"
 LATENCY_S = 0.001
+LONGEST_DEADLINE_S = 2.0
 
 
 class PausableClock(clock_lib.LoopClock):
@@ -190,6 +192,9 @@
         self.lease_ms = 1500
         self.heartbeats = []
         self.zone = control.ZoneItem(zone=ZONE)
+        self._voters = {}
+        self._leaderless = {}
+        self._failed_since_s = None
         register = self.process.handlers.register
         register(control.RegisterInstance)(self._handle_registration)
         register(control.ZoneBeat)(self._handle_heartbeat)
@@ -218,7 +223,10 @@
                     "name": service,
                     "zone_loss": zone_loss,
                     "limits": {"rate_per_s": 100, "concurrency": 8},
-                    "deadline_ms": {"default": 1000, "longest": 2000},
+                    "deadline_ms": {
+                        "default": 1000,
+                        "longest": int(LONGEST_DEADLINE_S * 1000),
+                    },
                 }
             ],
         }
@@ -264,9 +272,9 @@
                 1, peer.Identity(item.instance, item.incarnation, ZONE)
             )
         self.put(("instance", item.instance), item)
-        instances = tuple(
-            each for key, each in self.items.items() if key[0] == "instance"
-        )
+        self._leaderless[item.instance] = item
+        instances = self._list_instances()
+        self._replace_failed_group(instances)
         return control.RegisterReply(
             accepted=True,
             zone=self.zone,
@@ -274,8 +282,57 @@
             wall_ms=self.process.clock.wall_ms(),
         )
 
+    def _list_instances(self):
+        return tuple(
+            each for key, each in self.items.items() if key[0] == "instance"
+        )
+
+    def _replace_failed_group(self, instances):
+        """Founds a new group as `control.founder` does.
+
+        The members of a group are in memory only, so that one whose voters
+        have restarted has lost its quorum for good.
+        """
+        now_s = self.process.clock.monotonic()
+        remaining = [
+            each
+            for each in instances
+            if each.incarnation <= self._voters.get(each.instance, 0)
+        ]
+        has_failed = len(remaining) < len(self._voters) // 2 + 1 and len(
+            self._leaderless
+        ) == len(instances)
+        if not self._voters or not has_failed:
+            self._failed_since_s = None
+            return
+        if self._failed_since_s is None:
+            self._failed_since_s = now_s
+        wait_s = timing.FOUNDING_WAIT_S + LONGEST_DEADLINE_S
+        if now_s < self._failed_since_s + wait_s:
+            return
+        founder = min(each for each in instances if each not in remaining)
+        self._voters, self._leaderless = {}, {}
+        self.found_group(
+            self.zone.group_epoch + 1,
+            peer.Identity(founder.instance, founder.incarnation, ZONE),
+        )
+        for kind, keyspace in list(self.items):
+            if kind == "delegation":
+                item = self.items[kind, keyspace]
+                self.delegate(
+                    keyspace,
+                    len(item.zones),
+                    epoch=item.epochs[0] + 1,
+                    floor=self.process.clock.wall_ms(),
+                )
+
     async def _handle_heartbeat(self, message, hello):
         self.heartbeats.append(message)
+        if message.group_epoch == self.zone.group_epoch:
+            self._leaderless.clear()
+            self._voters = dict(
+                zip(message.voters, message.voter_incarnations, strict=True)
+            )
         lease_ms = self.lease_ms
         if message.group_epoch != self.zone.group_epoch:
             lease_ms = 0
--- a/packages/daemon/tests/zone/test_safety.py
+++ b/packages/daemon/tests/zone/test_safety.py
@@ -105,7 +105,7 @@
 
 
 @pytest.mark.looptime(noop_cycles=0)
-# 7 and 8: shards without an owner long after the last fault (KNOWN-RED.txt).
+# 7 loses the quorum of the group for good; 8 is listed in KNOWN-RED.txt.
 @pytest.mark.parametrize("seed", [0, 1, 2, 7, 8])
 @pytest.mark.parametrize("checks_fences", [True, False])
 async def test_one_owner_under_faults(make_simulation, checks_fences, seed):
