Give the stand-in of the replayed traces a slot for each request

Cause: the stand-in upstream has 6 slots, the entry instance of the traces 20 connections and no queue. If reads of 1 ms take longer, more than 6 run at a time, and the upstream rejects the others, which is a true refusal.

The trace and its expected outcomes are unchanged: the step checks that bytes left on connections reach no other request, not what a full upstream does.

--- a/packages/daemon/tests/features/players/entry.py
+++ b/packages/daemon/tests/features/players/entry.py
@@ -15,6 +15,7 @@
 
 TESTS = pathlib.Path(__file__).parents[2]
 ID_TIME_MS = 1_700_000_000_000
+_SLOTS = 100
 
 
 class Player:
@@ -48,8 +49,10 @@
         await self.stack.__aenter__()
         self.bench = self.harness.EntryHarness(self.stack)
         await self.bench.start()
+        # With a slot for each of the concurrent requests of a step, none is
+        # rejected because the others are slow.
         self.upstream = await self.bench.start_upstream(
-            accepts_cancellation=accepts_cancellation
+            accepts_cancellation=accepts_cancellation, slots=_SLOTS
         )
         self.relay = relay_lib.Relay(self.upstream.address)
         await self.relay.start()
