Check that shards have moved by the shards, not by the number of fences

What the test showed: "nothing moved" with seed 8 (listed in KNOWN-RED.txt), although all 24 shards moved.

Cause: the check counted distinct fences of all requests, and wanted four. Shards that move in one command have one fence: with seed 8, u owns all 24 until it drains and w gets them at once. On the other side, four first assignments without any move would have passed. Why the planner gave v and w nothing before is not traced; by reading, optional moves wait for ten seconds of complete reports after each fault that interrupts them (zone.optional_moves).

The new check is stricter for what it is meant to show: half of all shards must have run requests under two fences.

--- a/packages/daemon/tests/zone/test_safety.py
+++ b/packages/daemon/tests/zone/test_safety.py
@@ -1,6 +1,7 @@
 """Tests that a shard never has two owners under injected faults."""
 
 import asyncio
+import collections
 
 import pytest
 
@@ -105,7 +106,7 @@
 
 
 @pytest.mark.looptime(noop_cycles=0)
-# 7 loses the quorum of the group for good; 8 is listed in KNOWN-RED.txt.
+# With 7 the group loses its quorum for good; with 8 all shards move at once.
 @pytest.mark.parametrize("seed", [0, 1, 2, 7, 8])
 @pytest.mark.parametrize("checks_fences", [True, False])
 async def test_one_owner_under_faults(make_simulation, checks_fences, seed):
@@ -144,4 +145,8 @@
     await asyncio.sleep(2)
     assert len(simulation.runs) > count, "nothing is served after the faults"
     simulation.check_single_owner()
-    assert len({run.fence for run in simulation.runs}) > 3, "nothing moved"
+    fences = collections.defaultdict(set)
+    for run in simulation.runs:
+        fences[run.shard].add(run.fence)
+    moved = [shard for shard, each in fences.items() if len(each) > 1]
+    assert len(moved) >= SHARDS // 2, "too few shards have moved"
