--- a/packages/dev/src/bamboosill_dev/memory_network.py
+++ b/packages/dev/src/bamboosill_dev/memory_network.py
@@ -102,14 +102,20 @@
         task.add_done_callback(self._tasks.discard)
         try:
             async with asyncio.timeout(deadline_s):
-                return await asyncio.shield(task)
+                result = await asyncio.shield(task)
+                if result is not None:
+                    return result
+                await asyncio.sleep(deadline_s)
         except TimeoutError:
-            return Failure(errors.PeerError("timeout", member.instance, True))
+            pass
+        return Failure(errors.PeerError("timeout", member.instance, True))
 
     async def _deliver(
         self, sender: str, member: messages.Member, request: Any
-    ) -> Result[Any, errors.PeerError]:
-        await self._delay_or_drop(sender, member.instance)
+    ) -> Result[Any, errors.PeerError] | None:
+        """Returns the reply, or None if a message was lost."""
+        if not await self._transmit(sender, member.instance):
+            return None
         node = self.nodes.get(member.address)
         if node is None:
             return Failure(errors.PeerError("unreachable", "", False))
@@ -117,18 +123,20 @@
             reply = await node.handle(request)
         except errors.HandlerError as error:
             return Failure(errors.PeerError(error.code, error.detail, True))
-        await self._delay_or_drop(member.instance, sender)
+        if not await self._transmit(member.instance, sender):
+            return None
         return Success(reply)
 
-    async def _delay_or_drop(self, sender: str, receiver: str) -> None:
+    async def _transmit(self, sender: str, receiver: str) -> bool:
+        """Delays a message; returns whether it arrives."""
         if self.delay_s:
             await asyncio.sleep(
                 self.delay_s * self._rng.uniform(1, 1 + self.jitter)
             )
-        if (sender, receiver) in self.cuts or (
-            self._rng.random() < self.drop_rate
-        ):
-            await asyncio.Event().wait()
+        return (
+            sender,
+            receiver,
+        ) not in self.cuts and self._rng.random() >= self.drop_rate
 
 
 class NetworkTransport:
