--- a/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
@@ -30,6 +30,14 @@
         default=0.0,
         help="Rate limit of one upstream, while control instances fail.",
     )
+    parser.add_argument(
+        "--entries",
+        type=int,
+        default=run.DEFAULT_ENTRY_COUNT,
+        choices=range(2, run.MAX_ENTRY_COUNT + 1),
+        metavar="COUNT",
+        help=f"Number of entry instances, 2 to {run.MAX_ENTRY_COUNT}.",
+    )
     parser.add_argument(
         "--keep", default="", help="Directory in which logs and data are kept."
     )
@@ -38,7 +46,10 @@
         folder = pathlib.Path(options.keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
         scenario = run.Scenario(
-            options.cut, options.limit, not (options.cut or options.limit)
+            options.cut,
+            options.limit,
+            not (options.cut or options.limit),
+            options.entries,
         )
         soak = run.Soak(folder, options.seed, scenario)
         result = asyncio.run(soak.run(options.seconds))
--- a/packages/dev/src/bamboosill_dev/fleetsoak/run.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/run.py
@@ -22,7 +22,9 @@
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
 _CONTROL_COUNT = 3
-_ENTRY_COUNT = 3
+DEFAULT_ENTRY_COUNT = 3
+# Each entry instance listens on a loopback address of its own.
+MAX_ENTRY_COUNT = 150
 _UPSTREAM_COUNT = 5
 _CALLER_COUNT = 12
 _START_TIMEOUT_S = 30.0
@@ -82,11 +84,13 @@
             only control instances fail; 0 for none.
         has_link_faults: Whether instances are cut off and limits change at
             random, beside the random faults.
+        entry_count: Number of entry instances.
     """
 
     cut_form: str = ""
     rate_limit: float = 0.0
     has_link_faults: bool = False
+    entry_count: int = DEFAULT_ENTRY_COUNT
 
 
 DEFAULT_SCENARIO = Scenario()
@@ -117,7 +121,7 @@
         ]
         self._entries = [
             processes.Process(folder, number + 101, "entry", network)
-            for number in range(_ENTRY_COUNT)
+            for number in range(scenario.entry_count)
         ]
         self._seeds = [each.control_address for each in self._control]
         self._record = upstream_lib.Record()
