--- a/packages/daemon/tests/zone/test_safety.py
+++ b/packages/daemon/tests/zone/test_safety.py
@@ -106,7 +106,7 @@
 
 
 @pytest.mark.looptime(noop_cycles=0)
-# With 7 the group loses its quorum for good; with 8 all shards move at once.
+# 7 loses the quorum of the group for good; 8 is listed in KNOWN-RED.txt.
 @pytest.mark.parametrize("seed", [0, 1, 2, 7, 8])
 @pytest.mark.parametrize("checks_fences", [True, False])
 async def test_one_owner_under_faults(make_simulation, checks_fences, seed):
@@ -145,6 +145,7 @@
     await asyncio.sleep(2)
     assert len(simulation.runs) > count, "nothing is served after the faults"
     simulation.check_single_owner()
+    assert len({run.fence for run in simulation.runs}) > 3, "nothing moved"
     fences = collections.defaultdict(set)
     for run in simulation.runs:
         fences[run.shard].add(run.fence)
