Plan moves of keys also if sums of work are below zero

Callers of a busy service would see keys stay where they are: the leader's duty ended with a TypeError ("'>' not supported between instances of 'complex' and 'float'") and was tried again every 0.2 s, each time with the same end.

Cause: the work of an upstream less the work of a block, both sums of floats, may be -1e-16 instead of 0. A negative number to a broken power is complex in Python. Ruled out: the delivery of grants, as the plan has no part in it.

The time of requests is now computed from 0 in that case. The two new tests fail before (complex result) and pass after.

--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -193,6 +193,8 @@
     The wait follows Sakasegawa's approximation for a queue with several
     servers.
     """
+    # Sums and differences of work may be slightly below 0.
+    work = max(0.0, work)
     utilisation = work * holder.relative_latency / holder.slots
     bounded = min(utilisation, _LINEAR_ABOVE_UTILISATION)
     exponent = math.sqrt(2.0 * (holder.slots + 1)) - 1.0
--- a/packages/daemon/tests/fleet/test_keyplan.py
+++ b/packages/daemon/tests/fleet/test_keyplan.py
@@ -121,6 +121,20 @@
     assert work == sorted(work)
 
 
+@pytest.mark.parametrize("busy_block", [0, 1000])
+def test_work_that_sums_up_to_less_than_nothing_is_none(busy_block):
+    """Guards against a plan that fails because of rounded sums of work.
+
+    All work of `a` lies in one block, whose removal leaves a tiny negative
+    amount, of which the queueing formula has no real power.
+    """
+    model = keyplan._LoadModel(
+        _EVEN, _make_table([_A, _B, _C]), _make_work_rates({busy_block: 1}, 2)
+    )
+    change = model.compute_time_change(_A, -model.work[_A] - 1e-12)
+    assert isinstance(change, float)
+
+
 def test_a_busy_block_moves_to_the_fastest_upstream():
     """Guards against a busy key that stays with a slow holder."""
     holders = {
