Grant keys again after all their holders were lost

What callers saw: after all upstreams of a sharded service had been lost for longer than a lease (also a service with a single upstream that was started again), every request of it was refused with "key has no holder", for good.

Cause: the first distribution proposed its ranges with fence 0, and a command changes only ranges whose fence it names. Keys that had been held before have the fence of the command that freed them, so nothing changed, and the next tick proposed the same. Keys are not reserved for single upstreams while none is held.

The command now names the fences in the table. Both new tests fail before.

--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -358,8 +358,15 @@
         if last_join_s is None or now_s - last_join_s < settle_s:
             return
         incarnations = sorted(self._list_holders(service))
-        if incarnations:
-            await self._set_keys(service, keyplan.split_evenly(incarnations))
+        if not incarnations:
+            return
+        # Keys that were held before have a fence.
+        ranges = [
+            part._replace(upstream=each.upstream, born_ms=each.born_ms)
+            for each in keyplan.split_evenly(incarnations)
+            for part in table.intersect(each.first, each.last)
+        ]
+        await self._set_keys(service, ranges)
 
     def _plan_moves(
         self,
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -127,6 +127,18 @@
     assert not {each.fence for each in reply.grants} & fences
 
 
+@pytest.mark.parametrize("names", [("u1",), ("u1", "u2")])
+async def test_keys_are_granted_again_after_all_holders_were_lost(fleet, names):
+    """Guards against keys that stay free once no upstream holds any."""
+    await fleet.distribute(*map(make_item, names))
+    fleet.clock.now_s += _LEASE_S + 1.0
+    await fleet.authority.tick()
+    assert not any(each.upstream for each in fleet.state.keys["keyed"].ranges)
+    items = [make_item(name, born_ms=2) for name in names]
+    grants = await fleet.distribute(*items)
+    assert all(grants.values())
+
+
 async def test_an_earlier_life_is_refused(fleet):
     """Guards against a delayed heartbeat of a process that has ended."""
     await fleet.report(make_item("u1", born_ms=9))
