Grant keys by calls to upstreams that take them so

Cause: the leader granted keys only in its replies to heartbeats.

One granter, two deliveries. `key_granting` decides as before; `key_delivery` is the registry, `heartbeat_delivery` holds what was in the granter, and `call_delivery` makes the calls. There is one table of keys and one kind of lease for both.

What a call without a response means: it may be carried out late, and its lease counts from its arrival. The lease of a holder counts from the latest time at which its last call can arrive. A release frees keys at once only if every earlier grant of them was answered; otherwise they are free when the lease of the last unanswered one is over, as after an election. A process that replaces another at its address may have got its calls, so it inherits the keys under a new fence, or they wait for the lease.

--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -25,6 +25,7 @@
 from bamboosilld.fleet import permits as permits_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import state as state_lib
+from bamboosilld.fleet import upstream_calls
 
 # Longest wait for a command to be committed. Upstreams and operators time out
 # after one second and ask another instance.
@@ -72,10 +73,14 @@
         clock: clock_lib.Clock,
         lease_s: float,
         heartbeat_s: float,
+        call_client: upstream_calls.CallClient,
+        rng: random.Random,
     ) -> None:
         self._node = node
         self._state = state
         self._clock = clock
+        self._lease_s = lease_s
+        self._rng = rng
         self._heartbeat_s = heartbeat_s
         self._granter = key_granting.Granter(
             state,
@@ -84,6 +89,10 @@
             heartbeat_s,
             self._commit,
             self._list_holders,
+            lambda service: self.observations.work_rates[service],
+            self.is_active_leader,
+            call_client,
+            rng,
         )
         self._elected_at_s: float | None = None
         self._reset()
@@ -100,7 +109,7 @@
         self._stats_computed_s = now_s
         self.observations = observations_lib.Observations(self._clock)
         self.permits = permits_lib.PermitBroker(
-            self._state, self._clock, random.Random()
+            self._state, self._clock, self._rng
         )
 
     def is_active_leader(self) -> bool:
@@ -197,16 +206,18 @@
         table = self._state.keys.get(item.service)
         if table is None:
             return messages.ReportReply(accepted=True)
-        grants = await self._granter.apply_report(
-            incarnation, report, self.observations.work_rates[item.service]
-        )
+        grants = await self._granter.apply_report(incarnation, report)
         self._ensure_leads()
-        self._granter.leases.renew(incarnation)
+        if grants is None:
+            metrics.fleet_reports.labels("registered").inc()
+            return messages.ReportReply(accepted=True)
+        leases = self._granter.get_delivery(item.service).leases
+        leases.renew(incarnation)
         metrics.fleet_reports.labels("renewed").inc()
         return messages.ReportReply(
             accepted=True,
             renewed=True,
-            lease_ms=int(self._granter.leases.lease_s * 1000),
+            lease_ms=int(leases.lease_s * 1000),
             grants=tuple(grants),
         )
 
@@ -234,9 +245,7 @@
         for service in list(self._state.keys):
             work_rates = self.observations.work_rates[service]
             work_rates.decay(now_s)
-            await self._granter.tick(
-                service, work_rates, self._last_join_s.get(service)
-            )
+            await self._granter.tick(service, self._last_join_s.get(service))
 
     def _ensure_leads(self) -> None:
         if not self.is_active_leader():
@@ -268,10 +277,7 @@
             if item.service != service or item.draining or last_report is None:
                 continue
             silence_s = now_s - last_report.received_s
-            if (
-                silence_s
-                <= self._granter.leases.lease_s * _MAX_SILENCE_LEASE_FRACTION
-            ):
+            if silence_s <= self._lease_s * _MAX_SILENCE_LEASE_FRACTION:
                 holders[incarnation] = keyplan.Holder(
                     slots=max(1, item.slots),
                     relative_latency=self.observations.relative_latencies.get(
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -37,6 +37,7 @@
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import settings as settings_lib
 from bamboosilld.fleet import state as state_lib
+from bamboosilld.fleet import upstream_calls
 from bamboosilld.storage import disk
 
 GROUP = "fleet"
@@ -78,8 +79,12 @@
         clock: clock_lib.Clock,
         timeline: events.Timeline,
         list_seeds: Any,
+        call_format: upstream_calls.CallFormat,
     ) -> None:
         self._settings = settings
+        self._call_client = upstream_calls.HttpCallClient(
+            call_format, clock, settings.peer_address.rpartition(":")[0]
+        )
         self._directory = directory
         self._clock = clock
         self._timeline = timeline
@@ -198,6 +203,8 @@
                 settings.heartbeat_ms / 1000 * _LEASE_HEARTBEATS,
             ),
             settings.heartbeat_ms / 1000,
+            self._call_client,
+            random.Random(),
         )
         self._membership_manager = membership_lib.MembershipManager(
             self.node, self._clock
--- a/packages/daemon/src/bamboosilld/fleet/control_process.py
+++ b/packages/daemon/src/bamboosilld/fleet/control_process.py
@@ -7,6 +7,7 @@
 from bamboosilld.fleet import control as control_lib
 from bamboosilld.fleet import process as process_lib
 from bamboosilld.fleet import settings as settings_lib
+from bamboosilld.fleet import upstream_calls
 from bamboosilld.gateway import listener as listener_lib
 from bamboosilld.gateway import metrics as metrics_lib
 
@@ -32,6 +33,7 @@
     settings: settings_lib.FleetSettings,
     control: ControlSettings,
     make_api: MakeApi,
+    call_format: upstream_calls.CallFormat,
     read: process_lib.ReadSettings,
 ) -> int:
     """Runs a control instance and returns its exit code.
@@ -40,6 +42,7 @@
         settings: Settings that all processes of a fleet have.
         control: Addresses to listen on.
         make_api: Creates the handler of requests to the API.
+        call_format: Format of calls to upstreams.
         read: Reads the settings again; returns None if they are not valid.
     """
 
@@ -52,6 +55,7 @@
             process.clock,
             process.timeline,
             process.list_control_peers,
+            call_format,
         )
         await process.start(serves_peers=True)
         await member.start()
--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -1,24 +1,28 @@
 """Grants the keys of sharded services to upstreams under leases.
 
-Each key of a sharded service has at most one holder. The leader grants keys in
-its answers to heartbeats. It takes them away by no longer renewing them: they
-are free once the holder has released them or its lease has expired.
+Each key of a sharded service has at most one holder. The leader takes keys away
+by no longer renewing them: they are free once the holder has released them or
+its lease has expired. Grants reach upstreams by one of the deliveries that
+`key_delivery` registers.
 """
 
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import call_delivery as call_delivery  # registers
+from bamboosilld.fleet import heartbeat_delivery as heartbeat_delivery
+from bamboosilld.fleet import key_delivery
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import keyranges
-from bamboosilld.fleet import leases as leases_lib
-from bamboosilld.fleet import releases as releases_lib
 from bamboosilld.fleet import state as state_lib
+from bamboosilld.fleet import upstream_calls
 from bamboosilld.fleet import work_rates as work_rates_lib
 
 # The first distribution of a service's keys waits until no upstream has joined
@@ -34,17 +38,14 @@
 _log = logs.get_logger("fleet")
 
 Commit = Callable[[object], Awaitable[None]]
+GetWorkRates = Callable[[str], work_rates_lib.WorkRates]
 ListHolders = Callable[
     [str], dict[state_lib.UpstreamIncarnation, keyplan.Holder]
 ]
 
 
 class Granter:
-    """Grants and moves keys, and frees keys whose leases have expired.
-
-    Attributes:
-        leases: Leases of upstreams, as the leader counts them.
-    """
+    """Grants and moves keys, and frees keys whose leases have expired."""
 
     def __init__(
         self,
@@ -54,23 +55,32 @@
         heartbeat_s: float,
         commit: Commit,
         list_holders: ListHolders,
+        get_work_rates: GetWorkRates,
+        may_act: Callable[[], bool],
+        call_client: upstream_calls.CallClient,
+        rng: random.Random,
     ) -> None:
         self._state = state
         self._clock = clock
         self._heartbeat_s = heartbeat_s
         self._commit = commit
         self._list_holders = list_holders
-        self.leases = leases_lib.Leases(clock, lease_s)
+        self._get_work_rates = get_work_rates
+        environment = key_delivery.Environment(
+            self, state, clock, lease_s, may_act, call_client, rng
+        )
+        self._deliveries = {
+            name: make_delivery(environment)
+            for name, make_delivery in key_delivery.DELIVERIES.items()
+        }
         self.reset()
 
     def reset(self) -> None:
         """Drops all in-memory state; called after each election."""
-        self.leases.reset()
-        # What each upstream has reported as held or in use with its last
-        # heartbeat.
-        self._holds: dict[
-            state_lib.UpstreamIncarnation, tuple[messages.KeyRange, ...]
-        ] = {}
+        for delivery in self._deliveries.values():
+            delivery.reset()
+        # Name of the delivery of each service.
+        self._delivery_names: dict[str, str] = {}
         self._last_move_s: dict[str, float] = collections.defaultdict(float)
         # By service, keys that are no longer renewed, and when the lease on
         # them expires.
@@ -83,41 +93,47 @@
             collections.defaultdict(dict)
         )
 
+    def get_delivery(self, service: str) -> key_delivery.Delivery:
+        """Returns how grants reach the upstreams of a service.
+
+        After a change, the leases of the former delivery are unknown to the new
+        one, as after an election.
+        """
+        name = next(
+            (
+                each.grants
+                for each in self._state.configuration.services
+                if each.name == service and each.grants in self._deliveries
+            ),
+            key_delivery.DEFAULT_DELIVERY,
+        )
+        if self._delivery_names.get(service, name) != name:
+            _log.info("Grants of keys of %s are now sent by %s.", service, name)
+            self.reset()
+        self._delivery_names[service] = name
+        return self._deliveries[name]
+
     async def apply_report(
         self,
         incarnation: state_lib.UpstreamIncarnation,
         report: messages.UpstreamReport,
-        work_rates: work_rates_lib.WorkRates,
-    ) -> list[messages.KeyRange]:
-        """Applies the heartbeat of a holder and returns the keys it holds now.
+    ) -> list[messages.KeyRange] | None:
+        """Applies the heartbeat of a holder.
 
-        The caller renews the lease with `leases.renew` once it has checked
-        that it still leads.
+        Returns:
+            The keys that the reply renews, or None if it renews none.
 
         Raises:
             errors.HandlerError: A command could not be committed.
         """
-        item = report.item
-        await self._apply_released(incarnation, report)
-        if item.draining:
-            return []
-        # Renewed before the commit, too: a grant takes effect as soon as its
-        # command is applied, and must not look expired to `tick` by then.
-        self.leases.renew(incarnation)
-        await self._grant_reserved(incarnation, item.service, work_rates)
-        return self._list_grants(incarnation, item.service)
-
-    async def tick(
-        self,
-        service: str,
-        work_rates: work_rates_lib.WorkRates,
-        last_join_s: float | None,
-    ) -> None:
+        delivery = self.get_delivery(report.item.service)
+        return await delivery.apply_report(incarnation, report)
+
+    async def tick(self, service: str, last_join_s: float | None) -> None:
         """Frees expired keys, distributes free keys and plans moves.
 
         Args:
             service: Name of a sharded service.
-            work_rates: Recent work of its keys.
             last_join_s: When an upstream last joined the service, or None.
 
         Raises:
@@ -125,19 +141,19 @@
         """
         table = self._state.keys[service]
         now_s = self._clock.monotonic()
-        self._holds = {
-            incarnation: held
-            for incarnation, held in self._holds.items()
-            if self._state.is_registered(incarnation)
-        }
-        await self._free_expired(service, table, now_s)
-        await self._distribute_initially(service, table, now_s, last_join_s)
-        self._update_reservations(service, work_rates)
-        self._plan_moves(service, table, work_rates)
+        delivery = self.get_delivery(service)
+        await self._free_expired(service, table, delivery, now_s)
+        await self._distribute_initially(
+            service, table, delivery, now_s, last_join_s
+        )
+        self._update_reservations(service)
+        self._plan_moves(service, table, delivery)
+        await delivery.tick(service)
 
-    def _list_grants(
+    def list_grants(
         self, incarnation: state_lib.UpstreamIncarnation, service: str
     ) -> list[messages.KeyRange]:
+        """Returns the ranges that an incarnation is to hold and renew."""
         grants = self._state.keys[service].list_held(*incarnation)
         for move in self._revoked[service]:
             if move.incarnation == incarnation:
@@ -148,46 +164,58 @@
                 ]
         return grants
 
-    async def _apply_released(
+    def list_revoked(
+        self, incarnation: state_lib.UpstreamIncarnation, service: str
+    ) -> list[messages.KeyRange]:
+        """Returns the ranges that it holds and is to release."""
+        table = self._state.keys[service]
+        return [
+            part
+            for move in self._revoked[service]
+            if move.incarnation == incarnation
+            for part in table.intersect(move.first, move.last)
+            if (part.upstream, part.born_ms) == incarnation
+        ]
+
+    def revoke(self, service: str, moves: Iterable[keyplan.Move]) -> None:
+        """Ends the renewal of keys; they are free once the lease is over."""
+        leases = self.get_delivery(service).leases
+        for move in moves:
+            self._revoked[service].setdefault(
+                move, leases.get_expiry_s(move.incarnation)
+            )
+
+    async def free(
         self,
+        service: str,
         incarnation: state_lib.UpstreamIncarnation,
-        report: messages.UpstreamReport,
+        ranges: list[messages.KeyRange],
     ) -> None:
-        service = report.item.service
-        freed, unconfirmed = releases_lib.find_releases(
-            self._state.keys[service],
-            incarnation,
-            report,
-            self._holds.get(incarnation, ()),
-        )
-        self._holds[incarnation] = report.holds
-        if unconfirmed:
-            _log.info(
-                "Release of keys of %s not confirmed. Holder: %s.",
-                service,
-                incarnation.upstream,
-                extra={
-                    "service": service,
-                    "upstream": incarnation.upstream,
-                    "ranges": _format_ranges(unconfirmed),
-                },
-            )
-        excluded = [*freed]
-        if report.item.draining:
-            # It gets no renewals, so these are free when its lease has ended.
-            excluded += unconfirmed
-        for part in excluded:
-            # Excluded from renewals while the command is being committed.
-            move = keyplan.Move(incarnation, part.first, part.last)
-            self._revoked[service].setdefault(
-                move, self.leases.get_expiry_s(incarnation)
-            )
-        if not freed:
-            return
-        await self._set_keys(service, freed)
-        for part in freed:
+        """Frees ranges that their holder has released.
+
+        Raises:
+            errors.HandlerError: The command could not be committed.
+        """
+        await self._set_keys(service, ranges)
+        for part in ranges:
             self._complete_revocations(service, incarnation, part)
 
+    async def assign(
+        self, service: str, ranges: list[messages.KeyRange]
+    ) -> None:
+        """Grants ranges, under new fences, to the holders that they name.
+
+        Raises:
+            errors.HandlerError: The command could not be committed.
+        """
+        self.get_delivery(service).prepare_grants(
+            {
+                state_lib.UpstreamIncarnation(each.upstream, each.born_ms)
+                for each in ranges
+            }
+        )
+        await self._set_keys(service, ranges)
+
     def _complete_revocations(
         self,
         service: str,
@@ -232,33 +260,39 @@
                     "service": service,
                     "upstream": holder,
                     "revision": self._state.revision,
-                    "ranges": _format_ranges(
+                    "ranges": keyranges.format_ranges(
                         each for each in ranges if each.upstream == holder
                     ),
                 },
             )
         await self._commit(messages.SetKeys(service, tuple(ranges)))
 
-    async def _grant_reserved(
-        self,
-        incarnation: state_lib.UpstreamIncarnation,
-        service: str,
-        work_rates: work_rates_lib.WorkRates,
+    async def grant_reserved(
+        self, service: str, incarnation: state_lib.UpstreamIncarnation | None
     ) -> None:
-        """Grants an upstream the free keys that are reserved for it."""
+        """Grants free keys to the upstreams that they are reserved for.
+
+        Args:
+            service: Name of the service.
+            incarnation: The only upstream to grant keys to; None for all.
+
+        Raises:
+            errors.HandlerError: The command could not be committed.
+        """
         table = self._state.keys[service]
         if not any(each.upstream for each in table.ranges):
             # The first distribution waits until no more upstreams join.
             return
-        self._update_reservations(service, work_rates, incarnation)
+        self._update_reservations(service, incarnation)
         reservations = [
             each
             for each in self._reservations[service]
-            if each.incarnation == incarnation
+            if incarnation in (None, each.incarnation)
         ]
         granted = [
             part._replace(
-                upstream=incarnation.upstream, born_ms=incarnation.born_ms
+                upstream=reservation.incarnation.upstream,
+                born_ms=reservation.incarnation.born_ms,
             )
             for reservation in reservations
             for part in table.intersect(reservation.first, reservation.last)
@@ -267,19 +301,17 @@
         for reservation in reservations:
             del self._reservations[service][reservation]
         if granted:
-            await self._set_keys(service, granted)
+            await self.assign(service, granted)
 
     def _update_reservations(
         self,
         service: str,
-        work_rates: work_rates_lib.WorkRates,
         reporting: state_lib.UpstreamIncarnation | None = None,
     ) -> None:
         """Drops stale reservations, and reserves free keys that have none.
 
         Args:
             service: Name of a sharded service.
-            work_rates: Recent work of its keys.
             reporting: The upstream whose heartbeat is being handled; it gets
                 its keys at once.
         """
@@ -290,7 +322,7 @@
             reservations.clear()
             return
         now_s = self._clock.monotonic()
-        holders = self._list_holders(service)
+        holders = self._list_reachable(service)
         if reporting in holders:
             holders[reporting] = holders[reporting]._replace(
                 next_heartbeat_s=0.0
@@ -308,12 +340,36 @@
             ]
         if free:
             for reservation in keyplan.assign_free(
-                free, holders, table, work_rates, reservations
+                free,
+                holders,
+                table,
+                self._get_work_rates(service),
+                reservations,
+                self.get_delivery(service).max_ranges,
             ):
                 self._add_reservation(service, reservation)
 
+    def _list_reachable(
+        self, service: str
+    ) -> dict[state_lib.UpstreamIncarnation, keyplan.Holder]:
+        """Returns the upstreams that may be granted keys of a service."""
+        delivery = self.get_delivery(service)
+        return {
+            incarnation: (
+                holder._replace(next_heartbeat_s=0.0)
+                if delivery.is_immediate
+                else holder
+            )
+            for incarnation, holder in self._list_holders(service).items()
+            if delivery.is_reachable(incarnation)
+        }
+
     async def _free_expired(
-        self, service: str, table: keyranges.Table, now_s: float
+        self,
+        service: str,
+        table: keyranges.Table,
+        delivery: key_delivery.Delivery,
+        now_s: float,
     ) -> None:
         """Frees keys whose holder was replaced or has no valid lease."""
         revoked = self._revoked[service]
@@ -321,9 +377,12 @@
             incarnation = state_lib.UpstreamIncarnation(
                 each.upstream, each.born_ms
             )
-            is_replaced = self._state.end_reasons.get(incarnation) == "replaced"
+            is_replaced = (
+                delivery.may_free_replaced()
+                and self._state.end_reasons.get(incarnation) == "replaced"
+            )
             if each.upstream and (
-                is_replaced or self.leases.has_expired(incarnation)
+                is_replaced or delivery.leases.has_expired(incarnation)
             ):
                 # Excluded from renewals while the command is being committed,
                 # even if the holder reports again meanwhile.
@@ -348,6 +407,7 @@
         self,
         service: str,
         table: keyranges.Table,
+        delivery: key_delivery.Delivery,
         now_s: float,
         last_join_s: float | None,
     ) -> None:
@@ -357,22 +417,24 @@
         settle_s = _SETTLE_HEARTBEATS * self._heartbeat_s
         if last_join_s is None or now_s - last_join_s < settle_s:
             return
-        incarnations = sorted(self._list_holders(service))
+        incarnations = sorted(self._list_reachable(service))
         if not incarnations:
             return
         # Keys that were held before have a fence.
         ranges = [
             part._replace(upstream=each.upstream, born_ms=each.born_ms)
-            for each in keyplan.split_evenly(incarnations)
+            for each in keyplan.split_evenly(
+                incarnations, delivery.ranges_per_upstream
+            )
             for part in table.intersect(each.first, each.last)
         ]
-        await self._set_keys(service, ranges)
+        await self.assign(service, ranges)
 
     def _plan_moves(
         self,
         service: str,
         table: keyranges.Table,
-        work_rates: work_rates_lib.WorkRates,
+        delivery: key_delivery.Delivery,
     ) -> None:
         now_s = self._clock.monotonic()
         if any(not each.upstream for each in table.ranges):
@@ -381,16 +443,21 @@
             now_s - self._last_move_s[service] < _MOVE_INTERVAL_S
         ):
             return
-        moves = keyplan.plan_moves(
-            self._list_holders(service), table, work_rates, self._heartbeat_s
-        )
+        moves = [
+            move
+            for move in keyplan.plan_moves(
+                self._list_reachable(service),
+                table,
+                self._get_work_rates(service),
+                0.0 if delivery.is_immediate else self._heartbeat_s,
+                delivery.max_ranges,
+            )
+            if delivery.is_release_final(move)
+        ]
         if not moves:
             return
         self._last_move_s[service] = now_s
-        for move in moves:
-            self._revoked[service][move] = self.leases.get_expiry_s(
-                move.incarnation
-            )
+        self.revoke(service, moves)
         for incarnation in dict.fromkeys(move.incarnation for move in moves):
             _log.info(
                 "Revoking keys of %s in order to move them. Holder: %s.",
@@ -399,16 +466,10 @@
                 extra={
                     "service": service,
                     "upstream": incarnation.upstream,
-                    "ranges": _format_ranges(
+                    "ranges": keyranges.format_ranges(
                         move
                         for move in moves
                         if move.incarnation == incarnation
                     ),
                 },
             )
-
-
-def _format_ranges(
-    ranges: Iterable[messages.KeyRange | keyplan.Move],
-) -> str:
-    return " ".join(f"{each.first}-{each.last}" for each in ranges)
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -16,12 +16,6 @@
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.fleet import work_rates as work_rates_lib
 
-# Ranges of one upstream in the first distribution. Busy keys are often
-# adjacent, so each upstream gets several short ranges.
-_RANGES_PER_UPSTREAM = 8
-# Most ranges that one upstream may hold: the reply to a heartbeat lists them
-# all and must stay below 4 KiB, at up to 45 bytes a range.
-MAX_RANGES = 72
 # Free keys are assigned in parts of at most this fraction of the mean work of
 # an upstream.
 _MAX_FRACTION_OF_MEAN = 0.2
@@ -103,9 +97,11 @@
         holders: dict[state_lib.UpstreamIncarnation, Holder],
         table: keyranges.Table,
         work_rates: work_rates_lib.WorkRates,
-        heartbeat_s: float = 1.0,
+        max_ranges: int,
+        heartbeat_s: float = 0.0,
     ) -> None:
         self.holders = holders
+        self.max_ranges = max_ranges
         self._heartbeat_s = heartbeat_s
         self.work = dict.fromkeys(holders, 0.0)
         self.ranges = dict.fromkeys(holders, 0)
@@ -172,8 +168,10 @@
         """Returns how long moved keys have no holder, in seconds.
 
         They are released after a heartbeat of the source, and granted at the
-        next heartbeat of the target.
+        next heartbeat of the target, unless grants do not wait for heartbeats.
         """
+        if not self._heartbeat_s:
+            return 0.0
         released_s = self.holders[source].next_heartbeat_s + _RELEASE_DELAY_S
         return (
             self.holders[target].next_heartbeat_s - released_s
@@ -209,9 +207,10 @@
 
 def split_evenly(
     incarnations: list[state_lib.UpstreamIncarnation],
+    ranges_per_upstream: int,
 ) -> list[messages.KeyRange]:
     """Returns all keys of a service, distributed evenly over upstreams."""
-    count = len(incarnations) * _RANGES_PER_UPSTREAM
+    count = len(incarnations) * ranges_per_upstream
     edges = [keyranges.KEY_COUNT * index // count for index in range(count + 1)]
     return [
         messages.KeyRange(
@@ -229,7 +228,8 @@
     holders: dict[state_lib.UpstreamIncarnation, Holder],
     table: keyranges.Table,
     work_rates: work_rates_lib.WorkRates,
-    reservations: Iterable[Reservation] = (),
+    reservations: Iterable[Reservation],
+    max_ranges: int,
 ) -> list[Reservation]:
     """Returns which upstream each of the free keys is reserved for.
 
@@ -239,10 +239,11 @@
         table: Current holders of all keys.
         work_rates: Recent work of the keys.
         reservations: Other free keys that are already reserved.
+        max_ranges: Most ranges that one upstream may hold.
     """
     if not holders:
         return []
-    model = _LoadModel(holders, table, work_rates)
+    model = _LoadModel(holders, table, work_rates, max_ranges)
     for each in reservations:
         if each.incarnation in holders:
             model.add(
@@ -272,7 +273,7 @@
     room = [
         incarnation
         for incarnation, count in model.ranges.items()
-        if count < MAX_RANGES
+        if count < model.max_ranges
     ]
     if not room:
         return min(
@@ -310,6 +311,7 @@
     table: keyranges.Table,
     work_rates: work_rates_lib.WorkRates,
     heartbeat_s: float,
+    max_ranges: int,
 ) -> list[Move]:
     """Returns the moves of keys that save more time than they cost.
 
@@ -317,11 +319,13 @@
         holders: Upstreams that may hold keys; only they are sources or targets.
         table: Current holders of all keys.
         work_rates: Recent work of the keys.
-        heartbeat_s: Approximate interval between heartbeats of a holder.
+        heartbeat_s: Approximate interval between heartbeats of a holder; 0 if
+            grants do not wait for them.
+        max_ranges: Most ranges that one upstream may hold.
     """
     if len(holders) < 2 or work_rates.total < _MIN_TOTAL_WORK:
         return []
-    model = _LoadModel(holders, table, work_rates, heartbeat_s)
+    model = _LoadModel(holders, table, work_rates, max_ranges, heartbeat_s)
     sources = set(holders)
     targets = dict.fromkeys(holders, _MAX_MOVES_PER_TARGET)
     moves: list[Move] = []
@@ -335,7 +339,7 @@
             for incarnation, count in targets.items()
             if count
             and incarnation != source
-            and model.ranges[incarnation] < MAX_RANGES
+            and model.ranges[incarnation] < max_ranges
         ]
         move = _find_move(model, source, free, table, work_rates, moves)
         if move is None or move.target is None:
@@ -362,7 +366,7 @@
     planned: list[Move],
 ) -> Move | None:
     """Returns the best move from one source, or None if none pays off."""
-    if not targets or model.ranges[source] >= MAX_RANGES:
+    if not targets or model.ranges[source] >= model.max_ranges:
         return None
     target = _choose_move_target(model, source, targets)
     cost = (
--- a/packages/daemon/src/bamboosilld/fleet/keyranges.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyranges.py
@@ -2,6 +2,7 @@
 
 import bisect
 from collections.abc import Iterable
+from typing import Protocol
 
 from bamboosill_common.generated import fleet as messages
 
@@ -11,6 +12,16 @@
 BLOCK_COUNT = KEY_COUNT // BLOCK_KEYS
 
 
+class _Range(Protocol):
+    """Consecutive keys."""
+
+    @property
+    def first(self) -> int: ...
+
+    @property
+    def last(self) -> int: ...
+
+
 class Table:
     """All ranges of one service, sorted and without gaps."""
 
@@ -83,6 +94,11 @@
     return remaining
 
 
+def format_ranges(ranges: Iterable[_Range]) -> str:
+    """Returns ranges as text for log lines."""
+    return " ".join(f"{each.first}-{each.last}" for each in ranges)
+
+
 def _merge(ranges: list[messages.KeyRange]) -> list[messages.KeyRange]:
     merged: list[messages.KeyRange] = []
     for each in ranges:
--- a/packages/daemon/src/bamboosilld/fleet/leases.py
+++ b/packages/daemon/src/bamboosilld/fleet/leases.py
@@ -22,10 +22,22 @@
         lease_s: Length of a lease, as upstreams are told.
     """
 
-    def __init__(self, clock: clock_lib.Clock, lease_s: float) -> None:
+    def __init__(
+        self, clock: clock_lib.Clock, lease_s: float, delay_s: float = 0.0
+    ) -> None:
+        """Initializes the instance.
+
+        Args:
+            clock: The leader's clock.
+            lease_s: Length of a lease.
+            delay_s: Longest time from when a renewal is sent until the
+                upstream begins to count its lease.
+        """
         self._clock = clock
         self.lease_s = lease_s
-        self._guarded_lease_s = lease_s * _MAX_CLOCK_RATIO + _REPLY_MARGIN_S
+        self._guarded_lease_s = (
+            lease_s * _MAX_CLOCK_RATIO + _REPLY_MARGIN_S + delay_s
+        )
         self._expiries_s: dict[state_lib.UpstreamIncarnation, float] = {}
         self._default_expiry_s = 0.0
 
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -73,8 +73,24 @@
 class Connection(asyncio.Protocol):
     """A connection that carries one request and response at a time."""
 
-    def __init__(self, request_id_name: bytes) -> None:
+    def __init__(
+        self,
+        request_id_name: bytes,
+        user_timeout_ms: int = _USER_TIMEOUT_MS,
+        trusts_order: bool = False,
+    ) -> None:
+        """Initializes the instance.
+
+        Args:
+            request_id_name: Header with the request id, in lower case.
+            user_timeout_ms: Longest time that sent bytes may stay
+                unacknowledged.
+            trusts_order: Whether a response without a request id belongs to the
+                last request, also if the connection carried others before.
+        """
         self._request_id_name = request_id_name
+        self._user_timeout_ms = user_timeout_ms
+        self._trusts_order = trusts_order
         self._loop = asyncio.get_running_loop()
         self._response_future: asyncio.Future[UpstreamResponse] | None = None
         self._request_id = b""
@@ -90,7 +106,7 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _set_socket_options(sock)
+            _set_socket_options(sock, self._user_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Completes or fails the exchange in progress."""
@@ -245,7 +261,7 @@
                 return value == self._request_id
         # Without a request id, the response is only known to belong to this
         # request if the connection carried no other.
-        return self.exchanges == 1
+        return self._trusts_order or self.exchanges == 1
 
     def _finish(self) -> None:
         if self._response_future is None or self._response_future.done():
@@ -279,10 +295,10 @@
             )
 
 
-def _set_socket_options(sock: socket.socket) -> None:
+def _set_socket_options(sock: socket.socket, user_timeout_ms: int) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
         (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, _KEEPALIVE_COUNT),
@@ -295,11 +311,19 @@
     """Pool of connections to one incarnation of an upstream, or an instance."""
 
     def __init__(
-        self, address: str, request_id_name: bytes, local_host: str = ""
+        self,
+        address: str,
+        request_id_name: bytes,
+        local_host: str = "",
+        user_timeout_ms: int = _USER_TIMEOUT_MS,
+        trusts_order: bool = False,
     ) -> None:
+        """Initializes the instance; see `Connection` for the last two."""
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
-        self._request_id_name = request_id_name
+        self._make_connection = lambda: Connection(
+            request_id_name, user_timeout_ms, trusts_order
+        )
         self._local_address = (local_host, 0) if local_host else None
         self._idle: list[Connection] = []
         self.opened = 0
@@ -333,7 +357,7 @@
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._request_id_name),
+                    self._make_connection,
                     self._host,
                     self._port,
                     local_addr=self._local_address,
--- a/packages/daemon/tests/fleet/conftest.py
+++ b/packages/daemon/tests/fleet/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures: an authority that leads without a consensus group."""
 
 import asyncio
+import random
 
 import pytest
 from returns.result import Success
@@ -102,6 +103,13 @@
     return item._replace(**changes)
 
 
+class NoCalls:
+    """A client for deployments whose upstreams take no calls."""
+
+    def retain(self, kept):
+        pass
+
+
 class Fleet:
     """An authority that leads, and its state."""
 
@@ -110,7 +118,13 @@
         self.state = state_lib.FleetState()
         self.node = Node(self.state)
         self.authority = authority_lib.Authority(
-            self.node, self.state, self.clock, lease_s=4.0, heartbeat_s=1.0
+            self.node,
+            self.state,
+            self.clock,
+            lease_s=4.0,
+            heartbeat_s=1.0,
+            call_client=NoCalls(),
+            rng=random.Random(1),
         )
         self.sequence = 0
         self.state.apply(0, wire.pack(make_configuration()))
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -377,4 +377,4 @@
         await fleet.authority.tick()
     authority = fleet.authority
     assert len(authority._last_reports) < 50
-    assert len(authority._granter._holds) < 50
+    assert len(authority._granter.get_delivery("keyed")._holds) < 50
--- a/packages/daemon/tests/fleet/test_keyplan.py
+++ b/packages/daemon/tests/fleet/test_keyplan.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bamboosilld.fleet import heartbeat_delivery
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import keyranges
 from bamboosilld.fleet import state as state_lib
@@ -12,11 +13,13 @@
 _A, _B, _C = (state_lib.UpstreamIncarnation(name, 1) for name in "abc")
 _EVEN = {incarnation: keyplan.Holder(4, 1.0) for incarnation in (_A, _B, _C)}
 _BLOCKS = keyranges.BLOCK_COUNT
+_RANGES = heartbeat_delivery.HeartbeatDelivery.ranges_per_upstream
+_MAX_RANGES = heartbeat_delivery.HeartbeatDelivery.max_ranges
 
 
 def _make_table(incarnations):
     table = keyranges.Table()
-    for each in keyplan.split_evenly(incarnations):
+    for each in keyplan.split_evenly(incarnations, _RANGES):
         table.put(each)
     return table
 
@@ -59,7 +62,7 @@
 
 def test_the_first_distribution_covers_all_keys_once():
     """Guards against keys that the first distribution leaves out."""
-    ranges = keyplan.split_evenly([_A, _B, _C])
+    ranges = keyplan.split_evenly([_A, _B, _C], _RANGES)
     assert ranges[0].first == 0
     assert ranges[-1].last == keyranges.KEY_COUNT - 1
     for before, after in itertools.pairwise(ranges):
@@ -87,7 +90,11 @@
         )
     }
     moves = keyplan.plan_moves(
-        holders, _make_table([_A, _B, _C]), _make_even_work_rates(slots), 1.0
+        holders,
+        _make_table([_A, _B, _C]),
+        _make_even_work_rates(slots),
+        1.0,
+        _MAX_RANGES,
     )
     assert {move.incarnation.upstream for move in moves} == givers
 
@@ -106,7 +113,10 @@
     table = _make_table([_A, _B, _C])
     work_rates = _make_even_work_rates(5.0)
     for _ in range(6):
-        _apply(table, keyplan.plan_moves(holders, table, work_rates, 1.0))
+        _apply(
+            table,
+            keyplan.plan_moves(holders, table, work_rates, 1.0, _MAX_RANGES),
+        )
     used = {
         incarnation: _sum_work(table, work_rates, incarnation)
         * holder.relative_latency
@@ -129,7 +139,10 @@
     amount, of which the queueing formula has no real power.
     """
     model = keyplan._LoadModel(
-        _EVEN, _make_table([_A, _B, _C]), _make_work_rates({busy_block: 1}, 2)
+        _EVEN,
+        _make_table([_A, _B, _C]),
+        _make_work_rates({busy_block: 1}, 2),
+        _MAX_RANGES,
     )
     change = model.compute_time_change(_A, -model.work[_A] - 1e-12)
     assert isinstance(change, float)
@@ -152,7 +165,10 @@
         {each: 2000.0 if each == block else 1.0 for each in range(_BLOCKS)}, 3.0
     )
     for _ in range(3):
-        _apply(table, keyplan.plan_moves(holders, table, work_rates, 1.0))
+        _apply(
+            table,
+            keyplan.plan_moves(holders, table, work_rates, 1.0, _MAX_RANGES),
+        )
     assert table.find(block * keyranges.BLOCK_KEYS).upstream == "c"
 
 
@@ -168,9 +184,12 @@
             },
             9.0,
         )
-        _apply(table, keyplan.plan_moves(_EVEN, table, work_rates, 1.0))
+        _apply(
+            table,
+            keyplan.plan_moves(_EVEN, table, work_rates, 1.0, _MAX_RANGES),
+        )
     for incarnation in _EVEN:
-        assert len(table.list_held(*incarnation)) <= keyplan.MAX_RANGES + 1
+        assert len(table.list_held(*incarnation)) <= _MAX_RANGES + 1
 
 
 @pytest.mark.parametrize("slots", [0.0001, 6.0, 11.0])
@@ -182,7 +201,12 @@
     work_rates = _make_even_work_rates(slots)
     free = [each for each in table.ranges if not each.upstream]
     reservations = keyplan.assign_free(
-        free, {_A: _EVEN[_A], _C: _EVEN[_C]}, table, work_rates
+        free,
+        {_A: _EVEN[_A], _C: _EVEN[_C]},
+        table,
+        work_rates,
+        (),
+        _MAX_RANGES,
     )
     covered = sorted((each.first, each.last) for each in reservations)
     assert sum(last - first + 1 for first, last in covered) == sum(
@@ -211,7 +235,7 @@
         _B: keyplan.Holder(4, 1.0, next_heartbeat_s=0.8),
     }
     reservations = keyplan.assign_free(
-        free, holders, table, _make_even_work_rates(1.0)
+        free, holders, table, _make_even_work_rates(1.0), (), _MAX_RANGES
     )
     assert {each.incarnation for each in reservations} == {_A}
 
@@ -224,7 +248,11 @@
         _C: keyplan.Holder(4, 1.0, next_heartbeat_s=0.6),
     }
     moves = keyplan.plan_moves(
-        holders, _make_table([_A, _B, _C]), _make_even_work_rates(5.0), 1.0
+        holders,
+        _make_table([_A, _B, _C]),
+        _make_even_work_rates(5.0),
+        1.0,
+        _MAX_RANGES,
     )
     assert moves[0].target == _B
 
