Drop calls to upstreams that were given up

OWNER at 37.878 s: key 27306 went to i-316b0e4b41 with fence 211; i-2d4ad87754 had it with fence 465

Cause: a renewal with fence 211 was sent at 31.6 s to an upstream in a zone that had just been cut off, and given up after 0.4 s. Closing a connection lets the kernel go on sending what was not received: the call arrived 6.2 s later, after the zone was back, when the keys had another holder. The lease counts from the latest time at which a call can arrive, which this made untrue. Ruled out: a leader with an old table (no election in that time) and a late execution by the upstream (it counts the lease from the arrival).

Connections for calls now discard on close (SO_LINGER 0). The new test sees an end of file before and a reset now. Whether the kernel may still deliver a call while this process is stopped is bounded by the time limit of unacknowledged bytes.

--- a/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
+++ b/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
@@ -19,6 +19,11 @@
 # Bytes that an upstream has not acknowledged are no longer sent after this
 # time, also while this process is paused.
 _USER_TIMEOUT_MS = 600
+# A call that was given up must not arrive any more: a link that was down would
+# carry it seconds later.
+_CONNECTION_OPTIONS = upstream_connection_lib.Options(
+    user_timeout_ms=_USER_TIMEOUT_MS, trusts_order=True, discards_on_close=True
+)
 # Several round trips between zones.
 GRANT_TIMEOUT_S = 0.4
 # Longest time from when a call is written until it has arrived, if it does.
@@ -201,8 +206,7 @@
                 upstream.address,
                 b"",
                 self._local_host,
-                user_timeout_ms=_USER_TIMEOUT_MS,
-                trusts_order=True,
+                _CONNECTION_OPTIONS,
             )
         return pool
 
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import struct
 from typing import NamedTuple
 
 import httptools
@@ -70,27 +71,31 @@
         self.begun = begun
 
 
+class Options(NamedTuple):
+    """Options of a connection.
+
+    Attributes:
+        user_timeout_ms: Longest time that sent bytes may stay unacknowledged.
+        trusts_order: Whether a response without a request id belongs to the
+            last request, also if the connection carried others before.
+        discards_on_close: Whether bytes that were not received yet are dropped
+            when the connection is closed. Otherwise the kernel goes on sending
+            them.
+    """
+
+    user_timeout_ms: int = _USER_TIMEOUT_MS
+    trusts_order: bool = False
+    discards_on_close: bool = False
+
+
 class Connection(asyncio.Protocol):
     """A connection that carries one request and response at a time."""
 
     def __init__(
-        self,
-        request_id_name: bytes,
-        user_timeout_ms: int = _USER_TIMEOUT_MS,
-        trusts_order: bool = False,
+        self, request_id_name: bytes, options: Options | None = None
     ) -> None:
-        """Initializes the instance.
-
-        Args:
-            request_id_name: Header with the request id, in lower case.
-            user_timeout_ms: Longest time that sent bytes may stay
-                unacknowledged.
-            trusts_order: Whether a response without a request id belongs to the
-                last request, also if the connection carried others before.
-        """
         self._request_id_name = request_id_name
-        self._user_timeout_ms = user_timeout_ms
-        self._trusts_order = trusts_order
+        self._options = options or Options()
         self._loop = asyncio.get_running_loop()
         self._response_future: asyncio.Future[UpstreamResponse] | None = None
         self._request_id = b""
@@ -106,7 +111,7 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _set_socket_options(sock, self._user_timeout_ms)
+            _set_socket_options(sock, self._options)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Completes or fails the exchange in progress."""
@@ -261,7 +266,7 @@
                 return value == self._request_id
         # Without a request id, the response is only known to belong to this
         # request if the connection carried no other.
-        return self._trusts_order or self.exchanges == 1
+        return self._options.trusts_order or self.exchanges == 1
 
     def _finish(self) -> None:
         if self._response_future is None or self._response_future.done():
@@ -295,10 +300,14 @@
             )
 
 
-def _set_socket_options(sock: socket.socket, user_timeout_ms: int) -> None:
+def _set_socket_options(sock: socket.socket, options: Options) -> None:
+    if options.discards_on_close:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
+        (socket.TCP_USER_TIMEOUT, options.user_timeout_ms),
         (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, _KEEPALIVE_COUNT),
@@ -315,15 +324,11 @@
         address: str,
         request_id_name: bytes,
         local_host: str = "",
-        user_timeout_ms: int = _USER_TIMEOUT_MS,
-        trusts_order: bool = False,
+        options: Options | None = None,
     ) -> None:
-        """Initializes the instance; see `Connection` for the last two."""
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
-        self._make_connection = lambda: Connection(
-            request_id_name, user_timeout_ms, trusts_order
-        )
+        self._make_connection = lambda: Connection(request_id_name, options)
         self._local_address = (local_host, 0) if local_host else None
         self._idle: list[Connection] = []
         self.opened = 0
--- a/packages/daemon/tests/gateway/test_upstream_connection.py
+++ b/packages/daemon/tests/gateway/test_upstream_connection.py
@@ -214,3 +214,38 @@
     connection.last_used_s -= 7.0
     pool.release(connection)
     assert await pool.acquire() is not connection
+
+
+@pytest.mark.parametrize("discards", [True, False])
+async def test_bytes_of_a_call_that_was_given_up_are_dropped(discards):
+    """Guards against a call that a link delivers seconds after its time limit.
+
+    A reset shows that the kernel does not go on sending; an end of file that it
+    does.
+    """
+    ends = asyncio.Queue()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            await reader.read()
+            ends.put_nowait("end of file")
+        except ConnectionResetError:
+            ends.put_nowait("reset")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    pool = upstream_connection_lib.Pool(
+        f"{host}:{port}",
+        b"x-id",
+        options=upstream_connection_lib.Options(discards_on_close=discards),
+    )
+    connection = await pool.open()
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.05):
+            await connection.exchange(_REQUEST, b"r1")
+    async with asyncio.timeout(10):
+        end = await ends.get()
+    assert end == ("reset" if discards else "end of file")
+    server.close()
