Reject entries that instances cannot use

- A heartbeat with an address such as 10.0.0.9:99999 or with the port "²" was registered and replicated.
Every entry instance then failed while it applied that command (ValueError, or OverflowError at each request to it): its copy of the state stopped, and requests ended with a closed connection.

Entry instances skip an upstream whose address cannot be used, with a warning: logs of earlier versions may hold one. Ruled out: control instances reading such an entry from their log, as they do not interpret addresses until they call an upstream; those calls count as not sent.

--- a/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
+++ b/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
@@ -167,12 +167,15 @@
         may_send: MaySend,
     ) -> tuple[Result, upstream_connection_lib.UpstreamResponse | None]:
         started_s = self._clock.monotonic()
-        pool = self._get_pool(upstream)
         response = None
         try:
+            pool = self._get_pool(upstream)
             connection = await pool.acquire()
         except upstream_connection_lib.ExchangeError as error:
             result = Result(Outcome.UNSENT, error.code)
+        except ValueError as error:
+            # Earlier versions registered any address.
+            result = Result(Outcome.UNSENT, str(error))
         else:
             try:
                 if may_send():
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -31,6 +31,7 @@
 # without any byte of a body. A faulty one may send without end.
 _MAX_EXCHANGE_BYTES = 32 * 1024 * 1024
 _MAX_HEAD_BYTES = 64 * 1024
+_MAX_PORT = 65535
 _BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -328,6 +329,8 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
+        if not 0 < self._port <= _MAX_PORT:
+            raise ValueError(f"port {self._port} is out of range")
         self._make_connection = lambda: Connection(request_id_name, options)
         self._local_address = (local_host, 0) if local_host else None
         self._idle: list[Connection] = []
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import change_notifier
 from bamboosilld.fleet import follower as follower_lib
@@ -11,6 +12,8 @@
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import routes as routes_lib
 
+_log = logs.get_logger("gateway")
+
 
 class View:
     """Routes, services and upstreams, updated with each state change.
@@ -139,9 +142,21 @@
             )
             upstream = self._upstreams.get(incarnation)
             if upstream is None or upstream.item.address != item.address:
-                upstream = load_balancing.Upstream(
-                    item, self._clock, self._request_id_name, self._local_host
-                )
+                try:
+                    upstream = load_balancing.Upstream(
+                        item,
+                        self._clock,
+                        self._request_id_name,
+                        self._local_host,
+                    )
+                except ValueError as error:
+                    # Earlier versions registered any address.
+                    _log.warning(
+                        "Upstream %s cannot be used. Reason: %s.",
+                        item.upstream,
+                        error,
+                    )
+                    continue
             upstream.item = item
             upstreams[incarnation] = upstream
             if not item.draining:
