Open the data folder again after its disk was full

Cause: after a failed write a member opens its folder anew. If that fails as well, because a record that was written half way must be overwritten first, the storage was left open with its lock. Every later attempt of the same process then failed with "Resource temporarily unavailable", also with room. A member after the other is lost that way until its process ends, and with the second of three the group.

A storage that cannot be opened is closed now, and closing twice does nothing. The file of a new incarnation is closed too, and no other error ends the task that opens the folder.

--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -246,10 +246,13 @@
         files = disk.files_lib.SystemFiles()
         temporary = path.with_suffix(".new")
         temporary.unlink(missing_ok=True)
-        files.create(temporary, str(incarnation).encode())
-        files.sync(temporary)
-        files.rename(temporary, path)
-        files.sync_folder(self._folder)
+        try:
+            files.create(temporary, str(incarnation).encode())
+            files.sync(temporary)
+            files.rename(temporary, path)
+            files.sync_folder(self._folder)
+        finally:
+            files.close()
         return incarnation
 
     async def _run_leader_tasks(self) -> None:
@@ -308,6 +311,8 @@
                     break
                 except (interfaces.StorageError, OSError) as error:
                     _log.error("Data folder not opened. Reason: %s.", error)
+                except Exception:
+                    _log.exception("Data folder not opened.")
 
     async def _on_leader_request(
         self, message: Any, hello: peer_messages.Hello
--- a/packages/daemon/src/bamboosilld/storage/disk.py
+++ b/packages/daemon/src/bamboosilld/storage/disk.py
@@ -63,6 +63,7 @@
             else None
         )
         self._failure = ""
+        self._is_closed = False
         self._hard_state = messages.HardState()
         self._snapshot: interfaces.Snapshot | None = None
         self._entries: list[messages.LogEntry] = []
@@ -74,11 +75,18 @@
     async def load(self) -> interfaces.StoredState:
         """Opens the folder and returns its content.
 
+        A storage that cannot be opened is closed, so that the next one can lock
+        the folder.
+
         Raises:
             interfaces.StorageError: The folder is damaged, belongs to
                 another member or cannot be read.
         """
-        return await self._run(self._load)
+        try:
+            return await self._run(self._load)
+        except interfaces.StorageError:
+            await self.close()
+            raise
 
     async def write(
         self,
@@ -101,7 +109,10 @@
         await self._run(lambda: self._save_snapshot(snapshot))
 
     async def close(self) -> None:
-        """Closes the files after the operation in progress."""
+        """Closes the files after the operation in progress, if still open."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         if self._executor is None:
             self._files.close()
             return
--- a/packages/daemon/tests/storage/test_disk.py
+++ b/packages/daemon/tests/storage/test_disk.py
@@ -1,5 +1,6 @@
 """Tests of the durable storage."""
 
+import errno
 import pathlib
 import random
 
@@ -11,6 +12,7 @@
 from bamboosill_dev import memory_files
 from bamboosilld.consensus import interfaces
 from bamboosilld.storage import disk
+from bamboosilld.storage import files as files_lib
 
 FOLDER = pathlib.Path("/data")
 IDENTITY = messages.StorageIdentity("g", "a", 1)
@@ -300,3 +302,56 @@
         assert "offset" in str(error) or "missing" in str(error)
         return
     assert content == expected.get_content()
+
+
+class _FullFiles(files_lib.SystemFiles):
+    """Real files on a disk that is full: writes end half way, or fail."""
+
+    is_full = False
+    is_torn = False
+
+    def write_at(self, path, offset, data):
+        if not _FullFiles.is_full:
+            return super().write_at(path, offset, data)
+        if _FullFiles.is_torn:
+            super().write_at(path, offset, data[: len(data) // 2])
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+
+@pytest.mark.parametrize("is_torn", [True, False])
+@pytest.mark.parametrize("step", ["entries", "snapshot"])
+@pytest.mark.parametrize("attempts", [1, 3])
+async def test_a_folder_opens_again_once_its_disk_has_room(
+    tmp_path, monkeypatch, is_torn, step, attempts
+):
+    """Guards against a member that is lost for good after its disk was full.
+
+    To open the folder again, what was half written must be overwritten, which
+    fails as long as the disk is full.
+    """
+    monkeypatch.setattr(_FullFiles, "is_full", False)
+    monkeypatch.setattr(_FullFiles, "is_torn", is_torn)
+    storage = open_storage(_FullFiles(), folder=tmp_path)
+    await storage.load()
+    await storage.write(messages.HardState(1, ""), [make_entry(1, 1)])
+    _FullFiles.is_full = True
+    with pytest.raises(interfaces.StorageError):
+        if step == "entries":
+            await storage.write(None, [make_entry(2, 1)])
+        else:
+            await storage.save_snapshot(
+                interfaces.Snapshot(1, 1, messages.Membership(), b"s" * 700)
+            )
+    await storage.close()
+    for _ in range(attempts):
+        storage = open_storage(_FullFiles(), folder=tmp_path)
+        try:
+            await storage.load()
+            await storage.close()
+        except interfaces.StorageError as error:
+            assert "no space left" in str(error)
+    _FullFiles.is_full = False
+    storage = open_storage(_FullFiles(), folder=tmp_path)
+    stored = await storage.load()
+    assert [each.index for each in stored.entries][:1] == [1]
+    await storage.close()
