Send no requests to upstreams that state that they leave

Nothing read that header: an instance that is cut off from the control group went on sending until the upstream had gone.

`gateway.availability` keeps what one incarnation has stated and is asked wherever an upstream is chosen: first attempts, retries, hedges, forwarded requests, probes. Without a key others serve at once. The only holder of a key serves for 0.6 of the agreed time, in which its keys move, and then its requests are refused at once as not run. A response of another process at the address (421) states nothing.

Other instances are not told; the upstream's heartbeat tells the leader.

--- /dev/null
+++ b/packages/daemon/src/bamboosilld/gateway/availability.py
@@ -0,0 +1,84 @@
+"""Whether an upstream takes requests now, by what it states in its responses.
+
+This is the one place that decides it for first attempts, retries, hedges,
+forwarded requests and probes. What an upstream states holds for this instance;
+other instances get the same in the responses to their own requests.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from bamboosill_common import clock as clock_lib
+from bamboosill_common import logs
+
+_LEAVING = b"1"
+# The holder of a key gets requests for the key for this fraction of the time in
+# which a leaving upstream still takes some: its keys move meanwhile.
+_HOLDER_FRACTION = 0.6
+_MAX_LOGGED_BYTES = 40
+
+_log = logs.get_logger("gateway")
+
+
+class Obstacle(NamedTuple):
+    """Why an upstream gets no request now.
+
+    Attributes:
+        reason: Reason, for log lines.
+        ends_in_s: Seconds until it ends; 0 if that is not known.
+    """
+
+    reason: str
+    ends_in_s: float = 0.0
+
+
+class Availability:
+    """What one incarnation of an upstream has stated.
+
+    It leaves for good: only a later incarnation takes requests again.
+    """
+
+    def __init__(
+        self, upstream: str, clock: clock_lib.Clock, drain_s: float
+    ) -> None:
+        """Initializes the instance.
+
+        Args:
+            upstream: Id of the upstream.
+            clock: Clock of this instance.
+            drain_s: Time for which a leaving upstream still takes requests.
+        """
+        self._upstream = upstream
+        self._clock = clock
+        self._drain_s = drain_s
+        self._leaving_since_s: float | None = None
+
+    def observe(self, leaving: Sequence[bytes]) -> None:
+        """Applies a response.
+
+        Args:
+            leaving: Values of the header that states that it leaves.
+        """
+        values = [each.strip() for each in leaving]
+        if _LEAVING in values:
+            if self._leaving_since_s is None:
+                self._leaving_since_s = self._clock.monotonic()
+                _log.info("Upstream %s states that it leaves.", self._upstream)
+        elif values:
+            _log.warning(
+                "Statement of leaving not readable. Upstream: %s. Value: %r.",
+                self._upstream,
+                values[0][:_MAX_LOGGED_BYTES],
+            )
+
+    def find_obstacle(self, is_holder: bool = False) -> Obstacle | None:
+        """Returns why it gets no request now, or None if it may get one.
+
+        Args:
+            is_holder: Whether no other upstream can serve the request.
+        """
+        if self._leaving_since_s is not None:
+            leaving_s = self._clock.monotonic() - self._leaving_since_s
+            if not is_holder or leaving_s >= self._drain_s * _HOLDER_FRACTION:
+                return Obstacle("upstream leaves")
+        return None
--- a/packages/daemon/src/bamboosilld/gateway/http_messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/http_messages.py
@@ -61,6 +61,7 @@
         key: Shard key number of a request.
         rate_limit: Requests a second that an upstream takes from all instances
             together.
+        leaving: Present with value 1 if an upstream leaves.
     """
 
     request_id: bytes
@@ -71,6 +72,7 @@
     load: bytes
     key: bytes
     rate_limit: bytes
+    leaving: bytes
 
 
 def list_forwarded_headers(
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -8,6 +8,7 @@
 from bamboosill_common import logs
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import suspicion
+from bamboosilld.gateway import availability as availability_lib
 from bamboosilld.gateway import rate_limit as rate_limit_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
@@ -46,6 +47,9 @@
 # answer a request that they cannot queue.
 _MAX_QUEUED_PER_SLOT = 2.5
 
+# Time for which a leaving upstream still takes requests, unless set.
+DEFAULT_DRAIN_S = 2.0
+
 _log = logs.get_logger("balance")
 
 
@@ -69,6 +73,7 @@
         backoff_until_s: It gets no request before this time, unless all
             upstreams are backing off.
         rate_limit: The rate limit that it states in its responses.
+        availability: Whether it takes requests now, as it states there.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         clock: clock_lib.Clock,
         request_id_name: bytes,
         local_host: str = "",
+        drain_s: float = DEFAULT_DRAIN_S,
     ) -> None:
         self.item = item
         self._clock = clock
@@ -84,6 +90,9 @@
             item.address, request_id_name, local_host
         )
         self.rate_limit = rate_limit_lib.RateLimit(item.upstream, clock)
+        self.availability = availability_lib.Availability(
+            item.upstream, clock, drain_s
+        )
         self.in_flight = 0
         self.relative_latency = 1.0
         self._latency_sum_s = 0.0
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -72,6 +72,7 @@
             process.clock,
             settings.gateway.names.request_id,
             process.settings.peer_address.rpartition(":")[0],
+            settings.gateway.drain_s,
         )
         self.service = service_lib.Service(
             settings.gateway,
--- a/packages/daemon/src/bamboosilld/gateway/reachability.py
+++ b/packages/daemon/src/bamboosilld/gateway/reachability.py
@@ -155,7 +155,11 @@
                 each.cancel()
 
     def _choose_probed(self) -> list[load_balancing.Upstream]:
-        upstreams = list(self._list_upstreams())
+        upstreams = [
+            each
+            for each in self._list_upstreams()
+            if each.availability.find_obstacle() is None
+        ]
         # Probes need no permit, so they spare upstreams with a rate limit.
         upstreams = [
             each for each in upstreams if each.rate_limit.rate_per_s is None
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -368,6 +368,9 @@
         if load is not None:
             upstream.update_load(load)
         if response.status != exchange.STATUS_MISDIRECTED:
+            upstream.availability.observe(
+                response.list_values(self._context.names.leaving)
+            )
             has_changed = upstream.rate_limit.observe(
                 response.list_values(self._context.names.rate_limit),
                 exchange.is_rejection(response, self._context.names),
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -52,6 +52,8 @@
         retry_constant: Agreed retries beyond that in a window, over all entry
             instances.
         retry_window_s: Length of the window of the retry budget in seconds.
+        drain_s: Time for which an upstream that states that it leaves still
+            takes requests.
     """
 
     instance: str
@@ -61,6 +63,7 @@
     retry_ratio: float
     retry_constant: float
     retry_window_s: float
+    drain_s: float = load_balancing.DEFAULT_DRAIN_S
 
 
 class Service:
--- a/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -6,6 +6,7 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
+from bamboosilld.gateway import availability as availability_lib
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import request_context
@@ -86,6 +87,10 @@
         if holder is None:
             self.reason = "key has no holder"
             return None
+        obstacle = holder.availability.find_obstacle(is_holder=True)
+        if obstacle is not None:
+            self.reason, self.retry_after_s = obstacle
+            return None
         if holder.is_unreachable():
             # A new connection attempt would only time out at the deadline.
             self.reason = "key's holder does not answer"
@@ -145,13 +150,13 @@
 
         Asks for a permit at most once: meanwhile, other upstreams can serve.
         """
-        candidates = self._context.view.list_upstreams(self._routed.service)
+        candidates = self._list_available()
         chosen = self._choose_from(
             _list_due(candidates) or candidates, excluded
         )
         if chosen is None or await self._acquire_permit(chosen):
             return chosen
-        candidates = self._context.view.list_upstreams(self._routed.service)
+        candidates = self._list_available()
         if not any(each.rate_limit.has_permit() for each in candidates):
             self._refuse_for_limit([chosen, *candidates])
             return None
@@ -166,12 +171,33 @@
             excluded: Ids of upstreams that are chosen only if there are no
                 others.
         """
-        candidates = self._context.view.list_upstreams(self._routed.service)
+        candidates = self._list_available()
         permitted = [
             each for each in candidates if each.rate_limit.has_permit()
         ]
         return self._choose_from(permitted, excluded)
 
+    def _list_available(self) -> list[load_balancing.Upstream]:
+        """Returns the upstreams of the service that take requests now.
+
+        If there is none, the obstacle that ends first is the reason.
+        """
+        upstreams = self._context.view.list_upstreams(self._routed.service)
+        obstacles = [each.availability.find_obstacle() for each in upstreams]
+        available = [
+            upstream
+            for upstream, obstacle in zip(upstreams, obstacles, strict=True)
+            if obstacle is None
+        ]
+        if not available:
+            known = [each for each in obstacles if each is not None]
+            self.reason, self.retry_after_s = min(
+                known,
+                key=lambda each: each.ends_in_s or float("inf"),
+                default=availability_lib.Obstacle("none"),
+            )
+        return available
+
     def _choose_from(
         self, candidates: list[load_balancing.Upstream], excluded: set[str]
     ) -> load_balancing.Upstream | None:
@@ -186,7 +212,8 @@
             self._entry_count,
         )
         if chosen is None:
-            self.reason = "all upstreams are full" if candidates else "none"
+            if candidates:
+                self.reason = "all upstreams are full"
             return None
         return chosen if self._is_fast_enough(chosen) else None
 
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -31,7 +31,9 @@
         clock: clock_lib.Clock,
         request_id_name: bytes,
         local_host: str = "",
+        drain_s: float = load_balancing.DEFAULT_DRAIN_S,
     ) -> None:
+        self._drain_s = drain_s
         self.state = state
         self._clock = clock
         self._request_id_name = request_id_name
@@ -140,7 +142,7 @@
             incarnation = state_lib.UpstreamIncarnation(
                 item.upstream, item.born_ms
             )
-            upstream = self._upstreams.get(incarnation)
+            known = upstream = self._upstreams.get(incarnation)
             if upstream is None or upstream.item.address != item.address:
                 try:
                     upstream = load_balancing.Upstream(
@@ -148,6 +150,7 @@
                         self._clock,
                         self._request_id_name,
                         self._local_host,
+                        self._drain_s,
                     )
                 except ValueError as error:
                     # Earlier versions registered any address.
@@ -157,6 +160,8 @@
                         error,
                     )
                     continue
+                if known is not None:
+                    upstream.availability = known.availability
             upstream.item = item
             upstreams[incarnation] = upstream
             if not item.draining:
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -22,6 +22,7 @@
     load=b"x-load",
     key=b"x-key",
     rate_limit=b"x-rate-limit",
+    leaving=b"x-leaving",
 )
 
 
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_availability.py
@@ -0,0 +1,121 @@
+"""Requests to upstreams that state in their responses to take none."""
+
+import asyncio
+
+import pytest
+
+from bamboosill_common.generated import fleet as messages
+from bamboosilld.gateway import latency as latency_lib
+from bamboosilld.gateway import load_balancing
+
+from .conftest import make_response
+from .test_request_sender import _Fleet
+
+pytestmark = [pytest.mark.looptime(start=100.0)]
+
+_DRAIN_S = load_balancing.DEFAULT_DRAIN_S
+
+
+def _respond(*extra, status="200 OK"):
+    """Returns a script that gives each response the next extra headers."""
+    remaining = list(extra)
+
+    async def script(server, headers, writer):
+        lines = remaining.pop(0) if len(remaining) > 1 else remaining[0]
+        state = "503 Busy" if "Retry-After" in lines else status
+        writer.write(make_response(headers["x-id"], status=state, extra=lines))
+
+    return script
+
+
+async def _start(serve, *scripts, sharded=False):
+    fleet = _Fleet(sharded)
+    servers = [await serve(script) for script in scripts]
+    for number, server in enumerate(servers):
+        fleet.add(f"u{number}", server)
+    if sharded:
+        fleet.grant("u0")
+    return fleet, servers
+
+
+async def _send(fleet, **options):
+    # Simulated time does not pass during an exchange.
+    latency = latency_lib.Latency()
+    latency.add_sample(0.1, False)
+    return await fleet.make_sender(latency=latency, **options).run()
+
+
+@pytest.mark.parametrize(
+    ("header", "leaves"),
+    [
+        ("x-leaving: 1\r\n", True),
+        ("x-leaving:  1 \r\n", True),
+        ("x-leaving: 0\r\nx-leaving: 1\r\n", True),
+        ("x-leaving: 1\r\nx-leaving: 1\r\n", True),
+        ("x-leaving: 0\r\n", False),
+        ("x-leaving: true\r\n", False),
+        ("x-leaving: \r\n", False),
+        ("", False),
+    ],
+)
+@pytest.mark.parametrize("status", ["200 OK", "500 Error"])
+async def test_a_leaving_upstream_gets_no_more_requests(
+    serve, header, leaves, status
+):
+    """Guards against requests to an upstream that has said that it leaves."""
+    fleet, servers = await _start(serve, _respond(header, status=status))
+    await _send(fleet, idempotent=False)
+    outcome = await _send(fleet, idempotent=False)
+    assert len(servers[0].requests) == (1 if leaves else 2)
+    if leaves:
+        assert outcome.reason == "upstream leaves"
+        assert not outcome.may_have_run
+
+
+async def test_other_upstreams_serve_in_place_of_a_leaving_one(serve):
+    """Guards against refusals while others have room."""
+    fleet, servers = await _start(
+        serve, _respond("x-leaving: 1\r\n"), _respond("")
+    )
+    for _ in range(20):
+        outcome = await _send(fleet)
+        assert outcome.upstream_response is not None
+    assert len(servers[0].requests) <= 1
+
+
+async def test_a_leaving_holder_serves_its_keys_for_a_while(serve):
+    """Guards against keys unserved while they move, and against late requests.
+
+    After that time the request is refused at once, not at its deadline.
+    """
+    fleet, servers = await _start(
+        serve, _respond("x-leaving: 1\r\n"), sharded=True
+    )
+    started_s = fleet.clock.monotonic()
+    while fleet.clock.monotonic() < started_s + _DRAIN_S:
+        outcome = await _send(fleet, key=7)
+        served_s = fleet.clock.monotonic() - started_s
+        assert (outcome.upstream_response is None) == (served_s > 1.2)
+        await asyncio.sleep(0.1)
+    before_s = fleet.clock.monotonic()
+    outcome = await _send(fleet, key=7)
+    assert fleet.clock.monotonic() - before_s < 0.1
+    assert not outcome.may_have_run
+    assert len(servers[0].requests) < 15
+
+
+@pytest.mark.parametrize(("born_ms", "serves"), [(1, False), (2, True)])
+async def test_only_a_later_incarnation_takes_requests_again(
+    serve, born_ms, serves
+):
+    """Guards against a changed announcement that ends the leaving."""
+    fleet, servers = await _start(serve, _respond("x-leaving: 1\r\n"))
+    later = await serve(_respond(""))
+    await _send(fleet)
+    item = messages.UpstreamItem(
+        "u0", born_ms, later.address, "s", "z1", slots=4
+    )
+    fleet._apply(messages.SetUpstreams(upstreams=(item,)))
+    outcome = await _send(fleet)
+    assert (outcome.upstream_response is not None) == serves
+    assert len(servers[0].requests) == 1
