Keep the pause that an upstream asks for with Retry-After

The pause is a second obstacle in `gateway.availability`, so it holds for first attempts, retries, hedges, probes and forwarded requests, for one incarnation and this instance. A request for a key whose holder pauses is refused at once, as not run, and told the rest of the pause; before it waited for another holder (seen in the new tests with a key, which failed until that wait looked at the holder). Fractions count; dates, negative and unreadable values are logged and ignored, and an hour is the most. A machine that freezes meanwhile counts by its own clock.

27 new cases; those with a pause fail with the observation switched off.

--- a/packages/daemon/src/bamboosilld/gateway/availability.py
+++ b/packages/daemon/src/bamboosilld/gateway/availability.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+import re
 from typing import NamedTuple
 
 from bamboosill_common import clock as clock_lib
@@ -15,6 +16,10 @@
 # The holder of a key gets requests for the key for this fraction of the time in
 # which a leaving upstream still takes some: its keys move meanwhile.
 _HOLDER_FRACTION = 0.6
+_BUSY_STATUS = 503
+_DECIMAL_NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+# Longest pause that an upstream can ask for.
+_MAX_PAUSE_S = 3600.0
 _MAX_LOGGED_BYTES = 40
 
 _log = logs.get_logger("gateway")
@@ -52,13 +57,50 @@
         self._clock = clock
         self._drain_s = drain_s
         self._leaving_since_s: float | None = None
+        self._paused_until_s = float("-inf")
 
-    def observe(self, leaving: Sequence[bytes]) -> None:
+    def observe(
+        self,
+        status: int,
+        leaving: Sequence[bytes],
+        retry_after: Sequence[bytes],
+    ) -> None:
         """Applies a response.
 
         Args:
+            status: Its status.
             leaving: Values of the header that states that it leaves.
+            retry_after: Values of the Retry-After header.
         """
+        self._observe_leaving(leaving)
+        if status == _BUSY_STATUS and retry_after:
+            self._observe_pause(retry_after)
+
+    def _observe_pause(self, retry_after: Sequence[bytes]) -> None:
+        pauses_s = [
+            min(float(value), _MAX_PAUSE_S)
+            for value in (each.strip() for each in retry_after)
+            if _DECIMAL_NUMBER.fullmatch(value)
+        ]
+        if not pauses_s:
+            _log.warning(
+                "Retry-After not readable. Upstream: %s. Value: %r.",
+                self._upstream,
+                retry_after[0][:_MAX_LOGGED_BYTES],
+            )
+            return
+        pause_s = max(pauses_s)
+        # A response that was on its way for longer shortens no pause.
+        self._paused_until_s = max(
+            self._paused_until_s, self._clock.monotonic() + pause_s
+        )
+        _log.info(
+            "Upstream asks for a pause. Upstream: %s. Seconds: %g.",
+            self._upstream,
+            pause_s,
+        )
+
+    def _observe_leaving(self, leaving: Sequence[bytes]) -> None:
         values = [each.strip() for each in leaving]
         if _LEAVING in values:
             if self._leaving_since_s is None:
@@ -81,4 +123,7 @@
             leaving_s = self._clock.monotonic() - self._leaving_since_s
             if not is_holder or leaving_s >= self._drain_s * _HOLDER_FRACTION:
                 return Obstacle("upstream leaves")
+        pause_s = self._paused_until_s - self._clock.monotonic()
+        if pause_s > 0:
+            return Obstacle("upstream asks for a pause", pause_s)
         return None
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -369,7 +369,9 @@
             upstream.update_load(load)
         if response.status != exchange.STATUS_MISDIRECTED:
             upstream.availability.observe(
-                response.list_values(self._context.names.leaving)
+                response.status,
+                response.list_values(self._context.names.leaving),
+                response.list_values(b"retry-after"),
             )
             has_changed = upstream.rate_limit.observe(
                 response.list_values(self._context.names.rate_limit),
--- a/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -81,16 +81,20 @@
             * _KEY_HOLDER_WAIT_FRACTION,
         )
         await view.changed.wait_until(
-            lambda: self.find_holder() is not None, wait_s
+            lambda: (
+                self.find_holder() is not None
+                or self._find_obstacle_of_holder() is not None
+            ),
+            wait_s,
         )
+        obstacle = self._find_obstacle_of_holder()
+        if obstacle is not None:
+            self.reason, self.retry_after_s = obstacle
+            return None
         holder = self.find_holder()
         if holder is None:
             self.reason = "key has no holder"
             return None
-        obstacle = holder.availability.find_obstacle(is_holder=True)
-        if obstacle is not None:
-            self.reason, self.retry_after_s = obstacle
-            return None
         if holder.is_unreachable():
             # A new connection attempt would only time out at the deadline.
             self.reason = "key's holder does not answer"
@@ -138,6 +142,14 @@
             return None
         return holder
 
+    def _find_obstacle_of_holder(self) -> availability_lib.Obstacle | None:
+        """Returns why the key's holder takes no request now, or None."""
+        routed = self._routed
+        holder = self._context.view.find_holder(routed.service, routed.key)
+        if holder is None:
+            return None
+        return holder.availability.find_obstacle(is_holder=True)
+
     def _has_rejected_key(self, holder: load_balancing.Upstream) -> bool:
         routed = self._routed
         fence = self._context.view.get_fence(routed.service, routed.key)
--- a/packages/daemon/tests/gateway/test_availability.py
+++ b/packages/daemon/tests/gateway/test_availability.py
@@ -7,6 +7,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
+from bamboosilld.gateway import request_context
 
 from .conftest import make_response
 from .test_request_sender import _Fleet
@@ -119,3 +120,80 @@
     outcome = await _send(fleet)
     assert (outcome.upstream_response is not None) == serves
     assert len(servers[0].requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("value", "pause_s"),
+    [
+        ("2", 2.0),
+        ("0.75", 0.75),
+        (" 1.5 ", 1.5),
+        ("1\r\nRetry-After: 3", 3.0),
+        ("999999999", 3600.0),
+        ("0", 0.0),
+        ("-1", 0.0),
+        ("1e3", 0.0),
+        ("soon", 0.0),
+        ("9" * 30, 0.0),
+        ("Wed, 21 Oct 2015 07:28:00 GMT", 0.0),
+    ],
+)
+@pytest.mark.parametrize("key", [request_context.NO_KEY, 7])
+async def test_a_pause_that_an_upstream_asks_for_is_kept(
+    serve, value, pause_s, key
+):
+    """Guards against requests to an upstream that wants none for a time.
+
+    Refused requests have not run and are told the rest of the pause.
+    """
+    fleet, servers = await _start(
+        serve,
+        _respond(f"x-not-run: 1\r\nRetry-After: {value}\r\n", ""),
+        sharded=key != request_context.NO_KEY,
+    )
+    await _send(fleet, idempotent=False, key=key)
+    first = len(servers[0].requests)
+    for passed in (0.1, 0.9):
+        if not pause_s:
+            break
+        await asyncio.sleep(pause_s * passed - 0.01)
+        outcome = await _send(fleet, idempotent=False, key=key)
+        assert not outcome.may_have_run
+        assert outcome.reason == "upstream asks for a pause"
+        assert 0 < outcome.retry_after_s <= pause_s
+    assert len(servers[0].requests) == first or not pause_s
+    await asyncio.sleep(pause_s * 0.1)
+    outcome = await _send(fleet, idempotent=False, key=key)
+    assert outcome.upstream_response is not None
+
+
+async def test_a_shorter_pause_ends_no_longer_one(serve):
+    """Guards against a response on its way that ends a pause too early."""
+    fleet, _ = await _start(serve, _respond(""))
+    upstream = fleet.view.list_upstreams("s")[0]
+    upstream.availability.observe(503, [], [b"5"])
+    upstream.availability.observe(503, [], [b"1"])
+    await asyncio.sleep(3.0)
+    assert upstream.availability.find_obstacle() is not None
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+async def test_only_a_busy_upstream_asks_for_a_pause(serve, status):
+    """Guards against a pause after responses that name another time."""
+    fleet, _ = await _start(serve, _respond(""))
+    upstream = fleet.view.list_upstreams("s")[0]
+    upstream.availability.observe(status, [], [b"5"])
+    assert upstream.availability.find_obstacle() is None
+
+
+async def test_others_serve_while_an_upstream_pauses(serve):
+    """Guards against refusals while others have room."""
+    fleet, servers = await _start(
+        serve,
+        _respond("x-not-run: 1\r\nRetry-After: 5\r\n"),
+        _respond(""),
+    )
+    for _ in range(20):
+        outcome = await _send(fleet)
+        assert outcome.upstream_response is not None
+    assert len(servers[0].requests) <= 1
