Make the cost of a heartbeat independent of the number of upstreams

Cause of a part of the leader's work: for each heartbeat it went through all ranges of the service (eight for each upstream), and while any key was free also through all upstreams and, for each reservation, all free ranges: quadratic in the size of the fleet, and at its most when many keys are free.

A table now keeps the ranges of each holder, reservations are checked again only when a key has become free or a reservation expires, and free keys are compared with reservations in one pass.

--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
+from typing import NamedTuple
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
@@ -44,6 +45,18 @@
 ]
 
 
+class _Reserved(NamedTuple):
+    """For which free keys of a table, and until when, all are reserved.
+
+    Attributes:
+        freed_count: How often a range had become free.
+        until_s: When the first reservation expires.
+    """
+
+    freed_count: int
+    until_s: float
+
+
 class Granter:
     """Grants and moves keys, and frees keys whose leases have expired."""
 
@@ -92,6 +105,8 @@
         self._reservations: dict[str, dict[keyplan.Reservation, float]] = (
             collections.defaultdict(dict)
         )
+        # By service, up to when all free keys are reserved.
+        self._reserved: dict[str, _Reserved] = {}
 
     def get_delivery(self, service: str) -> key_delivery.Delivery:
         """Returns how grants reach the upstreams of a service.
@@ -280,10 +295,11 @@
             errors.HandlerError: The command could not be committed.
         """
         table = self._state.keys[service]
-        if not any(each.upstream for each in table.ranges):
+        if not table.has_holders():
             # The first distribution waits until no more upstreams join.
             return
-        self._update_reservations(service, incarnation)
+        if self._are_reservations_stale(service):
+            self._update_reservations(service, incarnation)
         reservations = [
             each
             for each in self._reservations[service]
@@ -303,6 +319,19 @@
         if granted:
             await self.assign(service, granted)
 
+    def _are_reservations_stale(self, service: str) -> bool:
+        """Returns whether free keys may lack a reservation that is valid.
+
+        Checked with each heartbeat, so it must not depend on the number of
+        upstreams or ranges.
+        """
+        reserved = self._reserved.get(service)
+        return (
+            reserved is None
+            or reserved.freed_count != self._state.keys[service].freed_count
+            or self._clock.monotonic() >= reserved.until_s
+        )
+
     def _update_reservations(
         self,
         service: str,
@@ -317,11 +346,12 @@
         """
         table = self._state.keys[service]
         reservations = self._reservations[service]
-        free = [each for each in table.ranges if not each.upstream]
-        if len(free) == len(table.ranges) or not free:
+        free = table.list_free()
+        now_s = self._clock.monotonic()
+        self._reserved[service] = _Reserved(table.freed_count, float("inf"))
+        if not free or not table.has_holders():
             reservations.clear()
             return
-        now_s = self._clock.monotonic()
         holders = self._list_reachable(service)
         if reporting in holders:
             holders[reporting] = holders[reporting]._replace(
@@ -330,14 +360,7 @@
         for reservation, expires_s in list(reservations.items()):
             if now_s >= expires_s or reservation.incarnation not in holders:
                 del reservations[reservation]
-        for reservation in reservations:
-            free = [
-                part
-                for each in free
-                for part in keyranges.subtract(
-                    each, reservation.first, reservation.last
-                )
-            ]
+        free = keyranges.subtract_all(free, reservations)
         if free:
             for reservation in keyplan.assign_free(
                 free,
@@ -348,6 +371,9 @@
                 self.get_delivery(service).max_ranges,
             ):
                 self._add_reservation(service, reservation)
+        # Without an upstream to reserve keys for, the next one gets them.
+        until_s = min(reservations.values(), default=now_s)
+        self._reserved[service] = _Reserved(table.freed_count, until_s)
 
     def _list_reachable(
         self, service: str
@@ -412,7 +438,7 @@
         last_join_s: float | None,
     ) -> None:
         """Distributes all keys of a service if none of them has a holder."""
-        if any(each.upstream for each in table.ranges):
+        if table.has_holders():
             return
         settle_s = _SETTLE_HEARTBEATS * self._heartbeat_s
         if last_join_s is None or now_s - last_join_s < settle_s:
@@ -437,7 +463,7 @@
         delivery: key_delivery.Delivery,
     ) -> None:
         now_s = self._clock.monotonic()
-        if any(not each.upstream for each in table.ranges):
+        if table.list_free():
             return
         if self._revoked[service] or (
             now_s - self._last_move_s[service] < _MOVE_INTERVAL_S
--- a/packages/daemon/src/bamboosilld/fleet/keyranges.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyranges.py
@@ -23,13 +23,23 @@
 
 
 class Table:
-    """All ranges of one service, sorted and without gaps."""
+    """All ranges of one service, sorted and without gaps.
+
+    Attributes:
+        ranges: The ranges.
+        freed_count: How often a range became free so far.
+    """
 
     def __init__(self, ranges: Iterable[messages.KeyRange] = ()) -> None:
         self.ranges = list(ranges) or [
             messages.KeyRange(first=0, last=KEY_COUNT - 1)
         ]
+        self.freed_count = 0
         self._firsts = [each.first for each in self.ranges]
+        # By holder, its ranges by their first key.
+        self._held: dict[tuple[str, int], dict[int, messages.KeyRange]] = {}
+        for each in self.ranges:
+            self._add_to_holder(each)
 
     def find(self, key: int) -> messages.KeyRange:
         """Returns the range that contains a key."""
@@ -54,6 +64,12 @@
         if self.ranges[high].first > parts[-1].last:
             parts.append(self.ranges[high])
         merged = _merge(parts)
+        for each in self.ranges[low : high + 1]:
+            self._remove_from_holder(each)
+        for each in merged:
+            self._add_to_holder(each)
+        if not new.upstream:
+            self.freed_count += 1
         self.ranges[low : high + 1] = merged
         self._firsts[low : high + 1] = [each.first for each in merged]
 
@@ -73,11 +89,27 @@
 
     def list_held(self, upstream: str, born_ms: int) -> list[messages.KeyRange]:
         """Returns the ranges that one incarnation of an upstream holds."""
-        return [
-            each
-            for each in self.ranges
-            if each.upstream == upstream and each.born_ms == born_ms
-        ]
+        held = self._held.get((upstream, born_ms), {})
+        return [held[first] for first in sorted(held)]
+
+    def list_free(self) -> list[messages.KeyRange]:
+        """Returns the ranges without a holder."""
+        return self.list_held("", 0)
+
+    def has_holders(self) -> bool:
+        """Returns whether any range has a holder."""
+        return any(upstream for upstream, _ in self._held)
+
+    def _add_to_holder(self, each: messages.KeyRange) -> None:
+        holder = each.upstream, each.born_ms
+        self._held.setdefault(holder, {})[each.first] = each
+
+    def _remove_from_holder(self, each: messages.KeyRange) -> None:
+        holder = each.upstream, each.born_ms
+        held = self._held[holder]
+        del held[each.first]
+        if not held:
+            del self._held[holder]
 
 
 def subtract(
@@ -94,6 +126,28 @@
     return remaining
 
 
+def subtract_all(
+    ranges: Iterable[messages.KeyRange], removed: Iterable[_Range]
+) -> list[messages.KeyRange]:
+    """Returns the parts of disjoint ranges outside of all removed ranges."""
+    cuts: list[tuple[int, int]] = []
+    for first, last in sorted((each.first, each.last) for each in removed):
+        if cuts and first <= cuts[-1][1]:
+            cuts[-1] = cuts[-1][0], max(last, cuts[-1][1])
+        else:
+            cuts.append((first, last))
+    firsts = [first for first, _ in cuts]
+    remaining = []
+    for each in ranges:
+        index = max(0, bisect.bisect_right(firsts, each.first) - 1)
+        parts = [each]
+        while parts and index < len(cuts) and cuts[index][0] <= each.last:
+            parts[-1:] = subtract(parts[-1], *cuts[index])
+            index += 1
+        remaining += parts
+    return remaining
+
+
 def format_ranges(ranges: Iterable[_Range]) -> str:
     """Returns ranges as text for log lines."""
     return " ".join(f"{each.first}-{each.last}" for each in ranges)
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -139,6 +139,39 @@
     assert all(grants.values())
 
 
+@pytest.mark.parametrize("count", [10, 40])
+async def test_a_heartbeat_costs_the_same_with_many_upstreams(
+    fleet, monkeypatch, count
+):
+    """Guards against a leader that looks at all upstreams for each heartbeat.
+
+    It does so when keys have become free.
+    """
+    items = [
+        make_item(f"u{number}", address=f"10.0.1.{number}:80")
+        for number in range(count)
+    ]
+    grants = await fleet.distribute(*items)
+    released = [
+        messages.ReleasedRange(each.first, each.last, "token")
+        for each in grants["u0"]
+    ]
+    await fleet.report(items[0]._replace(draining=True), (), released)
+    calls = []
+    granter = fleet.authority._granter
+    list_holders = granter._list_holders
+
+    def count_calls(service):
+        calls.append(service)
+        return list_holders(service)
+
+    monkeypatch.setattr(granter, "_list_holders", count_calls)
+    for item in items[1:]:
+        await fleet.report(item, grants[item.upstream])
+    assert len(calls) <= 2
+    assert not fleet.state.keys["keyed"].list_held("", 0)
+
+
 async def test_an_earlier_life_is_refused(fleet):
     """Guards against a delayed heartbeat of a process that has ended."""
     await fleet.report(make_item("u1", born_ms=9))
--- a/packages/daemon/tests/fleet/test_keyranges.py
+++ b/packages/daemon/tests/fleet/test_keyranges.py
@@ -51,6 +51,37 @@
             found = table.find(key)
             assert found.first <= key <= found.last
             assert (found.upstream, found.fence, found.handover) == expected
+    for upstream in ("", "a", "b"):
+        assert table.list_held(upstream, 0) == [
+            each for each in table.ranges if each.upstream == upstream
+        ]
+    assert table.list_free() == table.list_held("", 0)
+    assert table.has_holders() == any(each.upstream for each in table.ranges)
+
+
+@given(
+    strategies.lists(strategies.integers(0, 99), max_size=12),
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 99), strategies.integers(0, 9))
+    ),
+)
+def test_what_remains_of_ranges_equals_a_set_of_keys(edges, removed):
+    """Guards against keys that are reserved twice or left out."""
+    edges = sorted(set(edges))
+    ranges = [
+        messages.KeyRange(first, last - 1, 0, "a")
+        for first, last in itertools.pairwise(edges)
+    ]
+    cuts = [
+        messages.KeyRange(first, first + more, 0) for first, more in removed
+    ]
+    remaining = keyranges.subtract_all(ranges, cuts)
+    keys = [key for each in remaining for key in range(each[0], each[1] + 1)]
+    cut_keys = {key for each in cuts for key in range(each[0], each[1] + 1)}
+    expected = {
+        key for each in ranges for key in range(each[0], each[1] + 1)
+    } - cut_keys
+    assert sorted(keys) == sorted(expected)
 
 
 def test_an_intersection_has_only_the_keys_asked_for():
