Move what the leader knows of called upstreams and reservations out

One upstream that is called, with its unanswered grants, is `called_upstream`; the reservations of free keys of a service are `key_reservations`.

--- a/packages/daemon/src/bamboosilld/fleet/call_delivery.py
+++ b/packages/daemon/src/bamboosilld/fleet/call_delivery.py
@@ -17,11 +17,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
-from typing import NamedTuple
 
 from bamboosill_common import errors
 from bamboosill_common import logs
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import called_upstream
 from bamboosilld.fleet import key_delivery
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import keyranges
@@ -40,11 +40,6 @@
 # a new fence because a higher one was seen; doubled with each further refusal.
 _RETRY_DELAY_S = 0.3
 _MAX_REFUSAL_DELAY_S = 5.0
-# An upstream that has responded to no call for _MAX_FAILING_S is called no more
-# and granted no keys for _UNREACHABLE_S. Its keys become free meanwhile: each
-# call without a response extends its lease.
-_MAX_FAILING_S = 1.6
-_UNREACHABLE_S = 6.0
 # Calls to one upstream that are in flight at a time. An upstream that hangs
 # delays no other.
 _MAX_GRANTS_IN_FLIGHT = 3
@@ -56,71 +51,6 @@
 _log = logs.get_logger("fleet")
 
 
-class _Uncertainty(NamedTuple):
-    """Keys of a grant without a response, and when its lease is over."""
-
-    first: int
-    last: int
-    until_s: float
-
-
-class _Grant:
-    """When a range was and will be granted or renewed.
-
-    Attributes:
-        due_s: When the next call is due.
-        sent_s: When the last call was sent.
-        is_unanswered: Whether the last call had no response.
-        task: The call in flight, or None.
-    """
-
-    def __init__(self, due_s: float) -> None:
-        self.due_s = due_s
-        self.sent_s = 0.0
-        self.is_unanswered = False
-        self.task: asyncio.Task[None] | None = None
-
-
-class _Holder:
-    """What the leader knows of one incarnation of an upstream.
-
-    Attributes:
-        item: The upstream as it last announced itself.
-        heard_s: When it last sent a heartbeat or answered a call.
-        grants: Its grants, by range.
-        releases: Releases in flight, by range.
-        uncertainties: Grants without a response.
-        refusals: Calls that were refused in a row.
-    """
-
-    def __init__(self, item: messages.UpstreamItem) -> None:
-        self.item = item
-        self.heard_s = 0.0
-        self.grants: dict[messages.KeyRange, _Grant] = {}
-        self.releases: dict[messages.KeyRange, asyncio.Task[None]] = {}
-        self.uncertainties: list[_Uncertainty] = []
-        self.refusals = 0
-        # First call without a response since the last response.
-        self._failing_since_s = float("-inf")
-
-    def record_response(self, now_s: float) -> None:
-        """Records that it has responded to a call."""
-        self.heard_s = now_s
-        self._failing_since_s = float("-inf")
-
-    def record_failure(self, now_s: float) -> None:
-        """Records a call without a response."""
-        if now_s - self._failing_since_s >= _MAX_FAILING_S + _UNREACHABLE_S:
-            self._failing_since_s = now_s
-
-    def is_reachable(self, now_s: float) -> bool:
-        """Returns whether it responds to calls, as far as known."""
-        failing_s = now_s - self._failing_since_s
-        return not (
-            _MAX_FAILING_S <= failing_s < _MAX_FAILING_S + _UNREACHABLE_S
-        )
-
-
 @key_delivery.register("rpc")
 class CallDelivery(key_delivery.Delivery):
     """Calls upstreams to grant, renew and release keys."""
@@ -151,7 +81,9 @@
             task.cancel()
         self._tasks.clear()
         self.leases.reset()
-        self._holders: dict[state_lib.UpstreamIncarnation, _Holder] = {}
+        self._holders: dict[
+            state_lib.UpstreamIncarnation, called_upstream.CalledUpstream
+        ] = {}
         # Until then, grants of the former leader may be carried out.
         self._certain_from_s = self.leases.get_expiry_s(
             state_lib.UpstreamIncarnation("", 0)
@@ -227,13 +159,13 @@
         self,
         incarnation: state_lib.UpstreamIncarnation,
         item: messages.UpstreamItem,
-    ) -> _Holder:
+    ) -> called_upstream.CalledUpstream:
         holder = self._holders.get(incarnation)
         if holder is None:
-            holder = self._holders[incarnation] = _Holder(item)
-            # Seen in the table after an election: the former leader has heard
-            # from it.
-            holder.heard_s = self._clock.monotonic()
+            # After an election: the former leader has heard from it.
+            holder = self._holders[incarnation] = (
+                called_upstream.CalledUpstream(item, self._clock.monotonic())
+            )
         holder.item = item
         return holder
 
@@ -254,7 +186,7 @@
         self,
         service: str,
         incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
+        holder: called_upstream.CalledUpstream,
     ) -> None:
         now_s = self._clock.monotonic()
         wanted = self._keys.list_grants(incarnation, service)
@@ -268,13 +200,9 @@
         }
         due = []
         for each in wanted:
-            grant = holder.grants.setdefault(each, _Grant(now_s))
-            # After a call without a response, only an upstream that has given
-            # a sign of life since is called again: the lease of one that has
-            # failed must end.
-            is_silent = grant.is_unanswered and holder.heard_s < grant.sent_s
-            is_silent |= not holder.is_reachable(now_s)
-            if grant.task is None and grant.due_s <= now_s and not is_silent:
+            grant = holder.grants.setdefault(each, called_upstream.Grant(now_s))
+            is_due = grant.task is None and grant.due_s <= now_s
+            if is_due and holder.may_call(grant, now_s):
                 due.append((grant.due_s, each))
         for _, each in sorted(due)[: max(0, _MAX_GRANTS_IN_FLIGHT - in_flight)]:
             holder.grants[each].task = self._spawn(
@@ -285,7 +213,7 @@
         self,
         service: str,
         incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
+        holder: called_upstream.CalledUpstream,
         each: messages.KeyRange,
     ) -> None:
         """Makes one call that grants or renews a range."""
@@ -316,9 +244,9 @@
     def _record_result(
         self,
         incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
+        holder: called_upstream.CalledUpstream,
         each: messages.KeyRange,
-        grant: _Grant,
+        grant: called_upstream.Grant,
         result: upstream_calls.Result,
     ) -> None:
         """Records the outcome of a grant and sets when the next call is due."""
@@ -337,13 +265,17 @@
             case upstream_calls.Outcome.UNKNOWN:
                 grant.is_unanswered = True
                 holder.record_failure(now_s)
-                self._add_uncertainty(incarnation, holder, each)
+                until_s = self.leases.get_expiry_s(incarnation)
+                holder.add_uncertainty(each, until_s, now_s)
             case upstream_calls.Outcome.UNSENT:
                 holder.record_failure(now_s)
                 grant.due_s += _RETRY_DELAY_S
 
     async def _renew_fence(
-        self, service: str, holder: _Holder, each: messages.KeyRange
+        self,
+        service: str,
+        holder: called_upstream.CalledUpstream,
+        each: messages.KeyRange,
     ) -> None:
         """Grants keys anew: the same call would be refused again."""
         delay_s = min(
@@ -354,25 +286,6 @@
         if self._may_act():
             await self._keys.assign(service, [each])
 
-    def _add_uncertainty(
-        self,
-        incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
-        each: messages.KeyRange,
-    ) -> None:
-        now_s = self._clock.monotonic()
-        holder.uncertainties = [
-            known
-            for known in holder.uncertainties
-            if known.until_s > now_s
-            and (known.first, known.last) != (each.first, each.last)
-        ]
-        holder.uncertainties.append(
-            _Uncertainty(
-                each.first, each.last, self.leases.get_expiry_s(incarnation)
-            )
-        )
-
     def _find_certain_s(
         self,
         incarnation: state_lib.UpstreamIncarnation,
@@ -381,20 +294,14 @@
     ) -> float:
         """Returns when no grant of keys without a response is left."""
         holder = self._holders.get(incarnation)
-        return max(
-            [self._certain_from_s]
-            + [
-                each.until_s
-                for each in (holder.uncertainties if holder else ())
-                if each.first <= last and first <= each.last
-            ]
-        )
+        certain_s = holder.find_certain_s(first, last) if holder else 0.0
+        return max(self._certain_from_s, certain_s)
 
     def _start_releases(
         self,
         service: str,
         incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
+        holder: called_upstream.CalledUpstream,
     ) -> None:
         for each in self._keys.list_revoked(incarnation, service):
             if len(holder.releases) >= _MAX_RELEASES_IN_FLIGHT:
@@ -408,7 +315,7 @@
         self,
         service: str,
         incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
+        holder: called_upstream.CalledUpstream,
         each: messages.KeyRange,
     ) -> None:
         """Calls until a range is released, or its lease is over."""
@@ -443,7 +350,7 @@
         self,
         service: str,
         incarnation: state_lib.UpstreamIncarnation,
-        holder: _Holder,
+        holder: called_upstream.CalledUpstream,
         each: messages.KeyRange,
         handover: str,
     ) -> None:
@@ -465,7 +372,7 @@
         return each in self._keys.list_revoked(incarnation, service)
 
     async def _wait_for_grants(
-        self, holder: _Holder, each: messages.KeyRange
+        self, holder: called_upstream.CalledUpstream, each: messages.KeyRange
     ) -> None:
         tasks = [
             grant.task
--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import random
-from typing import NamedTuple
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
@@ -20,6 +19,7 @@
 from bamboosilld.fleet import call_delivery as call_delivery  # registers
 from bamboosilld.fleet import heartbeat_delivery as heartbeat_delivery
 from bamboosilld.fleet import key_delivery
+from bamboosilld.fleet import key_reservations
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import keyranges
 from bamboosilld.fleet import state as state_lib
@@ -45,18 +45,6 @@
 ]
 
 
-class _Reserved(NamedTuple):
-    """For which free keys of a table, and until when, all are reserved.
-
-    Attributes:
-        freed_count: How often a range had become free.
-        until_s: When the first reservation expires.
-    """
-
-    freed_count: int
-    until_s: float
-
-
 class Granter:
     """Grants and moves keys, and frees keys whose leases have expired."""
 
@@ -100,13 +88,13 @@
         self._revoked: dict[str, dict[keyplan.Move, float]] = (
             collections.defaultdict(dict)
         )
-        # By service, free keys that are reserved for one upstream, and when
-        # the reservation expires.
-        self._reservations: dict[str, dict[keyplan.Reservation, float]] = (
-            collections.defaultdict(dict)
+        self._reservations: dict[str, key_reservations.Reservations] = (
+            collections.defaultdict(
+                lambda: key_reservations.Reservations(
+                    self._clock, _RESERVATION_HEARTBEATS * self._heartbeat_s
+                )
+            )
         )
-        # By service, up to when all free keys are reserved.
-        self._reserved: dict[str, _Reserved] = {}
 
     def get_delivery(self, service: str) -> key_delivery.Delivery:
         """Returns how grants reach the upstreams of a service.
@@ -250,15 +238,7 @@
             reservation = keyplan.Reservation(
                 move.target, move.first, move.last
             )
-            self._add_reservation(service, reservation)
-
-    def _add_reservation(
-        self, service: str, reservation: keyplan.Reservation
-    ) -> None:
-        wait_s = _RESERVATION_HEARTBEATS * self._heartbeat_s
-        self._reservations[service][reservation] = (
-            self._clock.monotonic() + wait_s
-        )
+            self._reservations[service].add(reservation)
 
     async def _set_keys(
         self, service: str, ranges: list[messages.KeyRange]
@@ -298,40 +278,21 @@
         if not table.has_holders():
             # The first distribution waits until no more upstreams join.
             return
-        if self._are_reservations_stale(service):
+        reservations = self._reservations[service]
+        if reservations.is_stale(table):
             self._update_reservations(service, incarnation)
-        reservations = [
-            each
-            for each in self._reservations[service]
-            if incarnation in (None, each.incarnation)
-        ]
         granted = [
             part._replace(
                 upstream=reservation.incarnation.upstream,
                 born_ms=reservation.incarnation.born_ms,
             )
-            for reservation in reservations
+            for reservation in reservations.pop(incarnation)
             for part in table.intersect(reservation.first, reservation.last)
             if not part.upstream
         ]
-        for reservation in reservations:
-            del self._reservations[service][reservation]
         if granted:
             await self.assign(service, granted)
 
-    def _are_reservations_stale(self, service: str) -> bool:
-        """Returns whether free keys may lack a reservation that is valid.
-
-        Checked with each heartbeat, so it must not depend on the number of
-        upstreams or ranges.
-        """
-        reserved = self._reserved.get(service)
-        return (
-            reserved is None
-            or reserved.freed_count != self._state.keys[service].freed_count
-            or self._clock.monotonic() >= reserved.until_s
-        )
-
     def _update_reservations(
         self,
         service: str,
@@ -344,36 +305,23 @@
             reporting: The upstream whose heartbeat is being handled; it gets
                 its keys at once.
         """
-        table = self._state.keys[service]
-        reservations = self._reservations[service]
-        free = table.list_free()
-        now_s = self._clock.monotonic()
-        self._reserved[service] = _Reserved(table.freed_count, float("inf"))
-        if not free or not table.has_holders():
-            reservations.clear()
-            return
-        holders = self._list_reachable(service)
-        if reporting in holders:
-            holders[reporting] = holders[reporting]._replace(
-                next_heartbeat_s=0.0
-            )
-        for reservation, expires_s in list(reservations.items()):
-            if now_s >= expires_s or reservation.incarnation not in holders:
-                del reservations[reservation]
-        free = keyranges.subtract_all(free, reservations)
-        if free:
-            for reservation in keyplan.assign_free(
-                free,
-                holders,
-                table,
-                self._get_work_rates(service),
-                reservations,
-                self.get_delivery(service).max_ranges,
-            ):
-                self._add_reservation(service, reservation)
-        # Without an upstream to reserve keys for, the next one gets them.
-        until_s = min(reservations.values(), default=now_s)
-        self._reserved[service] = _Reserved(table.freed_count, until_s)
+
+        def list_holders() -> dict[
+            state_lib.UpstreamIncarnation, keyplan.Holder
+        ]:
+            holders = self._list_reachable(service)
+            if reporting in holders:
+                holders[reporting] = holders[reporting]._replace(
+                    next_heartbeat_s=0.0
+                )
+            return holders
+
+        self._reservations[service].update(
+            self._state.keys[service],
+            list_holders,
+            self._get_work_rates(service),
+            self.get_delivery(service).max_ranges,
+        )
 
     def _list_reachable(
         self, service: str
