--- a/packages/cli/src/bamboosill/commands/logs_explain.py
+++ b/packages/cli/src/bamboosill/commands/logs_explain.py
@@ -23,7 +23,7 @@
 _SHOWN_FIELDS = (
     *("status", "route", "service", "key", "upstream", "load", "load_age_ms"),
     *("slots", "took_ms", "left_ms", "version", "revision", "synced_ms_ago"),
-    "ranges",
+    *("ranges", "fence"),
 )
 
 LogLine = dict[str, Any]
--- a/packages/cli/tests/test_logs_explain.py
+++ b/packages/cli/tests/test_logs_explain.py
@@ -70,6 +70,19 @@
     assert _run(capsys, *logs, *arguments) == (exit_codes.OK, expected)
 
 
+def test_the_history_of_a_key_shows_ranges_and_fences(logs, tmp_path, capsys):
+    """Guards against calls that cannot be told apart by their grants."""
+    line = _make_line(
+        19.8, "c1", "Grant of keys of s not done.", ranges="100-199", fence=41
+    )
+    (tmp_path / "calls.log").write_text(line)
+    arguments = [*logs, str(tmp_path / "calls.log"), "--key", "150"]
+    assert main.main(["logs", "explain", *arguments]) == exit_codes.OK
+    output = capsys.readouterr().out
+    assert "ranges=100-199" in output
+    assert "fence=41" in output
+
+
 def test_unknown_request_is_refused(logs, capsys):
     """Guards against exit code 0 when no line matches."""
     code, _ = _run(capsys, *logs, "--request", "r9")
