Release more ranges of a leaving upstream at a time

An upstream that leaves may hold up to 24 ranges, and a release occupies its place also while it waits for the lease of an unanswered grant: with three places the other ranges stayed with the leaving upstream meanwhile, unserved, as entry instances send it nothing. Found by reading. Eight releases may be in flight now.

The connections for calls are kept by address as well, as an upstream may announce another one.

--- a/packages/daemon/src/bamboosilld/fleet/call_delivery.py
+++ b/packages/daemon/src/bamboosilld/fleet/call_delivery.py
@@ -43,7 +43,7 @@
 # Calls to one upstream that are in flight at a time. An upstream that hangs
 # delays no other.
 _MAX_GRANTS_IN_FLIGHT = 3
-_MAX_RELEASES_IN_FLIGHT = 3
+_MAX_RELEASES_IN_FLIGHT = 8
 # Time limit of the first try of a release, doubled with each further one: it is
 # answered when the work on the keys has ended.
 _RELEASE_TIMEOUT_S = 1.0
--- a/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
+++ b/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
@@ -119,7 +119,8 @@
         self._clock = clock
         self._local_host = local_host
         self._pools: dict[
-            state_lib.UpstreamIncarnation, upstream_connection_lib.Pool
+            tuple[state_lib.UpstreamIncarnation, str],
+            upstream_connection_lib.Pool,
         ] = {}
 
     async def grant(
@@ -154,9 +155,10 @@
 
     def retain(self, kept: set[state_lib.UpstreamIncarnation]) -> None:
         """Closes the connections to all other upstreams."""
-        for incarnation in list(self._pools):
+        for key in list(self._pools):
+            incarnation, _ = key
             if incarnation not in kept:
-                self._pools.pop(incarnation).close_idle()
+                self._pools.pop(key).close_idle()
 
     async def _call(
         self,
@@ -203,9 +205,10 @@
         incarnation = state_lib.UpstreamIncarnation(
             upstream.upstream, upstream.born_ms
         )
-        pool = self._pools.get(incarnation)
+        key = incarnation, upstream.address
+        pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[incarnation] = upstream_connection_lib.Pool(
+            pool = self._pools[key] = upstream_connection_lib.Pool(
                 upstream.address,
                 b"",
                 self._local_host,
