Go on following after an odd number in a response

Found while looking for the class of the odd entries: an upstream that names a load of 65,536 or more in one response stopped the entry instance that got it from following, for good. The number did not fit into the next poll, whose encoding failed, and nothing watched the task of the follower: the instance went on with the configuration and the holders that it knew. A number of more than 4,300 digits, in the load, the caller's deadline or the key, ended the request without an answer.

Headers with counts now go through one function, which takes 18 digits at the most; loads are cut to what a poll holds; and a poll that fails in any way is logged and made again.

--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -119,9 +119,13 @@
     async def run(self) -> None:
         """Follows the leader until cancelled."""
         while True:
-            for address in self._list_candidates():
-                if await self._poll(address):
-                    break
+            self._last_poll_succeeded = False
+            try:
+                for address in self._list_candidates():
+                    if await self._poll(address):
+                        break
+            except Exception:
+                _log.exception("Poll failed.")
             if not self._last_poll_succeeded:
                 await self._clock.sleep(_RETRY_DELAY_S)
 
--- a/packages/daemon/src/bamboosilld/gateway/forwarding.py
+++ b/packages/daemon/src/bamboosilld/gateway/forwarding.py
@@ -203,14 +203,16 @@
 
     Returns None if the limits are missing or malformed.
     """
-    sends = request.get(_SENDS_LEFT) or b""
-    configuration = request.get(_CONFIGURATION) or b""
-    if not (sends.isdigit() and configuration.isdigit()):
+    sends = http_messages.parse_count(request.get(_SENDS_LEFT) or b"")
+    configuration = http_messages.parse_count(
+        request.get(_CONFIGURATION) or b""
+    )
+    if sends is None or configuration is None:
         return None
     headers = _strip(request.headers)
     return (
         request._replace(headers=headers),
-        Limits(int(sends), int(configuration)),
+        Limits(sends, configuration),
     )
 
 
--- a/packages/daemon/src/bamboosilld/gateway/http_messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/http_messages.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+# Enough for 64 bits; conversions of much longer texts fail.
+_MAX_COUNT_DIGITS = 18
+
 Headers = list[tuple[bytes, bytes]]
 
 # Headers that apply to one connection only (RFC 9110, section 7.6.1), and the
@@ -92,6 +95,13 @@
     ]
 
 
+def parse_count(value: bytes) -> int | None:
+    """Returns a whole number of at most 18 digits, or None for other bytes."""
+    if not value.isdigit() or len(value) > _MAX_COUNT_DIGITS:
+        return None
+    return int(value)
+
+
 def format_headers(headers: Headers) -> bytes:
     """Returns headers as lines of an HTTP/1.1 message."""
     return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -9,6 +9,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import suspicion
 from bamboosilld.gateway import availability as availability_lib
+from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import rate_limit as rate_limit_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
@@ -21,6 +22,8 @@
 _MAX_RELATIVE_LATENCY = 8.0
 # The weight of an upstream's load report falls to zero over this time.
 _LOAD_REPORT_MAX_AGE_S = 2.5
+# Largest load that can be reported to the leader.
+_MAX_LOAD = 2**16 - 1
 # Load seen by other instances replaces an own report older than this.
 _OWN_LOAD_FRESH_S = 0.4
 # From this many entry instances on, each one chooses among a random sample of
@@ -119,12 +122,16 @@
 
     def update_load(self, value: bytes) -> None:
         """Applies a load header: running and waiting requests, slots."""
-        parts = value.split(b",")
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        parts = [
+            http_messages.parse_count(part.strip())
+            for part in value.split(b",")
+        ]
+        counts = [part for part in parts if part is not None]
+        if len(parts) != 3 or len(counts) != 3:
             return
-        running, waiting, _ = (int(part) for part in parts)
+        running, waiting, _ = counts
         self._has_new_load = True
-        self._set_load(running + waiting)
+        self._set_load(min(running + waiting, _MAX_LOAD))
 
     def update_shared_load(self, requests: int) -> None:
         """Applies a load that any instance observed recently."""
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -304,16 +304,15 @@
         item = self._view.services.get(service)
         if item is None or not item.sharded:
             return request_context.NO_KEY
-        value = request.get(self._names.key) or b""
-        if value.isdigit() and int(value) < keyranges.KEY_COUNT:
-            return int(value)
-        return None
+        key = http_messages.parse_count(request.get(self._names.key) or b"")
+        return key if key is not None and key < keyranges.KEY_COUNT else None
 
     def _read_timeout(self, request: http_messages.Request) -> float:
         value = request.get(self._names.deadline_ms) or b""
-        if value.isdigit():
-            return int(value) / 1000
-        return _DEFAULT_DEADLINE_S
+        deadline_ms = http_messages.parse_count(value)
+        return (
+            _DEFAULT_DEADLINE_S if deadline_ms is None else deadline_ms / 1000
+        )
 
     def _get_retry_budget(self, service: str) -> budget_lib.RetryBudget:
         budget = self._retry_budgets.get(service)
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -288,8 +288,9 @@
     def _read_idle_limit(self, value: bytes) -> None:
         for part in value.split(b","):
             name, _, number = part.strip().partition(b"=")
-            if name == b"timeout" and number.isdigit():
-                self.idle_limit_s = int(number) * _IDLE_TIMEOUT_FRACTION
+            timeout_s = http_messages.parse_count(number)
+            if name == b"timeout" and timeout_s is not None:
+                self.idle_limit_s = timeout_s * _IDLE_TIMEOUT_FRACTION
 
     def _fail(self, code: str) -> None:
         if (
--- a/packages/daemon/tests/fleet/test_follower.py
+++ b/packages/daemon/tests/fleet/test_follower.py
@@ -257,3 +257,26 @@
     assert follower.entry_count == 8
     follower._clock.now_s += 20.0
     await _run_until(follower, lambda: follower.entry_count == 1)
+
+
+async def test_a_poll_that_fails_ends_no_following():
+    """Guards against an instance whose copy stops at one odd measurement."""
+    _, feed = _make_leader(make_configuration())
+    directory = _Directory({"c1": feed, "c2": feed, "c3": feed})
+    failures = [ValueError("value out of range"), TypeError("no number")]
+
+    def pop_measurements():
+        if failures:
+            raise failures.pop()
+        return follower_lib.Measurements()
+
+    follower = follower_lib.Follower(
+        "e1",
+        directory,
+        Clock(),
+        lambda: ("c1", "c2", "c3"),
+        pop_measurements,
+        lambda loads: None,
+    )
+    await _run_until(follower, lambda: follower.state.revision == 1)
+    assert not failures
--- a/packages/daemon/tests/gateway/test_parts.py
+++ b/packages/daemon/tests/gateway/test_parts.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import latency as latency_lib
@@ -127,6 +128,28 @@
     return load_balancing.Upstream(item._replace(**changes), clock, b"x-id")
 
 
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,1,4", 4),
+        (b"70000,0,4", 65535),
+        (b"999999999,999999999,4", 65535),
+        (b"%s,0,4" % (b"9" * 30), None),
+        (b"%s,0,4" % (b"9" * 5000), None),
+        (b"1,2", None),
+        (b"-1,0,4", None),
+        (b"a,0,4", None),
+    ],
+)
+def test_any_load_header_can_be_reported(value, load):
+    """Guards against an instance that stops following at one odd number."""
+    upstream = _make_upstream("u", _Clock())
+    upstream.update_load(value)
+    assert upstream.pop_new_load() == load
+    report = messages.UpstreamLoad("u", load or 0, False)
+    wire.pack(messages.Follow(loads=(report,)))
+
+
 def _choose(candidates, instances=8):
     found = load_balancing.choose(candidates, "z1", random.Random(1), instances)
     return found.item.upstream if found else None
