--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -16,7 +16,9 @@
 from bamboosill_common import logs
 from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
-from bamboosilld.fleet import call_delivery as call_delivery  # registers
+
+# Imported so that the deliveries register themselves.
+from bamboosilld.fleet import call_delivery as call_delivery
 from bamboosilld.fleet import heartbeat_delivery as heartbeat_delivery
 from bamboosilld.fleet import key_delivery
 from bamboosilld.fleet import key_reservations
