Let a connection be returned to its pool without an exchange

Cause: a connection for a call is opened, and before the call is written the leader has lost its lease or the keys were revoked; the connection goes back unused, and its state is set by the first exchange only. The call ended with a logged error and left the connection open. Callers' requests always write. The state has initial values now.

--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -105,6 +105,10 @@
         self.idle_limit_s = _DEFAULT_IDLE_LIMIT_S
         self.exchanges = 0
         self._parser: httptools.HttpResponseParser | None = None
+        # A connection may be returned to its pool without an exchange.
+        self._has_extra_bytes = False
+        self._is_complete = False
+        self._keep_alive = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket options."""
--- a/packages/daemon/tests/fleet/test_upstream_calls.py
+++ b/packages/daemon/tests/fleet/test_upstream_calls.py
@@ -1,6 +1,7 @@
 """Calls to upstreams over HTTP: what each response or its absence means."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -22,8 +23,13 @@
         return (response.get(b"x-handover") or b"").decode()
 
 
+@contextlib.asynccontextmanager
 async def _serve(response):
-    """Starts a server that gives each request the response; None hangs."""
+    """Serves each request with the response; with None, it hangs.
+
+    Yields:
+        The address and the requests so far.
+    """
     requests = []
 
     async def accept(reader, writer):
@@ -43,7 +49,8 @@
 
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    return server, f"{host}:{port}", requests
+    yield f"{host}:{port}", requests
+    server.close()
 
 
 def _respond(status, extra=b"", body=b""):
@@ -51,10 +58,15 @@
     return b"HTTP/1.1 %d X\r\n" % status + extra + length + b"\r\n" + body
 
 
-def _make_client():
-    return upstream_calls.HttpCallClient(
+@pytest.fixture
+async def client():
+    """Returns a client, whose connections are closed at the end."""
+    client = upstream_calls.HttpCallClient(
         _Format(), clock_lib.SystemClock(), "127.0.0.1"
     )
+    yield client
+    client.retain(set())
+    await asyncio.sleep(0.01)
 
 
 def _make_item(address):
@@ -78,51 +90,52 @@
         (None, "unknown"),
     ],
 )
-async def test_a_response_tells_what_became_of_a_grant(response, outcome):
+async def test_a_response_tells_what_became_of_a_grant(
+    client, response, outcome
+):
     """Guards against a grant that counts as answered or as never sent."""
-    server, address, _ = await _serve(response)
-    result = await _make_client().grant(
-        _make_item(address), _GRANT, 2.0, lambda: True
-    )
+    async with _serve(response) as (address, _):
+        result = await client.grant(
+            _make_item(address), _GRANT, 2.0, lambda: True
+        )
     assert result.outcome.value == outcome
-    server.close()
 
 
 @pytest.mark.parametrize("address", ["127.0.0.1:1", "127.0.0.1:99999", "x"])
-async def test_a_call_without_a_connection_was_not_sent(address):
+async def test_a_call_without_a_connection_was_not_sent(client, address):
     """Guards against leases that wait for calls that never left."""
-    result = await _make_client().grant(
-        _make_item(address), _GRANT, 2.0, lambda: True
-    )
+    result = await client.grant(_make_item(address), _GRANT, 2.0, lambda: True)
     assert result.outcome is upstream_calls.Outcome.UNSENT
 
 
-async def test_nothing_is_written_once_a_call_may_not_be_sent():
-    """Guards against calls of a leader that has lost its lease."""
-    server, address, requests = await _serve(_respond(200))
-    result = await _make_client().grant(
-        _make_item(address), _GRANT, 2.0, lambda: False
-    )
-    assert result.outcome is upstream_calls.Outcome.UNSENT
-    await asyncio.sleep(0.05)
-    assert requests == []
-    server.close()
+async def test_nothing_is_written_once_a_call_may_not_be_sent(client):
+    """Guards against calls of a leader that has lost its lease.
+
+    The connection can be used for the next call.
+    """
+    async with _serve(_respond(200)) as (address, requests):
+        item = _make_item(address)
+        result = await client.grant(item, _GRANT, 2.0, lambda: False)
+        assert result.outcome is upstream_calls.Outcome.UNSENT
+        await asyncio.sleep(0.05)
+        assert requests == []
+        result = await client.grant(item, _GRANT, 2.0, lambda: True)
+        assert result.outcome is upstream_calls.Outcome.DONE
+        (pool,) = client._pools.values()
+        assert pool.opened == 1
 
 
-async def test_calls_share_a_connection_and_return_the_handover():
+async def test_calls_share_a_connection_and_return_the_handover(client):
     """Guards against a new connection for each renewal."""
-    server, address, requests = await _serve(
-        _respond(200, b"X-Handover: token\r\n")
-    )
-    client = _make_client()
-    item = _make_item(address)
-    for _ in range(3):
-        await client.grant(item, _GRANT, 2.0, lambda: True)
-    result = await client.release(item, _GRANT, 1.0, lambda: True)
-    assert result.handover == "token"
-    assert len(requests) == 4
-    (pool,) = client._pools.values()
-    assert pool.opened == 1
-    client.retain(set())
-    assert not client._pools
-    server.close()
+    response = _respond(200, b"X-Handover: token\r\n")
+    async with _serve(response) as (address, requests):
+        item = _make_item(address)
+        for _ in range(3):
+            await client.grant(item, _GRANT, 2.0, lambda: True)
+        result = await client.release(item, _GRANT, 1.0, lambda: True)
+        assert result.handover == "token"
+        assert len(requests) == 4
+        (pool,) = client._pools.values()
+        assert pool.opened == 1
+        client.retain(set())
+        assert not client._pools
