Name the label of calls for keys as the other metrics do

The label `call` is not among those that test_names_and_labels_follow_the_rules allows; `change`, which the ranges freed and granted have, says the same. The check is unchanged.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -226,12 +226,12 @@
 fleet_key_calls = prometheus_client.Counter(
     "bamboosill_fleet_key_calls_total",
     "Calls of this leader to upstreams that take keys by calls.",
-    ["call", "outcome"],
+    ["change", "outcome"],
 )
 fleet_key_call_duration = prometheus_client.Histogram(
     "bamboosill_fleet_key_call_duration_seconds",
     "From such a call, its connection included, to its outcome.",
-    ["call"],
+    ["change"],
 )
 fleet_feed_replies = prometheus_client.Counter(
     "bamboosill_fleet_feed_replies_total",
