--- a/review/standins.py
+++ b/review/standins.py
@@ -149,14 +149,16 @@
         if self.child is not None:
             self.child.wait()
 
-    def read_peak_mb(self):
-        """Returns the largest resident memory so far; 0 if it has ended."""
+    def read_memory_mb(self):
+        """Returns the resident memory; 0 if the process does not run."""
+        if self.child is None or self.child.poll() is not None:
+            return 0.0
         try:
             status = pathlib.Path(f"/proc/{self.child.pid}/status").read_text()
         except OSError:
             return 0.0
         for line in status.splitlines():
-            if line.startswith("VmHWM:"):
+            if line.startswith("VmRSS:"):
                 return int(line.split()[1]) / 1024
         return 0.0
 
