--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 import standins
 
 SERVICE = "desk"
-ODD_ADDRESS = "10.0..9:8080"
+ODD_ADDRESS = "127.0..9:8080"
 CLIENTS = 4
 PIPELINED = 4
 ROUNDS = 16
