--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,8 @@
 
 SERVICE = "desk"
 ODD_ADDRESS = "127.0..9:8080"
-CLIENTS = 4
+TARGETS = 10
+CLIENTS = 6
 PIPELINED = 4
 ROUNDS = 16
 WORK_S = 0.5
@@ -73,7 +74,7 @@
 async def play(has_trouble):
     """Plays the case."""
     deployment = standins.Deployment(FOLDER)
-    targets = [standins.Target(deployment, SERVICE) for _ in range(4)]
+    targets = [standins.Target(deployment, SERVICE) for _ in range(TARGETS)]
     try:
         await deployment.start(
             [standins.make_route("look", "safe", SERVICE)],
@@ -108,9 +109,7 @@
         f"without an answer to {len(unanswered)}, of which {len(passed_on)} "
         "had been passed on to a sound target"
     )
-    return (
-        standins.BROKEN if len(passed_on) > MAX_CLOSED else standins.HELD
-    )
+    return standins.BROKEN if len(passed_on) > MAX_CLOSED else standins.HELD
 
 
 standins.main(play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -45,6 +45,8 @@
     "thaw": "300ms",
 }
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# A script that takes longer has not run.
+MAX_RUN_S = 110
 
 
 class CannotRun(Exception):
@@ -234,7 +236,9 @@
                 {"If-Match": f"r{self.version}"},
                 timeout_s=2.0,
             )
-            self.record.write("operator", version=self.version + 1, to=ip, status=status)
+            self.record.write(
+                "operator", version=self.version + 1, to=ip, status=status
+            )
             if status == 200:
                 self.version += 1
                 break
@@ -376,7 +380,8 @@
         rows = []
         for first, last, fence, _ in answer["holds"]:
             if any(
-                fence < self.highest_fence[key] for key in range(first, last + 1)
+                fence < self.highest_fence[key]
+                for key in range(first, last + 1)
             ):
                 continue
             for key in range(first, last + 1):
@@ -618,8 +623,21 @@
             returns HELD or BROKEN.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run():
+        task = asyncio.current_task()
+        # Processes that were started are ended in any case.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        async with asyncio.timeout(MAX_RUN_S):
+            return await play(has_trouble)
+
     try:
-        code = asyncio.run(play(has_trouble))
+        code = asyncio.run(run())
+    except asyncio.CancelledError:
+        print("not run: stopped")
+        code = NOT_RUN
     except CannotRun as error:
         print(f"not run: {error}")
         code = NOT_RUN
