Answer all requests that were begun before a connection is closed

Cause: the listener closed the connection after the next response, whether that was because it was stopping or because the response asked for it, and cancelled what it had begun behind it.

Ruled out: the end of the grace period, of which 4 s were left.

Change: once a connection is to close, no more requests are begun on it, and it is closed after the last one that was. That last response alone carries "Connection: close"; requests behind it can be sent again, as before.

--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -68,6 +68,8 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._error_status = 0
+        # Whether no more requests are begun.
+        self._is_ending = False
         self._in_message = False
         self._message_begun_s = self._loop.time()
         self._idle_since_s = self._loop.time()
@@ -148,8 +150,8 @@
         self._in_message = False
         if self._error_status:
             return
-        if self._listener.is_closing and self._pending:
-            # The next pending response will carry `Connection: close`, which
+        if self._is_ending or (self._listener.is_closing and self._pending):
+            # The last pending response will carry `Connection: close`, which
             # tells the caller that this later request was not handled and can
             # be resent.
             self._reset()
@@ -201,8 +203,12 @@
                 response = await self._wait_for_response(self._pending[0])
                 keep_alive = self._pending_keep_alive.popleft()
                 self._pending.popleft()
+                if response.close or self._listener.is_closing:
+                    self._is_ending = True
+                # Requests that were begun are answered before the close:
+                # upstreams are at work on them.
                 keep_alive = keep_alive and not (
-                    response.close or self._listener.is_closing
+                    self._is_ending and not self._pending
                 )
                 await self._writable.wait()
                 self._write(response, keep_alive)
@@ -269,7 +275,8 @@
         handle: Handler of each request.
         limits: Size limits and timeouts; replaced with the configuration.
         connections: Open connections.
-        is_closing: Whether each connection closes after its next response.
+        is_closing: Whether each connection closes after the last response to
+            the requests that were begun.
         is_refusing: Whether new requests get status 503.
     """
 
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -220,3 +220,71 @@
     writer.write(b"".join(_format(path) for path in ("/1", "/2", "/3")))
     responses = [(await _read(reader))[:2] for _ in range(3)]
     assert responses == [(200, b"/1"), (500, b""), (200, b"/3")]
+
+
+def _stop(listener):
+    listener.is_closing = True
+
+
+def _refuse(listener):
+    listener.is_closing = listener.is_refusing = True
+
+
+@pytest.mark.parametrize(
+    ("then", "data", "final_status"),
+    [
+        (_stop, b"", None),
+        (_refuse, b"", None),
+        # Behind the requests that were begun.
+        (_stop, _format("/late"), None),
+        (_refuse, _format("/late"), None),
+        (_stop, b"not http\r\n\r\n", None),
+        (None, _format("/4", "Connection: close\r\n"), 200),
+        (None, b"not http\r\n\r\n", 400),
+        (None, _format("/a", f"X: {'a' * 300}\r\n"), 431),
+        (None, b"POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n", 413),
+    ],
+)
+@pytest.mark.parametrize("closing", ["", "/1", "/2"])
+async def test_requests_that_were_begun_are_answered_before_the_close(
+    then, data, final_status, closing
+):
+    """Guards against answers under way that are lost with their connection.
+
+    Seen in review/3: after SIGTERM, the first of four pipelined requests was
+    answered, and the others got none though upstreams were at work on them.
+
+    Args:
+        then: What happens to the listener when three requests were begun.
+        data: What the caller sends after them.
+        final_status: Status of the response that follows theirs.
+        closing: Target of a request whose response asks for the close.
+    """
+    release = asyncio.Event()
+
+    async def handle(request):
+        await release.wait()
+        body = request.target.encode()
+        return http_messages.Response(200, [], body, request.target == closing)
+
+    server = _Server(handle)
+    reader, writer = await server.connect()
+    server.listener.limits = listener_lib.Limits(200, 50, 1.0, 5.0)
+    begun = [f"/{number}".encode() for number in (1, 2, 3)]
+    writer.write(b"".join(_format(each.decode()) for each in begun))
+    await asyncio.sleep(0.05)
+    if then is not None:
+        then(server.listener)
+    writer.write(data + (b"a" * 99 if final_status == 413 else b""))
+    await asyncio.sleep(0.05)
+    release.set()
+    responses = [await _read(reader) for _ in begun]
+    assert [each[1] for each in responses] == begun
+    assert [each[0] for each in responses] == [200] * 3
+    assert not any(each[2] for each in responses[:-1])
+    if final_status is not None and not responses[-1][2]:
+        status, _, closes = await _read(reader)
+        assert (status, closes) == (final_status, True)
+    else:
+        assert responses[-1][2]
+    assert await reader.read() == b""
