Read what a caller still sends before its connection is closed

A caller that still sent bytes when the last response of a connection was written (a body beyond the limit, bytes that are no request, a request behind the response that closes the connection) saw a reset connection, and could lose the response.

Cause: the listener closed the socket with unread bytes, which resets it.

Change: the listener ends its sending side and discards what arrives, until the caller closes or for 2 s, as the entry role's server already does.

The three cases of the new test failed on the code before with a reset.

--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -20,6 +20,10 @@
 
 # Pipelined requests of one connection that are handled concurrently.
 _MAX_PIPELINED = 16
+# Time for which the rest of what a caller sends is read and discarded before its
+# connection is closed: closing it with unread bytes would reset it, and the
+# caller could lose the last response.
+_LINGER_S = 2.0
 # Limit on the headers of a request until the configuration sets one.
 _DEFAULT_HEADER_BYTES = 64 * 1024
 _INTERNAL_ERROR_STATUS = 500
@@ -70,6 +74,7 @@
         self._error_status = 0
         # Whether no more requests are begun.
         self._is_ending = False
+        self._is_lingering = False
         self._in_message = False
         self._message_begun_s = self._loop.time()
         self._idle_since_s = self._loop.time()
@@ -84,8 +89,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being received or handled."""
-        return not self._pending and not self._in_message
+        """Whether no request is being received, handled or discarded."""
+        return not (self._pending or self._in_message or self._is_lingering)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task that writes the responses."""
@@ -110,7 +115,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser."""
-        if self._error_status:
+        if self._error_status or self._is_lingering:
             return
         try:
             self._parser.feed_data(data)
@@ -195,6 +200,7 @@
                             ),
                             False,
                         )
+                        await self._linger()
                         return
                     self._idle_since_s = self._loop.time()
                     self._has_work.clear()
@@ -213,6 +219,8 @@
                 await self._writable.wait()
                 self._write(response, keep_alive)
                 if not keep_alive:
+                    if self._is_ending or self._in_message:
+                        await self._linger()
                     return
                 if len(self._pending) < _MAX_PIPELINED:
                     self._transport.resume_reading()  # type: ignore[attr-defined]
@@ -224,6 +232,16 @@
                 task.cancel()
             self._transport.close()
 
+    async def _linger(self) -> None:
+        """Discards what the caller still sends, until it closes as well."""
+        if self._transport.is_closing():
+            return
+        self._is_lingering = True
+        self._transport.write_eof()  # type: ignore[attr-defined]
+        self._transport.resume_reading()  # type: ignore[attr-defined]
+        # The end of the connection cancels this task.
+        await asyncio.sleep(_LINGER_S)
+
     async def _wait_for_response(
         self, task: asyncio.Task[http_messages.Response]
     ) -> http_messages.Response:
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -288,3 +288,32 @@
     else:
         assert responses[-1][2]
     assert await reader.read() == b""
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"POST / HTTP/1.1\r\nContent-Length: 90000000\r\n\r\n", 413),
+        (b"not http\r\n\r\n", 400),
+        (_format("/a", f"X: {'a' * 300}\r\n"), 431),
+    ],
+)
+async def test_a_caller_that_still_sends_gets_the_last_response(head, status):
+    """Guards against a response that is lost with a reset connection."""
+    server = _Server(_echo)
+    reader, writer = await server.connect()
+    server.listener.limits = listener_lib.Limits(200, 50, 1.0, 5.0)
+    writer.write(head)
+    for _ in range(50):
+        # A reset would fail the write, and drop what was not read yet.
+        writer.write(b"a" * 65536)
+        await writer.drain()
+        await asyncio.sleep(0.002)
+    received_status, _, closes = await _read(reader)
+    assert (received_status, closes) == (status, True)
+    assert await reader.read() == b""
+    writer.close()
+    await writer.wait_closed()
+    async with asyncio.timeout(10):
+        while server.listener.connections:
+            await asyncio.sleep(0.01)
