Do not time out a caller whose connection is not read

A caller with more than 16 pipelined requests could get 408 for one that it had sent in full.

Cause: reading pauses at 16 requests; a further one that had arrived in part counted as late once the header timeout had passed.

Change: timeouts are not checked while reading is paused, and the time for the rest of the request starts when it resumes.

The new test got 408 on the code before.

--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -75,6 +75,7 @@
         # Whether no more requests are begun.
         self._is_ending = False
         self._is_lingering = False
+        self._is_paused = False
         self._in_message = False
         self._message_begun_s = self._loop.time()
         self._idle_since_s = self._loop.time()
@@ -177,6 +178,7 @@
         self._pending_keep_alive.append(keep_alive)
         self._has_work.set()
         if len(self._pending) >= _MAX_PIPELINED:
+            self._is_paused = True
             self._transport.pause_reading()  # type: ignore[attr-defined]
 
     def _count_header_bytes(self, count: int) -> None:
@@ -222,8 +224,8 @@
                     if self._is_ending or self._in_message:
                         await self._linger()
                     return
-                if len(self._pending) < _MAX_PIPELINED:
-                    self._transport.resume_reading()  # type: ignore[attr-defined]
+                if self._is_paused and len(self._pending) < _MAX_PIPELINED:
+                    self._resume_reading()
         except Exception:
             _log.exception("Connection failed.")
             self._transport.abort()  # type: ignore[attr-defined]
@@ -232,13 +234,20 @@
                 task.cancel()
             self._transport.close()
 
+    def _resume_reading(self) -> None:
+        self._is_paused = False
+        # A request may have arrived in part; its caller was not late meanwhile.
+        self._message_begun_s = self._loop.time()
+        self._transport.resume_reading()  # type: ignore[attr-defined]
+
     async def _linger(self) -> None:
         """Discards what the caller still sends, until it closes as well."""
         if self._transport.is_closing():
             return
         self._is_lingering = True
         self._transport.write_eof()  # type: ignore[attr-defined]
-        self._transport.resume_reading()  # type: ignore[attr-defined]
+        if self._is_paused:
+            self._resume_reading()
         # The end of the connection cancels this task.
         await asyncio.sleep(_LINGER_S)
 
@@ -270,6 +279,8 @@
     def check_timeouts(self, now_s: float) -> None:
         """Enforces the header timeout and the idle timeout."""
         limits = self._listener.limits
+        if self._is_paused:
+            return
         if self._in_message:
             if now_s - self._message_begun_s > limits.header_timeout_s and (
                 not self._body_bytes
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -317,3 +317,25 @@
     async with asyncio.timeout(10):
         while server.listener.connections:
             await asyncio.sleep(0.01)
+
+
+async def test_a_request_is_not_late_while_it_is_not_read():
+    """Guards against a timeout of a caller that has sent its whole request."""
+    release = asyncio.Event()
+
+    async def handle(request):
+        await release.wait()
+        return await _echo(request)
+
+    server = _Server(handle)
+    reader, writer = await server.connect()
+    begun = b"".join(_format(f"/{number}") for number in range(16))
+    late = _format("/16")
+    writer.write(begun + late[:10])
+    await asyncio.sleep(0.05)
+    writer.write(late[10:])
+    await asyncio.sleep(0.05)
+    (connection,) = server.listener.connections
+    connection.check_timeouts(asyncio.get_running_loop().time() + 11.0)
+    release.set()
+    assert [(await _read(reader))[0] for _ in range(17)] == [200] * 17
