Share the crash detector and the quarantine by both request paths

One change of behaviour, which the gateway needs and the entry role gains: a request that an upstream has run to its end within the last minute is not blamed for a crash, so a popular request that stands beside the crashes of another one is not quarantined.

--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -14,10 +14,10 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import metrics
 from bamboosill_common.generated import zone as zone_messages
+from bamboosilld import crash_detector as crash_detector_lib
 from bamboosilld.admission import queues as queues_lib
 from bamboosilld.admission import refusal as refusal_lib
 from bamboosilld.entry import connection as connection_lib
-from bamboosilld.entry import crash_detector as crash_detector_lib
 from bamboosilld.entry import exchange
 from bamboosilld.entry import faults
 from bamboosilld.entry import headers
@@ -215,7 +215,10 @@
             remaining_s,
             self._clock.wall_ms(),
         )
-        self._crash_detector.begin_exchange(upstream, inbound.fingerprint)
+        target = _make_target(upstream)
+        exchange_number = self._crash_detector.begin_exchange(
+            target, inbound.fingerprint
+        )
         complete = False
         try:
             result = await exchange.run_exchange(
@@ -234,9 +237,11 @@
                 result, upstream, options
             )
             complete = True
+            if isinstance(attempt_result, Success):
+                self._crash_detector.record_answer(inbound.fingerprint)
             return attempt_result
         finally:
-            self._crash_detector.end_exchange(upstream, inbound.fingerprint)
+            self._crash_detector.end_exchange(target, exchange_number)
             if not complete or _is_deadline_exceeded(attempt_result):
                 self._cancel(inbound, upstream)
 
@@ -249,7 +254,7 @@
         if isinstance(result, Failure):
             fault = result.failure()
             if fault.code in ("broken", "truncated"):
-                await self._crash_detector.check_crash(upstream)
+                await self._crash_detector.check_crash(_make_target(upstream))
             return Failure(fault)
         response = result.unwrap()
         refusal = _find_upstream_refusal(response)
@@ -262,7 +267,7 @@
                 response.body_stream.close()
         if not fully_read:
             detail = f"{upstream.address}: the answer was truncated"
-            await self._crash_detector.check_crash(upstream)
+            await self._crash_detector.check_crash(_make_target(upstream))
             return Failure(faults.Fault("cut", detail, True))
         return Success(None)
 
@@ -403,3 +408,9 @@
     return exchange.format_request(
         inbound.method, inbound.target, address, header_fields, inbound.body
     )
+
+
+def _make_target(upstream: zone_messages.Upstream) -> crash_detector_lib.Target:
+    return crash_detector_lib.Target(
+        upstream.id, upstream.incarnation, upstream.address
+    )
--- a/packages/daemon/src/bamboosilld/entry/router.py
+++ b/packages/daemon/src/bamboosilld/entry/router.py
@@ -12,8 +12,8 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import metrics
+from bamboosilld import crash_detector as crash_detector_lib
 from bamboosilld.admission import retry as retry_lib
-from bamboosilld.entry import crash_detector as crash_detector_lib
 from bamboosilld.entry import dispatch as dispatch_lib
 from bamboosilld.entry import exchange
 from bamboosilld.entry import faults
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -19,8 +19,9 @@
 from bamboosill_common import peer
 from bamboosill_common import requestid
 from bamboosill_common import settings as settings_lib
+from bamboosill_common.generated import zone as zone_messages
+from bamboosilld import crash_detector as crash_detector_lib
 from bamboosilld.entry import contract_sync
-from bamboosilld.entry import crash_detector as crash_detector_lib
 from bamboosilld.entry import dispatch as dispatch_lib
 from bamboosilld.entry import forward as forward_lib
 from bamboosilld.entry import headers
@@ -42,6 +43,7 @@
 # the instance is draining before it refuses connections.
 DRAIN_NOTICE_S = 3.0
 _SWEEP_INTERVAL_S = 5.0
+_CRASH_REPORT_TIMEOUT_S = 5.0
 _DRAIN_POLL_S = 0.02
 _MIN_FLUSH_S = 0.1
 _MAX_FLUSH_S = 5.0
@@ -145,7 +147,7 @@
     async def start(self, caller_address: str, upstream_address: str) -> None:
         """Starts to listen on both addresses."""
         self._crash_detector = crash_detector_lib.CrashDetector(
-            self._member, self._clock
+            self._report_crash, self._clock
         )
         self._dispatcher = dispatch_lib.Dispatcher(
             self._member,
@@ -308,6 +310,15 @@
         assert responder.response is not None
         return responder.response
 
+    async def _report_crash(self, crash: crash_detector_lib.Crash) -> None:
+        report = zone_messages.ReportCrash(
+            upstream=crash.target.upstream,
+            incarnation=crash.target.incarnation,
+            fingerprints=crash.fingerprints,
+            now_ms=self._clock.wall_ms(),
+        )
+        await self._member.propose(report, _CRASH_REPORT_TIMEOUT_S)
+
     def _make_readiness_response(self) -> web.Response:
         ready, reason = self.is_ready()
         return web.Response(
--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -20,7 +20,7 @@
 
 # Pipelined requests of one connection that are handled concurrently.
 _MAX_PIPELINED = 16
-# Time for which the rest of what a caller sends is read and discarded before its
+# Time for which the rest of what a caller sends is discarded before its
 # connection is closed: closing it with unread bytes would reset it, and the
 # caller could lose the last response.
 _LINGER_S = 2.0
--- a/packages/daemon/src/bamboosilld/zone/quarantine.py
+++ b/packages/daemon/src/bamboosilld/quarantine.py
@@ -1,16 +1,16 @@
 """Quarantine of requests that crash the upstreams that run them.
 
-Part of the replicated state of a zone group. Entry instances report the
-requests that were in flight at a crashed upstream. A request that was in flight
-at several crashes is quarantined for a time, so that it causes no more of them.
+Part of the replicated state of a zone group and of a control group. Entry
+instances report the requests that were in flight at a crashed upstream. A
+request that was in flight at several crashes is quarantined for a time, so that
+it causes no more of them.
 """
 
 import collections
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from bamboosill_common.generated import zone as messages
-
 # Crashes that quarantine a request if it was the only one in flight.
 SOLE_CRASH_LIMIT = 2
 # Crashes that quarantine a request, whatever else was in flight.
@@ -59,21 +59,27 @@
     def __len__(self) -> int:
         return len(self._until_ms)
 
-    def report(self, command: messages.ReportCrash) -> tuple[bytes, ...]:
+    def report(
+        self, key: CrashKey, fingerprints: Sequence[bytes], now_ms: int
+    ) -> tuple[bytes, ...]:
         """Records a crash and returns its quarantined fingerprints.
 
         Several entry instances may report the same crash, each with the
         requests that it had in flight there.
+
+        Args:
+            key: The crashed upstream.
+            fingerprints: Requests that may have caused it.
+            now_ms: Wall time of the report.
         """
-        self._expire(command.now_ms)
-        key = (command.upstream, command.incarnation)
-        current = self._crashes.pop(key, Crash(command.now_ms, ()))
-        merged = dict.fromkeys((*current.fingerprints, *command.fingerprints))
-        fingerprints = tuple(merged)[:MAX_FINGERPRINTS_PER_CRASH]
-        self._put(key, Crash(current.at_ms, fingerprints))
-        for each in fingerprints:
+        self._expire(now_ms)
+        current = self._crashes.pop(key, Crash(now_ms, ()))
+        merged = dict.fromkeys((*current.fingerprints, *fingerprints))
+        kept = tuple(merged)[:MAX_FINGERPRINTS_PER_CRASH]
+        self._put(key, Crash(current.at_ms, kept))
+        for each in kept:
             self._update_quarantine(each)
-        return tuple(f for f in fingerprints if f in self._until_ms)
+        return tuple(each for each in kept if each in self._until_ms)
 
     def find(self, fingerprint: bytes, now_ms: int) -> Explanation | None:
         """Returns why a request is quarantined at a wall time, or None."""
@@ -86,16 +92,14 @@
         )
         return Explanation(until_ms, crashes)
 
-    def list_items(self) -> Iterator[messages.CrashItem]:
-        """Yields all crashes as snapshot items."""
-        for (upstream, incarnation), crash in self._crashes.items():
-            yield messages.CrashItem(upstream, incarnation, *crash)
+    def list_crashes(self) -> Iterator[tuple[CrashKey, Crash]]:
+        """Yields all crashes, oldest first."""
+        yield from self._crashes.items()
 
-    def restore_item(self, item: messages.CrashItem) -> None:
-        """Restores a crash from a snapshot item."""
-        key = (item.upstream, item.incarnation)
-        self._put(key, Crash(item.at_ms, item.fingerprints))
-        for each in item.fingerprints:
+    def restore(self, key: CrashKey, crash: Crash) -> None:
+        """Restores a crash that `list_crashes` has returned."""
+        self._put(key, crash)
+        for each in crash.fingerprints:
             self._update_quarantine(each)
 
     def _put(self, key: CrashKey, crash: Crash) -> None:
--- a/packages/daemon/src/bamboosilld/zone/member.py
+++ b/packages/daemon/src/bamboosilld/zone/member.py
@@ -20,6 +20,7 @@
 from bamboosill_common import peer
 from bamboosill_common.generated import control
 from bamboosill_common.generated import zone as messages
+from bamboosilld import quarantine as quarantine_lib
 from bamboosilld.zone import authority as authority_lib
 from bamboosilld.zone import change_notifier
 from bamboosilld.zone import contracts as contracts_lib
@@ -29,7 +30,6 @@
 from bamboosilld.zone import leader_client as leader_client_lib
 from bamboosilld.zone import membership as membership_lib
 from bamboosilld.zone import planner as planner_lib
-from bamboosilld.zone import quarantine as quarantine_lib
 from bamboosilld.zone import registration
 from bamboosilld.zone import renewal as renewal_lib
 from bamboosilld.zone import routes
--- a/packages/daemon/src/bamboosilld/zone/snapshots.py
+++ b/packages/daemon/src/bamboosilld/zone/snapshots.py
@@ -9,6 +9,7 @@
 
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
+from bamboosilld import quarantine as quarantine_lib
 from bamboosilld.zone import assignments
 
 if typing.TYPE_CHECKING:
@@ -41,7 +42,10 @@
             messages.LastIdItem(*shard_key, last_ms)
             for shard_key, last_ms in state.last_ids_ms.items()
         ),
-        "crashes": state.quarantine.list_items(),
+        "crashes": (
+            messages.CrashItem(*key, *crash)
+            for key, crash in state.quarantine.list_crashes()
+        ),
     }
     parts = [first_part]
     for name, items in lists.items():
@@ -91,7 +95,10 @@
         for record in part.records:
             state.records.restore_item(record)
         for crash in part.crashes:
-            state.quarantine.restore_item(crash)
+            state.quarantine.restore(
+                (crash.upstream, crash.incarnation),
+                quarantine_lib.Crash(crash.at_ms, crash.fingerprints),
+            )
     if first_part is not None:
         state.feed.apply(first_part.revision, True, tuple(feed_items))
         state.records.advance_time(first_part.now_ms)
--- a/packages/daemon/src/bamboosilld/zone/state.py
+++ b/packages/daemon/src/bamboosilld/zone/state.py
@@ -12,9 +12,9 @@
 from bamboosill_common import requestid
 from bamboosill_common import wire
 from bamboosill_common.generated import zone as messages
+from bamboosilld import quarantine as quarantine_lib
 from bamboosilld.zone import assignments
 from bamboosilld.zone import feed as feed_lib
-from bamboosilld.zone import quarantine as quarantine_lib
 from bamboosilld.zone import records as records_lib
 from bamboosilld.zone import snapshots
 from bamboosilld.zone import upstreams as upstreams_lib
@@ -331,5 +331,9 @@
     state: ZoneState, index: int, command: messages.ReportCrash
 ) -> messages.CommandStatus:
     del index
-    state.quarantine.report(command)
+    state.quarantine.report(
+        (command.upstream, command.incarnation),
+        command.fingerprints,
+        command.now_ms,
+    )
     return messages.CommandStatus(ok=True, code="ok")
