Quarantine requests that crash upstreams on the platform

Cause: no part of the platform's request path counted crashes; the detector and the quarantine of the entry role were not used there.

Ruled out: repeats of the instance itself, which sends an order once.

Change: broken exchanges are checked for a crash, the requests in flight there are reported to the leader, and the counts are part of the replicated state that all entry instances copy.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -139,6 +139,31 @@
   upstreams @3 :List(UpstreamItem);
   gone @4 :List(UpstreamLife);
   keys @5 :List(ServiceKeys);
+  crashes @6 :List(UpstreamCrash);
+}
+
+struct UpstreamCrash {
+  # One crash of an upstream, with the requests that may have caused it.
+  upstream @0 :Text;
+  bornMs @1 :UInt64;
+  atMs @2 :UInt64;
+  fingerprints @3 :List(Data);
+}
+
+struct RecordCrashes {
+  # Command: crashes that entry instances have reported.
+  crashes @0 :List(UpstreamCrash);
+}
+
+struct ReportUpstreamCrash {
+  # A crash that an entry instance has seen, sent to the leader, which sets the
+  # time.
+  crash @0 :UpstreamCrash;
+}
+
+struct ReportUpstreamCrashReply {
+  # Reply to ReportUpstreamCrash, sent once the crash is recorded.
+  reserved @0 :UInt32;
 }
 
 struct KeyWork {
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -19,6 +19,7 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
+from bamboosilld.fleet import crash_recorder
 from bamboosilld.fleet import key_granting
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import observations as observations_lib
@@ -64,6 +65,7 @@
     Attributes:
         observations: What entry instances have reported since the election.
         permits: Permits to send to upstreams with a rate limit.
+        crashes: Commits the crashes that entry instances report.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
             call_client,
             rng,
         )
+        self.crashes = crash_recorder.CrashRecorder(self._commit, clock)
         self._elected_at_s: float | None = None
         self._reset()
 
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -96,6 +96,7 @@
             messages.UpstreamLeave: self._on_leave,
             messages.SubmitChange: self._on_submit,
             messages.ReadConfiguration: self._on_read,
+            messages.ReportUpstreamCrash: self._on_report_crash,
         }
         for message_type in self._handlers:
             handlers.register(message_type)(self._on_leader_request)
@@ -332,6 +333,12 @@
         await self.authority.handle_leave(leave.life)
         return messages.ReportReply(accepted=True)
 
+    async def _on_report_crash(
+        self, report: messages.ReportUpstreamCrash
+    ) -> messages.ReportUpstreamCrashReply:
+        await self.authority.crashes.record(report.crash)
+        return messages.ReportUpstreamCrashReply()
+
     async def _on_submit(
         self, submit: messages.SubmitChange
     ) -> messages.SubmitReply:
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -29,6 +29,10 @@
 _TRANSFER_TIMEOUT_S = 60.0
 _RETRY_DELAY_S = 0.1
 _PERMIT_TIMEOUT_S = 0.25
+# Longer in all than an election.
+_REPORT_TIMEOUT_S = 1.0
+_REPORT_ATTEMPTS = 10
+_REPORT_RETRY_DELAY_S = 0.3
 # Longer than an election and the time until all instances follow again.
 _ENTRY_COUNT_KEPT_S = 5.0
 
@@ -142,6 +146,32 @@
             _PERMIT_TIMEOUT_S,
         )
 
+    async def report_crash(self, crash: messages.UpstreamCrash) -> bool:
+        """Reports a crash to the leader; returns whether it was recorded.
+
+        It is tried again for a while, as the leader may be changing.
+        """
+        report = messages.ReportUpstreamCrash(crash)
+        reason = "none known"
+        for _ in range(_REPORT_ATTEMPTS):
+            if self._leader:
+                result = await self._directory.call(
+                    self._leader,
+                    report,
+                    messages.ReportUpstreamCrashReply,
+                    _REPORT_TIMEOUT_S,
+                )
+                if isinstance(result, Success):
+                    return True
+                reason = result.failure().code
+            await self._clock.sleep(_REPORT_RETRY_DELAY_S)
+        _log.warning(
+            "Crash not reported. Upstream: %s. Reason: %s.",
+            crash.upstream,
+            reason,
+        )
+        return False
+
     def _list_candidates(self) -> list[str]:
         others = list(
             dict.fromkeys((*self._control_peers, *self._list_seeds()))
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -14,6 +14,7 @@
 from bamboosill_common import metrics
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld import quarantine as quarantine_lib
 from bamboosilld.fleet import compression
 from bamboosilld.fleet import configuration as configuration_lib
 from bamboosilld.fleet import keyranges
@@ -56,6 +57,7 @@
         end_reasons: How incarnations have ended, by incarnation, oldest first;
             "silent" is provisional, as the upstream may report again.
         keys: Holders of keys, by service.
+        quarantine: Requests that have crashed upstreams.
     """
 
     def __init__(self) -> None:
@@ -64,6 +66,7 @@
         self.upstreams: dict[str, messages.UpstreamItem] = {}
         self.end_reasons: dict[UpstreamIncarnation, str] = {}
         self.keys: dict[str, keyranges.Table] = {}
+        self.quarantine = quarantine_lib.QuarantineTable()
         # Versions of the configuration by digest of the change that made them.
         # The field of the snapshot format is still called `orders`.
         self._accepted_changes: dict[bytes, int] = {}
@@ -100,6 +103,8 @@
                 value = self._set_upstreams(message)
             case messages.SetKeys():
                 value = self._set_keys(index, message)
+            case messages.RecordCrashes():
+                value = self._record_crashes(message)
             case _:
                 _log.error("Command %d is not known here.", index)
                 return ""
@@ -127,6 +132,10 @@
                 messages.ServiceKeys(service, tuple(table.ranges))
                 for service, table in self.keys.items()
             ),
+            crashes=tuple(
+                messages.UpstreamCrash(*key, *crash)
+                for key, crash in self.quarantine.list_crashes()
+            ),
         )
         return compression.pack(snapshot)
 
@@ -150,6 +159,12 @@
         self.keys = {
             each.service: keyranges.Table(each.ranges) for each in snapshot.keys
         }
+        self.quarantine = quarantine_lib.QuarantineTable()
+        for each in snapshot.crashes:
+            self.quarantine.restore(
+                (each.upstream, each.born_ms),
+                quarantine_lib.Crash(each.at_ms, each.fingerprints),
+            )
         self._recent_commands.clear()
         self._notify(None)
 
@@ -255,6 +270,20 @@
                     )
         return ""
 
+    def _record_crashes(self, command: messages.RecordCrashes) -> str:
+        for crash in command.crashes:
+            blocked = self.quarantine.report(
+                (crash.upstream, crash.born_ms), crash.fingerprints, crash.at_ms
+            )
+            if blocked:
+                _log.warning(
+                    "Requests in quarantine after a crash of %s: %d.",
+                    crash.upstream,
+                    len(blocked),
+                    extra={"fingerprints": [each.hex() for each in blocked]},
+                )
+        return ""
+
     def _notify(self, message: Any) -> None:
         for listener in self._listeners:
             listener(message)
--- a/packages/daemon/src/bamboosilld/gateway/forwarding.py
+++ b/packages/daemon/src/bamboosilld/gateway/forwarding.py
@@ -19,7 +19,8 @@
 _SENDS_LEFT = b"bamboosill-sends-left"
 _CONFIGURATION = b"bamboosill-configuration"
 _OUTCOME = b"bamboosill-outcome"
-_INTERNAL_HEADERS = frozenset((_SENDS_LEFT, _CONFIGURATION, _OUTCOME))
+_CALLER = b"bamboosill-caller"
+_INTERNAL_HEADERS = frozenset((_SENDS_LEFT, _CONFIGURATION, _OUTCOME, _CALLER))
 # Largest size of the headers that a forwarded request has beyond those that its
 # caller sent.
 MAX_ADDED_HEADER_BYTES = 512
@@ -193,6 +194,7 @@
         (names.deadline_ms, b"%d" % deadline_ms),
         (_SENDS_LEFT, b"%d" % limits.sends),
         (_CONFIGURATION, b"%d" % limits.configuration),
+        (_CALLER, request.caller_host.encode("latin-1")),
         (b"Content-Length", b"%d" % len(request.body)),
     ]
     head = f"{request.method} {request.target} HTTP/1.1\r\n"
@@ -219,7 +221,10 @@
         return None
     headers = _strip(request.headers)
     return (
-        request._replace(headers=headers),
+        request._replace(
+            headers=headers,
+            caller_host=(request.get(_CALLER) or b"").decode("latin-1"),
+        ),
         Limits(sends, configuration),
     )
 
--- a/packages/daemon/src/bamboosilld/gateway/http_messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/http_messages.py
@@ -26,6 +26,7 @@
         headers: Headers in order, names unmodified.
         body: The complete body.
         keep_alive: Whether the connection is persistent.
+        caller_host: IP address of the caller, or empty if unknown.
     """
 
     method: str
@@ -33,6 +34,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    caller_host: str = ""
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the value of a header by its lower-case name."""
--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -96,6 +96,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task that writes the responses."""
         self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self._caller_host = peer[0] if peer else ""
         self._listener.connections.add(self)
         self._task = self._loop.create_task(self._serve())
 
@@ -169,6 +171,7 @@
             self._headers,
             b"".join(self._body),
             keep_alive,
+            self._caller_host,
         )
         self._reset()
         handle = self._listener.handle
--- a/packages/daemon/src/bamboosilld/gateway/request_context.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_context.py
@@ -5,6 +5,7 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import fleet as messages
+from bamboosilld import crash_detector as crash_detector_lib
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import permit_client
@@ -30,6 +31,7 @@
         deadline_s: Monotonic time at which the caller's deadline or the route's
             timeout ends, whichever is sooner.
         is_forwarded: Whether another entry instance forwarded it.
+        fingerprint: Hash that is the same each time a caller sends it.
     """
 
     request: http_messages.Request
@@ -40,6 +42,7 @@
     received_s: float
     deadline_s: float
     is_forwarded: bool = False
+    fingerprint: bytes = b""
 
 
 class Outcome(NamedTuple):
@@ -99,3 +102,4 @@
     reachability: reachability_lib.Reachability
     instances: forwarding.Instances
     shutdown: Shutdown
+    crash_detector: crash_detector_lib.CrashDetector
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -9,6 +9,7 @@
 
 from bamboosill_common import logs
 from bamboosill_common import metrics
+from bamboosilld import crash_detector as crash_detector_lib
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import exchange
 from bamboosilld.gateway import forward_sender
@@ -27,6 +28,8 @@
 _MAX_UNSENT_ATTEMPTS = 4
 # Error codes after which no upstream is assumed to listen at the address.
 _NO_RESPONSE_CODES = frozenset(("connect", "refused"))
+# Error codes after which the upstream may have crashed.
+_BROKEN_CODES = frozenset(("closed", "reset", "truncated"))
 _FIRST_ERROR_STATUS = 500
 
 _log = logs.get_logger("gateway")
@@ -66,7 +69,7 @@
 
     async def run(self) -> request_context.Outcome:
         """Sends the request; returns the response or the reason of failure."""
-        while not self._may_be_broken_off():
+        while not (self._may_be_broken_off() or self._is_quarantined()):
             if self._context.reachability.is_cut_off:
                 outcome = await self._forward()
                 if outcome is not None:
@@ -148,8 +151,20 @@
         self._selector.retry_after_s = request_context.MIN_RETRY_AFTER_S
         return True
 
+    def _is_quarantined(self) -> bool:
+        """Returns whether the request has crashed too many upstreams."""
+        now_ms = self._context.clock.wall_ms()
+        found = self._context.view.state.quarantine.find(
+            self._routed.fingerprint, now_ms
+        )
+        if found is None:
+            return False
+        self._selector.reason = "crashed upstreams before"
+        self._selector.retry_after_s = (found.until_ms - now_ms) / 1000
+        return True
+
     def _may_send(self) -> bool:
-        if self._may_be_broken_off():
+        if self._may_be_broken_off() or self._is_quarantined():
             return False
         if self._get_remaining_s() < _MIN_SEND_S:
             self._selector.reason = "deadline"
@@ -225,6 +240,7 @@
             second is None
             or second.item.upstream in excluded
             or second.estimate_load() >= second.slots
+            or self._is_quarantined()
             or not self._retry_budget.try_acquire(self._entry_count)
         ):
             return None
@@ -284,6 +300,7 @@
             self._record_possible_run()
             self._record_failed_attempt(upstream, fault)
             return None
+        self._context.crash_detector.record_answer(self._routed.fingerprint)
         is_error = response.status >= _FIRST_ERROR_STATUS
         if is_error and self._routed.route.idempotent:
             self._record_possible_run()
@@ -344,15 +361,7 @@
                     connection = await upstream.pool.acquire()
                 self._upstream = upstream.item.upstream
                 sent_s = clock.monotonic()
-                response = await connection.exchange(
-                    exchange.format_request(
-                        self._routed.request,
-                        self._context.names,
-                        upstream.item.upstream,
-                        self._get_remaining_s(),
-                    ),
-                    self._routed.request_id,
-                )
+                response = await self._exchange_on(connection, upstream)
         except TimeoutError as error:
             if connection is None:
                 raise _NotWrittenError from error
@@ -388,6 +397,38 @@
             )
         return response
 
+    async def _exchange_on(
+        self,
+        connection: upstream_connection_lib.Connection,
+        upstream: load_balancing.Upstream,
+    ) -> upstream_connection_lib.UpstreamResponse:
+        """Sends the request; checks for a crash if the connection breaks.
+
+        Raises:
+            upstream_lib.ExchangeError: No complete response was received.
+        """
+        detector = self._context.crash_detector
+        target = crash_detector_lib.Target(
+            upstream.item.upstream, upstream.item.born_ms, upstream.item.address
+        )
+        number = detector.begin_exchange(target, self._routed.fingerprint)
+        try:
+            return await connection.exchange(
+                exchange.format_request(
+                    self._routed.request,
+                    self._context.names,
+                    upstream.item.upstream,
+                    self._get_remaining_s(),
+                ),
+                self._routed.request_id,
+            )
+        except upstream_connection_lib.ExchangeError as error:
+            if error.sent and error.code in _BROKEN_CODES:
+                detector.begin_check(target)
+            raise
+        finally:
+            detector.end_exchange(target, number)
+
     def _schedule_overdue_check(
         self, upstream: load_balancing.Upstream, wait_factor: float
     ) -> asyncio.TimerHandle | None:
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -10,9 +10,11 @@
 from bamboosill_common import logs
 from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
+from bamboosilld import crash_detector as crash_detector_lib
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import keyranges
 from bamboosilld.gateway import budget as budget_lib
+from bamboosilld.gateway import fingerprint
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import latency as latency_lib
@@ -36,6 +38,8 @@
 _URL_SAFE_CHARACTERS = "/?&=%:@!$'()*+,;~"
 # Requests of other entry instances that are handled at once, at most.
 _MAX_FORWARDED_IN_FLIGHT = 128
+# All connections to a crashed upstream break within this time.
+_CRASH_SETTLE_S = 0.1
 
 _log = logs.get_logger("gateway")
 
@@ -111,6 +115,9 @@
                 settings.local_host,
             ),
             request_context.Shutdown(),
+            crash_detector_lib.CrashDetector(
+                self._report_crash, clock, _CRASH_SETTLE_S
+            ),
         )
         self._follower = follower
         self._view = view
@@ -291,12 +298,34 @@
             received_s,
             received_s + min(timeout_s, route.timeout_ms / 1000),
             limits is not None,
+            fingerprint.compute_fingerprint(request, self._names),
         )
         if not self._context.reachability.is_cut_off:
             # The instance that sends a request counts it.
             self._count_request(routed)
         return await self._send(routed)
 
+    async def _report_crash(self, crash: crash_detector_lib.Crash) -> None:
+        """Reports requests that may have crashed an upstream.
+
+        An upstream that leaves ends its last connections itself.
+        """
+        item = self._view.state.upstreams.get(crash.target.upstream)
+        if (
+            not crash.fingerprints
+            or item is None
+            or item.born_ms != crash.target.incarnation
+            or item.draining
+        ):
+            return
+        await self._follower.report_crash(
+            messages.UpstreamCrash(
+                crash.target.upstream,
+                crash.target.incarnation,
+                fingerprints=crash.fingerprints,
+            )
+        )
+
     def _count_request(self, routed: request_context.RoutedRequest) -> None:
         service, key, route = routed.service, routed.key, routed.route
         self._get_retry_budget(service).count_request()
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from bamboosill_common import errors
+from bamboosilld import crash_detector
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import permit_client
@@ -97,6 +98,10 @@
     )
 
 
+async def _ignore_crash(crash):
+    """Reports nothing."""
+
+
 def make_send_context(view, clock, rng, permits, instances=None):
     """Returns a context; without `instances`, nothing can be forwarded."""
     reach = reachability.Reachability(
@@ -119,6 +124,7 @@
         reach,
         instances,
         request_context.Shutdown(),
+        crash_detector.CrashDetector(_ignore_crash, clock),
     )
 
 
