--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(abspath $(SOURCES)))
 export PYTHONHASHSEED := 0
 
-.PHONY: install generate format lint test demo faults soak bench report measure-hop slopes
+.PHONY: install generate format lint test demo faults soak site-soak bench report measure-hop slopes
 
 $(VENV)/installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	$(PYTHON) -m venv $(VENV)
@@ -48,6 +48,9 @@
 soak: install
 	$(BIN)/python -m bamboosill_dev.fleetsoak --seed $(SEED)
 
+site-soak: install
+	$(BIN)/python -m bamboosill_dev.fleetsoak --site --seed $(SEED)
+
 bench: install
 	mkdir -p out
 	$(BIN)/python -m bamboosill_dev.bench --seed $(SEED) | tee out/bench.txt
--- a/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/__main__.py
@@ -10,7 +10,9 @@
 import sys
 import tempfile
 
+from bamboosill_dev.fleetsoak import processes
 from bamboosill_dev.fleetsoak import run
+from bamboosill_dev.fleetsoak import site
 
 
 def main() -> int:
@@ -41,6 +43,17 @@
     parser.add_argument(
         "--calls", action="store_true", help="Grant keys by calls."
     )
+    parser.add_argument(
+        "--site",
+        action="store_true",
+        help="Run the layout of pca-pilon, and check FAULT, LOST and BUDGET.",
+    )
+    parser.add_argument(
+        "--root",
+        type=pathlib.Path,
+        default=processes.ROOT,
+        help="With --site: checkout of the code to run.",
+    )
     parser.add_argument(
         "--keep", default="", help="Directory in which logs and data are kept."
     )
@@ -48,6 +61,12 @@
     with tempfile.TemporaryDirectory(prefix="bamboosill-soak-") as scratch:
         folder = pathlib.Path(options.keep or scratch)
         folder.mkdir(parents=True, exist_ok=True)
+        if options.site:
+            site_result = site.run_seed(
+                folder, options.seed, options.seconds, options.root
+            )
+            print(json.dumps({"seed": options.seed, **site_result._asdict()}))
+            return 1 if site_result.violations else 0
         scenario = run.Scenario(
             options.cut,
             options.limit,
--- a/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
@@ -6,11 +6,12 @@
 
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
 
-_ROOT = pathlib.Path(__file__).parents[5]
+ROOT = pathlib.Path(__file__).parents[5]
 _CONTROL_PORT, _CALLER_PORT, _READINESS_PORT = 7000, 7001, 7002
 _FIRST_INTERNAL_PORT, _LAST_INTERNAL_PORT = 7100, 7110
 _STOP_TIMEOUT_S = 20.0
@@ -23,10 +24,29 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, number: int, role: str, network: str
+        self,
+        folder: pathlib.Path,
+        number: int,
+        role: str,
+        network: str,
+        *,
+        zone: str = "z1",
+        root: pathlib.Path = ROOT,
     ) -> None:
+        """Creates an instance that is not running.
+
+        Args:
+            folder: Folder for its settings, log and data.
+            number: Number within the network, part of its address.
+            role: `entry` or `control`.
+            network: First three numbers of its IP address.
+            zone: Availability zone.
+            root: Checkout of the code to run.
+        """
         self.name = f"{role}-{number}"
-        self._role = role
+        self.role = role
+        self._zone = zone
+        self._root = root
         self._folder = folder
         host = f"{network}.{number}"
         self.control_address = f"{host}:{_CONTROL_PORT}"
@@ -40,12 +60,12 @@
 
     def start(self, seeds: list[str]) -> None:
         """Writes the settings file and starts the process."""
-        is_entry = self._role == "entry"
+        is_entry = self.role == "entry"
         lines = [
             f"self.node_id={self.name}",
             f"self.serves={'edge' if is_entry else 'control_plane'}",
             f"self.ip={self.host}",
-            "self.zone=z1",
+            f"self.zone={self._zone}",
             f"self.bootstrap={'true' if self._is_first else 'false'}",
             f"network.listen.front={self.caller_address}",
             f"network.listen.readiness={self.host}:{_READINESS_PORT}",
@@ -56,6 +76,7 @@
             "terms.bounds.hold_max=10s",
             "terms.bounds.grace=6s",
             "terms.bounds.budget_slack=50",
+            "terms.bounds.budget_window=10s",
             "terms.bounds.retry_budget_ratio=0.2",
         ]
         if not is_entry:
@@ -66,8 +87,13 @@
         log = self._log.open("ab")
         self._log_start = log.tell()
         self._child = subprocess.Popen(
-            [sys.executable, str(_ROOT / "platform" / "main.py"), self._role],
+            [
+                sys.executable,
+                str(self._root / "platform" / "main.py"),
+                self.role,
+            ],
             env={**os.environ, "BAMBOOSILL_SETTINGS": str(path)},
+            cwd=self._root,
             stdout=log,
             stderr=log,
         )
@@ -84,6 +110,17 @@
             log.seek(self._log_start)
             return b"process: Started." in log.read()
 
+    def read_peak_mb(self) -> int:
+        """Returns the most memory that the process has used, or 0."""
+        if self._child is None or not self.is_running:
+            return 0
+        try:
+            status = pathlib.Path(f"/proc/{self._child.pid}/status").read_text()
+        except OSError:
+            return 0
+        found = re.search(r"^VmHWM:\s+(\d+) kB$", status, re.MULTILINE)
+        return int(found[1]) // 1024 if found else 0
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal, if the process is running."""
         if self._child is not None and self.is_running:
