Bound the bytes of all messages of an entry instance together

Cause: limits of single messages do not bound their sum, and long bodies were copied twice. Evidence: a real entry instance with 16 such requests at once used 1,959 to 3,130 MB, 300 MB are allowed. Ruled out: heads without end, which the limit of a message bounds, and a leak.

Change: one account counts what requests and responses hold until they are sent. Without room a request gets 503, if its length is stated at once, and a response is given up. Long bodies are not copied, and their memory returns to the system. Callers that stop sending a body or reading a response are given up after the idle timeout. Bodies at the control API are limited to 8 MiB.

The sum of the request bodies of entry/ is still open.

--- a/packages/daemon/src/bamboosilld/fleet/control_process.py
+++ b/packages/daemon/src/bamboosilld/fleet/control_process.py
@@ -11,6 +11,9 @@
 from bamboosilld.gateway import listener as listener_lib
 from bamboosilld.gateway import metrics as metrics_lib
 
+# A document takes many times its size once it is parsed.
+_MAX_API_BODY_BYTES = 8 * 1024 * 1024
+
 _log = logs.get_logger("control")
 
 
@@ -62,6 +65,7 @@
         metrics_lib.register_fleet_gauges(lambda: member.state)
         host, _, port = control.api_address.rpartition(":")
         api = listener_lib.Listener(make_api(member))
+        api.limits = listener_lib.Limits(max_body_bytes=_MAX_API_BODY_BYTES)
         await api.start(host, int(port))
         if control.metrics_port:
             metrics = listener_lib.Listener(metrics_lib.handle)
--- a/packages/daemon/src/bamboosilld/fleet/process.py
+++ b/packages/daemon/src/bamboosilld/fleet/process.py
@@ -13,6 +13,7 @@
 from bamboosill_common import identities
 from bamboosill_common import logs
 from bamboosill_common import peer
+from bamboosilld import memory_account
 from bamboosilld.fleet import settings as settings_lib
 
 # Most recent events that a process keeps in memory.
@@ -100,5 +101,6 @@
 
 def run(main: Awaitable[int]) -> int:
     """Runs the main coroutine of a process and returns its exit code."""
+    memory_account.map_long_buffers()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(main)  # type: ignore[arg-type]
--- a/packages/daemon/src/bamboosilld/gateway/exchange.py
+++ b/packages/daemon/src/bamboosilld/gateway/exchange.py
@@ -7,13 +7,13 @@
 _FIRST_REDIRECT_STATUS = 300
 
 
-def format_request(
+def format_head(
     request: http_messages.Request,
     names: http_messages.HeaderNames,
     upstream: str,
     remaining_s: float,
 ) -> bytes:
-    """Returns the bytes of a request as it is forwarded.
+    """Returns the head of a request as it is forwarded.
 
     Args:
         request: The caller's request.
@@ -32,7 +32,7 @@
     )
     if request.body or request.method not in ("GET", "HEAD"):
         data += b"Content-Length: %d\r\n" % len(request.body)
-    return data + b"\r\n" + request.body
+    return data + b"\r\n"
 
 
 def is_rejection(
--- a/packages/daemon/src/bamboosilld/gateway/forward_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/forward_sender.py
@@ -102,10 +102,12 @@
             connection = await instance.pool.acquire()
             remaining_s = routed.deadline_s - context.clock.monotonic()
             received = await connection.exchange(
-                forwarding.format_request(
+                forwarding.format_head(
                     routed.request, context.names, limits, remaining_s
                 ),
                 routed.request_id,
+                routed.request.body,
+                routed.request.hold,
             )
     except upstream_connection.ExchangeError as error:
         outcome = forwarding.UNKNOWN if error.sent else forwarding.UNAVAILABLE
--- a/packages/daemon/src/bamboosilld/gateway/forwarding.py
+++ b/packages/daemon/src/bamboosilld/gateway/forwarding.py
@@ -172,13 +172,13 @@
         return instance.in_flight + penalty, self._rng.random()
 
 
-def format_request(
+def format_head(
     request: http_messages.Request,
     names: http_messages.HeaderNames,
     limits: Limits,
     remaining_s: float,
 ) -> bytes:
-    """Returns the bytes of a request as it is forwarded to an instance.
+    """Returns the head of a request as it is forwarded to an instance.
 
     Args:
         request: The caller's request.
@@ -199,10 +199,7 @@
     ]
     head = f"{request.method} {request.target} HTTP/1.1\r\n"
     return (
-        head.encode("latin-1")
-        + http_messages.format_headers(headers)
-        + b"\r\n"
-        + request.body
+        head.encode("latin-1") + http_messages.format_headers(headers) + b"\r\n"
     )
 
 
--- a/packages/daemon/src/bamboosilld/gateway/http_messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/http_messages.py
@@ -2,10 +2,16 @@
 
 from typing import NamedTuple
 
+from bamboosilld import memory_account
+
 # Enough for 64 bits; conversions of much longer texts fail.
 _MAX_COUNT_DIGITS = 18
 
 Headers = list[tuple[bytes, bytes]]
+# Long bodies are not copied once they are received.
+Body = bytes | bytearray
+# Bodies below this size are copied, as that is cheaper than several writes.
+SHORT_BODY_BYTES = 64 * 1024
 
 # Headers that apply to one connection only (RFC 9110, section 7.6.1), and the
 # framing headers, which each sender of a message sets itself.
@@ -27,14 +33,16 @@
         body: The complete body.
         keep_alive: Whether the connection is persistent.
         caller_host: IP address of the caller, or empty if unknown.
+        hold: What the request and its response hold, if it is counted.
     """
 
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: Body
     keep_alive: bool
     caller_host: str = ""
+    hold: memory_account.Hold | None = None
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the value of a header by its lower-case name."""
@@ -49,7 +57,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: Body
     close: bool = False
 
 
@@ -107,3 +115,17 @@
 def format_headers(headers: Headers) -> bytes:
     """Returns headers as lines of an HTTP/1.1 message."""
     return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+
+
+def finish_body(received: bytearray) -> Body:
+    """Returns a received body; long ones are not copied."""
+    if len(received) < SHORT_BODY_BYTES:
+        return bytes(received)
+    return received
+
+
+def list_writes(head: bytes, body: Body) -> list[Body]:
+    """Returns what to write for a message, without a copy of a long body."""
+    if len(body) < SHORT_BODY_BYTES:
+        return [head + body]
+    return [head, body]
--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -16,6 +16,7 @@
 import httptools
 
 from bamboosill_common import logs
+from bamboosilld import memory_account
 from bamboosilld.gateway import http_messages
 
 # Pipelined requests of one connection that are handled concurrently.
@@ -40,6 +41,11 @@
 # A caller of a stopping instance may retry at once: the load balancer sends it
 # to another instance.
 _STOPPING_HEADERS = [(b"Retry-After", b"0.05")]
+_UNAVAILABLE_STATUS = 503
+# After this time, others will have been sent that hold memory now.
+_NO_MEMORY_HEADERS = [(b"Retry-After", b"0.5")]
+# Bytes of unfinished messages that a listener without an account holds.
+_DEFAULT_ACCOUNT_BYTES = 16 * 1024 * 1024
 
 
 async def _handle_stopping(
@@ -57,6 +63,14 @@
     idle_timeout_s: float = 60.0
 
 
+class _Pending(NamedTuple):
+    """A request that was begun, and what it holds."""
+
+    task: asyncio.Task[http_messages.Response]
+    keep_alive: bool
+    hold: memory_account.Hold
+
+
 class _Connection(asyncio.Protocol):
     """Parses the requests of a connection and responds in order."""
 
@@ -64,10 +78,7 @@
         self._listener = listener
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
-        self._pending: collections.deque[
-            asyncio.Task[http_messages.Response]
-        ] = collections.deque()
-        self._pending_keep_alive: collections.deque[bool] = collections.deque()
+        self._pending: collections.deque[_Pending] = collections.deque()
         self._has_work = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
@@ -79,13 +90,18 @@
         self._in_message = False
         self._message_begun_s = self._loop.time()
         self._idle_since_s = self._loop.time()
+        self._received_s = self._loop.time()
+        # Bytes that the caller has not read, when it last read some.
+        self._unread_bytes = 0
+        self._unread_since_s = self._loop.time()
+        self._hold = listener.account.open()
         self._reset()
 
     def _reset(self) -> None:
         self._target = b""
         self._headers: http_messages.Headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
 
     @property
@@ -104,8 +120,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels all pending requests: the caller has disconnected."""
         self._listener.connections.discard(self)
-        for task in self._pending:
-            task.cancel()
+        self._drop_requests()
         self._task.cancel()
 
     def pause_writing(self) -> None:
@@ -118,6 +133,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser."""
+        self._received_s = self._loop.time()
         if self._error_status or self._is_lingering:
             return
         try:
@@ -133,25 +149,44 @@
         """Starts a request and its header timeout."""
         self._in_message = True
         self._message_begun_s = self._loop.time()
+        self._hold.release()
         self._reset()
 
     def on_url(self, url: bytes) -> None:
         """Stores a part of the request target."""
+        if self._error_status:
+            return
         self._target += url
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header."""
+        if self._error_status:
+            return
         self._headers.append((name, value))
         self._count_header_bytes(len(name) + len(value) + 4)
 
+    def on_headers_complete(self) -> None:
+        """Refuses a body for which there is no room, before it is sent."""
+        for name, value in self._headers:
+            if name.lower() == b"content-length":
+                length = http_messages.parse_count(value) or 0
+                if length > self._listener.limits.max_body_bytes:
+                    self._fail_connection(413)
+                elif not self._hold.has_room(length):
+                    self._refuse_for_memory()
+
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body, up to the size limit."""
+        if self._error_status:
+            return
         self._body_bytes += len(body)
         if self._body_bytes > self._listener.limits.max_body_bytes:
             self._fail_connection(413)
-            return
-        self._body.append(body)
+        elif not self._hold.try_add(len(body)):
+            self._refuse_for_memory()
+        else:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Starts the handler of a complete request."""
@@ -162,6 +197,7 @@
             # The last pending response will carry `Connection: close`, which
             # tells the caller that this later request was not handled and can
             # be resent.
+            self._hold.release()
             self._reset()
             return
         keep_alive = self._parser.should_keep_alive()
@@ -169,16 +205,21 @@
             self._parser.get_method().decode("ascii"),
             self._target.decode("latin-1"),
             self._headers,
-            b"".join(self._body),
+            http_messages.finish_body(self._body),
             keep_alive,
             self._caller_host,
+            self._hold,
         )
         self._reset()
         handle = self._listener.handle
         if self._listener.is_refusing:
             handle = _handle_stopping
-        self._pending.append(self._loop.create_task(handle(request)))
-        self._pending_keep_alive.append(keep_alive)
+        self._pending.append(
+            _Pending(
+                self._loop.create_task(handle(request)), keep_alive, self._hold
+            )
+        )
+        self._hold = self._listener.account.open()
         self._has_work.set()
         if len(self._pending) >= _MAX_PIPELINED:
             self._is_paused = True
@@ -188,20 +229,39 @@
         self._header_bytes += count
         if self._header_bytes > self._listener.limits.max_header_bytes:
             self._fail_connection(431)
+        elif not self._hold.try_add(count):
+            self._refuse_for_memory()
+
+    def _refuse_for_memory(self) -> None:
+        _log.warning("Request refused, as memory is short.")
+        self._fail_connection(_UNAVAILABLE_STATUS)
 
     def _fail_connection(self, status: int) -> None:
         """Closes the connection once earlier requests are answered."""
         self._error_status = self._error_status or status
+        self._hold.release()
+        self._reset()
         self._has_work.set()
 
+    def _drop_requests(self) -> None:
+        for each in self._pending:
+            each.task.cancel()
+            each.hold.release()
+        self._hold.release()
+
     async def _serve(self) -> None:
         try:
             while True:
                 if not self._pending:
                     if self._error_status:
+                        headers = (
+                            _NO_MEMORY_HEADERS
+                            if self._error_status == _UNAVAILABLE_STATUS
+                            else []
+                        )
                         self._write(
                             http_messages.Response(
-                                self._error_status, [], b"", True
+                                self._error_status, headers, b"", True
                             ),
                             False,
                         )
@@ -211,32 +271,53 @@
                     self._has_work.clear()
                     await self._has_work.wait()
                     continue
-                response = await self._wait_for_response(self._pending[0])
-                keep_alive = self._pending_keep_alive.popleft()
-                self._pending.popleft()
-                if response.close or self._listener.is_closing:
-                    self._is_ending = True
-                # Requests that were begun are answered before the close:
-                # upstreams are at work on them.
-                keep_alive = keep_alive and not (
-                    self._is_ending and not self._pending
-                )
-                await self._writable.wait()
-                self._write(response, keep_alive)
-                if not keep_alive:
-                    if self._is_ending or self._in_message:
-                        await self._linger()
+                if not await self._respond():
                     return
-                if self._is_paused and len(self._pending) < _MAX_PIPELINED:
-                    self._resume_reading()
         except Exception:
             _log.exception("Connection failed.")
             self._transport.abort()  # type: ignore[attr-defined]
         finally:
-            for task in self._pending:
-                task.cancel()
+            self._drop_requests()
             self._transport.close()
 
+    async def _respond(self) -> bool:
+        """Sends the next response; returns whether the connection goes on.
+
+        Returns only once nothing refers to the request and the response.
+        """
+        request = self._pending[0]
+        response = await self._wait_for_response(request.task)
+        self._pending.popleft()
+        if response.close or self._listener.is_closing:
+            self._is_ending = True
+        # Requests that were begun are answered before the close: upstreams are
+        # at work on them.
+        keep_alive = request.keep_alive and not (
+            self._is_ending and not self._pending
+        )
+        await self._send(response, keep_alive, request.hold)
+        if not keep_alive:
+            if self._is_ending or self._in_message:
+                await self._linger()
+            return False
+        if self._is_paused and len(self._pending) < _MAX_PIPELINED:
+            self._resume_reading()
+        return True
+
+    async def _send(
+        self,
+        response: http_messages.Response,
+        keep_alive: bool,
+        hold: memory_account.Hold,
+    ) -> None:
+        """Writes a response; what it holds is released once it is sent."""
+        try:
+            await self._writable.wait()
+            self._write(response, keep_alive)
+            await self._writable.wait()
+        finally:
+            hold.release()
+
     def _resume_reading(self) -> None:
         self._is_paused = False
         # A request may have arrived in part; its caller was not late meanwhile.
@@ -277,14 +358,21 @@
         head += b"Content-Length: %d\r\n" % len(response.body)
         if not keep_alive:
             head += b"Connection: close\r\n"
-        self._transport.write(head + b"\r\n" + response.body)  # type: ignore[attr-defined]
+        head += b"\r\n"
+        for part in http_messages.list_writes(head, response.body):
+            self._transport.write(part)  # type: ignore[attr-defined]
 
     def check_timeouts(self, now_s: float) -> None:
         """Enforces the header timeout and the idle timeout."""
         limits = self._listener.limits
+        if self._has_stopped_reading(now_s):
+            _log.info("Caller does not read its response.")
+            self._transport.abort()  # type: ignore[attr-defined]
         if self._is_paused:
             return
         if self._in_message:
+            if now_s - self._received_s > limits.idle_timeout_s:
+                self._fail_connection(408)
             if now_s - self._message_begun_s > limits.header_timeout_s and (
                 not self._body_bytes
             ):
@@ -294,6 +382,16 @@
         ):
             self._transport.close()
 
+    def _has_stopped_reading(self, now_s: float) -> bool:
+        """Returns whether the caller has read nothing for the idle timeout."""
+        unread = self._transport.get_write_buffer_size()  # type: ignore[attr-defined]
+        if not unread or unread != self._unread_bytes:
+            self._unread_bytes = unread
+            self._unread_since_s = now_s
+        return (
+            now_s - self._unread_since_s > self._listener.limits.idle_timeout_s
+        )
+
     def close_idle(self) -> None:
         """Closes the connection if it is idle."""
         if self.is_idle:
@@ -305,6 +403,7 @@
 
     Attributes:
         handle: Handler of each request.
+        account: Counts the bytes that requests and responses hold.
         limits: Size limits and timeouts; replaced with the configuration.
         connections: Open connections.
         is_closing: Whether each connection closes after the last response to
@@ -312,8 +411,15 @@
         is_refusing: Whether new requests get status 503.
     """
 
-    def __init__(self, handle: Handler) -> None:
+    def __init__(
+        self,
+        handle: Handler,
+        account: memory_account.MemoryAccount | None = None,
+    ) -> None:
         self.handle = handle
+        self.account = account or memory_account.MemoryAccount(
+            _DEFAULT_ACCOUNT_BYTES
+        )
         self.limits = Limits()
         self.connections: set[_Connection] = set()
         self.is_closing = False
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -6,6 +6,7 @@
 
 from bamboosill_common import logs
 from bamboosill_common import metrics
+from bamboosilld import memory_account
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import process as process_lib
 from bamboosilld.fleet import settings as settings_lib
@@ -25,6 +26,13 @@
 _DRAIN_POLL_S = 0.05
 _POOL_SWEEP_INTERVAL_S = 1.0
 
+_DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
+# Memory for the program, its state and its connections. Of the rest, messages
+# may hold what remains after the overhead of their buffers.
+_BASE_MEMORY_BYTES = 100 * 1024 * 1024
+_BUFFER_OVERHEAD = 1.25
+_MIN_ACCOUNT_BYTES = 16 * 1024 * 1024
+
 _log = logs.get_logger("entry")
 
 
@@ -38,6 +46,7 @@
         readiness_path: Path of the readiness check.
         metrics_port: Port of the metrics on the callers' host; 0 disables it.
         grace_s: Time from the stop signal until the process is killed.
+        memory_bytes: Memory that the process may use.
         gateway: Settings of the request path.
     """
 
@@ -47,6 +56,7 @@
     metrics_port: int
     grace_s: float
     gateway: service_lib.GatewaySettings
+    memory_bytes: int = _DEFAULT_MEMORY_BYTES
 
 
 class EntryInstance:
@@ -81,9 +91,12 @@
             process.clock,
             random.Random(),
         )
-        self._caller_listener = listener_lib.Listener(self.service.handle)
+        account = _make_account(settings.memory_bytes)
+        self._caller_listener = listener_lib.Listener(
+            self.service.handle, account
+        )
         self._forward_listener = listener_lib.Listener(
-            self.service.handle_forwarded
+            self.service.handle_forwarded, account
         )
         self._readiness_listener = listener_lib.Listener(self._handle_readiness)
         self._metrics_listener = listener_lib.Listener(metrics_lib.handle)
@@ -179,6 +192,13 @@
         )
 
 
+def _make_account(memory_bytes: int) -> memory_account.MemoryAccount:
+    left_bytes = (memory_bytes - _BASE_MEMORY_BYTES) / _BUFFER_OVERHEAD
+    return memory_account.MemoryAccount(
+        max(_MIN_ACCOUNT_BYTES, int(left_bytes))
+    )
+
+
 def run(
     settings: settings_lib.FleetSettings,
     entry: EntrySettings,
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -414,13 +414,15 @@
         number = detector.begin_exchange(target, self._routed.fingerprint)
         try:
             return await connection.exchange(
-                exchange.format_request(
+                exchange.format_head(
                     self._routed.request,
                     self._context.names,
                     upstream.item.upstream,
                     self._get_remaining_s(),
                 ),
                 self._routed.request_id,
+                self._routed.request.body,
+                self._routed.request.hold,
             )
         except upstream_connection_lib.ExchangeError as error:
             if error.sent and error.code in _BROKEN_CODES:
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -13,7 +13,9 @@
 import httptools
 
 from bamboosill_common import addresses
+from bamboosill_common import logs
 from bamboosilld import connector
+from bamboosilld import memory_account
 from bamboosilld.gateway import http_messages
 
 # Several round trips between zones. After it, the request is retried, possibly
@@ -35,13 +37,15 @@
 _MAX_HEAD_BYTES = 64 * 1024
 _BODYLESS_STATUSES = frozenset({204, 304})
 
+_log = logs.get_logger("gateway")
+
 
 class UpstreamResponse(NamedTuple):
     """A complete response of an upstream."""
 
     status: int
     headers: http_messages.Headers
-    body: bytes
+    body: http_messages.Body
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the value of a header by its lower-case name."""
@@ -59,8 +63,8 @@
     """No complete response was received.
 
     Attributes:
-        code: `connect`, `refused`, `closed`, `reset`, `malformed` or
-            `truncated`.
+        code: `connect`, `refused`, `closed`, `reset`, `malformed`,
+            `truncated`, or `memory` if there was no room for the response.
         sent: Whether bytes of the request were written, so that the upstream
             may have run it.
         begun: Whether bytes of a response had arrived.
@@ -141,10 +145,21 @@
         return False
 
     async def exchange(
-        self, data: bytes, request_id: bytes
+        self,
+        head: bytes,
+        request_id: bytes,
+        body: http_messages.Body = b"",
+        hold: memory_account.Hold | None = None,
     ) -> UpstreamResponse:
         """Sends a request and returns the complete response to it.
 
+        Args:
+            head: Head of the request.
+            request_id: Id that the response has to bear.
+            body: Body of the request.
+            hold: Counts the bytes of the response, if given. Those of a
+                complete response stay counted.
+
         Raises:
             ExchangeError: No complete response was received.
         """
@@ -157,14 +172,21 @@
         self._has_extra_bytes = False
         self._received_bytes = 0
         self._bytes_without_body = 0
+        self._hold = hold
+        self._added_bytes = 0
         self._reset_response()
         self._response_future = self._loop.create_future()
-        self._transport.write(data)  # type: ignore[attr-defined]
+        for part in http_messages.list_writes(head, body):
+            self._transport.write(part)  # type: ignore[attr-defined]
         try:
             return await self._response_future
         finally:
             if not self._is_complete:
                 self.abort()
+                self._reset_response()
+                if hold is not None:
+                    hold.remove(self._added_bytes)
+            self._hold = None
             self._response_future = None
             self.last_used_s = self._loop.time()
 
@@ -198,6 +220,13 @@
             return
         self._received_bytes += len(data)
         self._bytes_without_body += len(data)
+        if self._hold is not None:
+            if not self._hold.try_add(len(data)):
+                _log.warning("Response given up, as memory is short.")
+                self._fail("memory")
+                self.abort()
+                return
+            self._added_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -218,7 +247,7 @@
         self._is_framed = True
         self._keep_alive = True
         self._headers: http_messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
 
     def on_message_begin(self) -> None:
         """Starts a response; one after the complete response is extra bytes."""
@@ -250,7 +279,7 @@
         """Stores a part of the body."""
         if self._is_complete:
             return
-        self._body.append(body)
+        self._body += body
         self._bytes_without_body = 0
 
     def on_message_complete(self) -> None:
@@ -287,8 +316,13 @@
             if name.lower() == b"keep-alive":
                 self._read_idle_limit(value)
         self._response_future.set_result(
-            UpstreamResponse(self._status, self._headers, b"".join(self._body))
+            UpstreamResponse(
+                self._status,
+                self._headers,
+                http_messages.finish_body(self._body),
+            )
         )
+        self._body = bytearray()
 
     def _read_idle_limit(self, value: bytes) -> None:
         for part in value.split(b","):
--- a/packages/daemon/tests/gateway/test_crashing_requests.py
+++ b/packages/daemon/tests/gateway/test_crashing_requests.py
@@ -249,14 +249,10 @@
 
 def test_a_forwarded_request_keeps_its_fingerprint():
     """Guards against a crashing request that passes at another instance."""
-    data = forwarding.format_request(
-        _REQUEST, NAMES, forwarding.Limits(2, 1), 1.0
-    )
-    head, _, body = data.partition(b"\r\n\r\n")
+    data = forwarding.format_head(_REQUEST, NAMES, forwarding.Limits(2, 1), 1.0)
+    head = data.removesuffix(b"\r\n\r\n")
     headers = [tuple(line.split(b": ", 1)) for line in head.split(b"\r\n")[1:]]
-    received = _REQUEST._replace(
-        headers=headers, body=body, caller_host="10.9.9.9"
-    )
+    received = _REQUEST._replace(headers=headers, caller_host="10.9.9.9")
     parsed, _ = forwarding.parse_request(received)
     assert fingerprint.compute_fingerprint(
         parsed, NAMES
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bamboosilld import memory_account
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import listener as listener_lib
 
@@ -338,3 +339,107 @@
     connection.check_timeouts(asyncio.get_running_loop().time() + 11.0)
     release.set()
     assert [(await _read(reader))[0] for _ in range(17)] == [200] * 17
+
+
+class _Holding:
+    """A listener with an account of 1 MiB, and bodies that were handled."""
+
+    def __init__(self):
+        self.account = memory_account.MemoryAccount(1024 * 1024)
+        self.release = asyncio.Event()
+        self.server = _Server(self._handle)
+        self.server.listener.account = self.account
+        self.bodies = []
+
+    async def _handle(self, request):
+        self.bodies.append(len(request.body))
+        await self.release.wait()
+        return http_messages.Response(200, [], b"ok")
+
+
+def _format_body(length, is_chunked):
+    head = b"POST / HTTP/1.1\r\nHost: x\r\n"
+    body = b"a" * length
+    if is_chunked:
+        return (
+            head
+            + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % length
+            + body
+            + b"\r\n0\r\n\r\n"
+        )
+    return head + b"Content-Length: %d\r\n\r\n" % length + body
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+async def test_bodies_are_bounded_over_all_connections(is_chunked):
+    """Guards against bodies that are allowed alone and too much together."""
+    holding = _Holding()
+    reader, writer = await holding.server.connect()
+    port = holding.server.listener._server.sockets[0].getsockname()[1]
+    others = [
+        await asyncio.open_connection("127.0.0.1", port) for _ in range(2)
+    ]
+    writer.write(_format_body(700_000, is_chunked))
+    await asyncio.sleep(0.1)
+    assert holding.account.held_bytes >= 700_000
+    others[0][1].write(_format_body(700_000, is_chunked))
+    assert (await _read(others[0][0]))[0::2] == (503, True)
+    # A short one still finds room.
+    others[1][1].write(_format_body(7_000, is_chunked))
+    await asyncio.sleep(0.1)
+    holding.release.set()
+    assert (await _read(reader))[0] == 200
+    assert (await _read(others[1][0]))[0] == 200
+    assert holding.bodies == [700_000, 7_000]
+    await asyncio.sleep(0.05)
+    assert holding.account.held_bytes == 0
+
+
+@pytest.mark.parametrize("part", [b"", b"a" * 1000])
+async def test_nothing_is_held_for_a_caller_that_leaves(part):
+    """Guards against memory that stays counted for closed connections."""
+    holding = _Holding()
+    _, writer = await holding.server.connect()
+    data = _format_body(5000, False)
+    writer.write(data + data[: len(data) - 1] if part else data)
+    await asyncio.sleep(0.05)
+    assert holding.account.held_bytes >= 5000
+    writer.close()
+    await asyncio.sleep(0.05)
+    assert holding.account.held_bytes == 0
+
+
+async def test_a_body_that_stalls_is_given_up():
+    """Guards against memory held for a caller that sends no more."""
+    server = _Server(_echo)
+    reader, writer = await server.connect()
+    server.listener.limits = listener_lib.Limits(200, 50, 1.0, 5.0)
+    writer.write(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc")
+    await asyncio.sleep(0.05)
+    (connection,) = server.listener.connections
+    now_s = asyncio.get_running_loop().time()
+    connection.check_timeouts(now_s + 4.0)
+    assert not connection._error_status
+    connection.check_timeouts(now_s + 6.0)
+    assert (await _read(reader))[0] == 408
+
+
+async def test_a_caller_that_does_not_read_is_given_up():
+    """Guards against responses that are held for good."""
+
+    async def handle(request):
+        return http_messages.Response(200, [], b"a" * 50_000_000)
+
+    server = _Server(handle)
+    _, writer = await server.connect()
+    writer.write(_format("/a"))
+    await asyncio.sleep(0.5)
+    (connection,) = server.listener.connections
+    now_s = asyncio.get_running_loop().time()
+    connection.check_timeouts(now_s)
+    connection.check_timeouts(now_s + 59.0)
+    await asyncio.sleep(0.05)
+    assert server.listener.connections
+    connection.check_timeouts(now_s + 61.0)
+    await asyncio.sleep(0.05)
+    assert not server.listener.connections
--- a/packages/daemon/tests/gateway/test_shared_rate_limit.py
+++ b/packages/daemon/tests/gateway/test_shared_rate_limit.py
@@ -113,7 +113,7 @@
     async def acquire(self):
         return self
 
-    async def exchange(self, data, request_id):
+    async def exchange(self, data, request_id, *_):
         return await self._upstream.exchange(self._instance, request_id)
 
     def release(self, connection):
--- a/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
@@ -15,6 +15,8 @@
 _CONTROL_PORT, _CALLER_PORT, _READINESS_PORT = 7000, 7001, 7002
 _FIRST_INTERNAL_PORT, _LAST_INTERNAL_PORT = 7100, 7110
 _STOP_TIMEOUT_S = 20.0
+# Limits of the machines of pca-pilon, by role.
+MEMORY_LIMITS_MB = {"entry": 300, "control": 296}
 
 
 class Process:
@@ -72,6 +74,7 @@
             f"network.listen.control={self.control_address}",
             f"network.internal_ports={_FIRST_INTERNAL_PORT},{_LAST_INTERNAL_PORT}",
             f"network.seeds={','.join(seeds)}",
+            f"self.limits.memory_mb={MEMORY_LIMITS_MB[self.role]}",
             "platform.heartbeat=400ms",
             "terms.bounds.hold_max=10s",
             "terms.bounds.grace=6s",
--- a/packages/dev/src/bamboosill_dev/fleetsoak/site.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/site.py
@@ -30,7 +30,6 @@
 _START_TIMEOUT_S = 30.0
 _SETTLE_S = 4.0
 _STOP_TIMEOUT_S = 8.0
-_MEMORY_LIMIT_MB = {"entry": 300, "control": 296}
 _WATCH_INTERVAL_S = 0.2
 # A part of the processes that start again gets SIGHUP within this time.
 _EARLY_SIGHUP_SHARE = 0.5
@@ -371,7 +370,7 @@
                 peak_mb = process.read_peak_mb()
                 known_mb = self._peak_mb.get(process.role, 0)
                 self._peak_mb[process.role] = max(known_mb, peak_mb)
-                if peak_mb > _MEMORY_LIMIT_MB[process.role]:
+                if peak_mb > processes.MEMORY_LIMITS_MB[process.role]:
                     self.record.faults.append(
                         f"{process.name} used {peak_mb} MB"
                     )
