--- a/packages/dev/tests/platform/test_odd_bodies.py
+++ b/packages/dev/tests/platform/test_odd_bodies.py
@@ -102,6 +102,19 @@
     assert not asked
 
 
+@pytest.mark.parametrize("kind", [["safe"], {"a": 1}, [], {}, 1, None, "x"])
+async def test_an_odd_kind_of_a_route_is_rejected(kind):
+    """Guards against an operator's request that ends without an answer."""
+    document = copy.deepcopy(_WHOLE_CONFIGURATION)
+    table = document["routes"]
+    table["rows"][0][table["columns"].index("kind")] = kind
+    asked, response = await _send(
+        "/v1/configuration", json.dumps(document).encode(), None
+    )
+    assert response.status == 400
+    assert not asked
+
+
 @pytest.mark.parametrize("path", ["/v1/instances/u1", "/v1/configuration"])
 @pytest.mark.parametrize(
     "body", [_DEEP, b'{"a":' * 100_000, b'{"born":1e999}', b"9" * 5000, b"NaN"]
