Use no heartbeat of an unknown service or from the future

Cause: a heartbeat of a service that no configuration names was registered, ended the incarnation with its id or address as replaced, and the keys of a replaced incarnation are free at once. Ruled out: the leases, which were in force.

--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -41,6 +41,9 @@
 # An upstream that was silent for more than this fraction of a lease is granted
 # no more keys.
 _MAX_SILENCE_LEASE_FRACTION = 0.5
+# Clocks of upstreams may be ahead by this time. An incarnation that is born
+# later would keep all others from its id and address until then.
+_MAX_BORN_AHEAD_MS = 24 * 60 * 60 * 1000
 # How long computed loads and relative latencies are reused.
 _STATS_INTERVAL_S = 0.2
 # A heartbeat is late after this many heartbeat intervals.
@@ -170,6 +173,20 @@
         """
         item = report.item
         incarnation = state_lib.UpstreamIncarnation(item.upstream, item.born_ms)
+        fault = self._find_fault(item)
+        if fault:
+            # It may come from another writer, and then says nothing of the
+            # registered upstream with this id or address.
+            _log.info(
+                "Heartbeat not used. Upstream: %s. Born: %d. Service: %s. "
+                "Reason: %s.",
+                item.upstream,
+                item.born_ms,
+                item.service,
+                fault,
+            )
+            metrics.fleet_reports.labels("odd").inc()
+            return messages.ReportReply(accepted=True)
         if self._state.has_ended(incarnation) or self._state.find_successor(
             item
         ):
@@ -224,6 +241,15 @@
             grants=tuple(grants),
         )
 
+    def _find_fault(self, item: messages.UpstreamItem) -> str:
+        """Returns why a heartbeat names no upstream to use, or nothing."""
+        services = self._state.configuration.services
+        if not any(each.name == item.service for each in services):
+            return "unknown service"
+        if item.born_ms > self._clock.wall_ms() + _MAX_BORN_AHEAD_MS:
+            return "born in the future"
+        return ""
+
     async def handle_leave(self, incarnation: messages.UpstreamLife) -> None:
         """Deregisters an upstream that announced its shutdown.
 
--- a/packages/daemon/tests/fleet/test_authority.py
+++ b/packages/daemon/tests/fleet/test_authority.py
@@ -6,10 +6,12 @@
 import pytest
 
 from bamboosill_common import errors
+from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import keyranges
 from bamboosilld.fleet import state as state_lib
 
+from .conftest import make_configuration
 from .conftest import make_item
 
 _LEASE_S = 4.0
@@ -411,3 +413,47 @@
     authority = fleet.authority
     assert len(authority._last_reports) < 50
     assert len(authority._granter.get_delivery("keyed")._holds) < 50
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": "nobody", "born_ms": 2},
+        {"service": "", "born_ms": 2},
+        {"service": "nobody", "born_ms": 2, "address": "10.9.9.9:80"},
+        {"service": "nobody", "born_ms": 2, "upstream": "other"},
+        {"service": "nobody", "born_ms": 2, "draining": True},
+        {"born_ms": 2**64 - 1},
+        {"born_ms": 2**64 - 1, "upstream": "other"},
+    ],
+)
+async def test_a_heartbeat_that_names_no_upstream_takes_no_keys(fleet, change):
+    """Guards against keys with two holders after a heartbeat of another writer.
+
+    Seen in review/1: the registered upstream counted as replaced, and its keys
+    were given to others while it held them.
+    """
+    items = [make_item(name) for name in ("u1", "u2")]
+    grants = await fleet.distribute(*items)
+    before = dict(fleet.state.upstreams)
+    odd = items[0]._replace(**change)
+    assert (await fleet.report(odd)).accepted
+    await fleet.authority.tick()
+    assert fleet.state.upstreams == before
+    reply = await fleet.report(items[0], grants["u1"])
+    assert reply.renewed
+    assert reply.grants == grants["u1"]
+
+
+async def test_an_upstream_is_registered_once_its_service_is_known(fleet):
+    """Guards against an upstream that started before its service was added."""
+    item = make_item("u1", service="later")
+    assert (await fleet.report(item)).accepted
+    assert not fleet.state.upstreams
+    services = (*fleet.state.configuration.services,)
+    change = make_configuration(
+        2, 1, services=(*services, messages.ServiceItem(name="later"))
+    )
+    fleet.state.apply(fleet.state.revision + 1, wire.pack(change))
+    await fleet.report(item)
+    assert list(fleet.state.upstreams) == ["u1"]
