Bound the responses to probes and to calls

A faulty upstream could send up to 32 MiB in each of four probes at once, and in each call that grants keys, beside what the account of the process allows.

--- a/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
+++ b/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
@@ -13,6 +13,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
+from bamboosilld import memory_account
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
@@ -21,6 +22,8 @@
 _USER_TIMEOUT_MS = 600
 # A call that was given up must not arrive any more: a link that was down would
 # carry it seconds later.
+# The answer to a call is short; its handover data is a header.
+_MAX_RESPONSE_BYTES = 128 * 1024
 _CONNECTION_OPTIONS = upstream_connection_lib.Options(
     user_timeout_ms=_USER_TIMEOUT_MS, trusts_order=True, discards_on_close=True
 )
@@ -182,7 +185,13 @@
             try:
                 if may_send():
                     async with asyncio.timeout(timeout_s):
-                        response = await connection.exchange(data, b"")
+                        response = await connection.exchange(
+                            data,
+                            b"",
+                            hold=memory_account.MemoryAccount(
+                                _MAX_RESPONSE_BYTES
+                            ).open(),
+                        )
                     result = _classify(response.status)
                 else:
                     result = Result(Outcome.UNSENT, "not leading or revoked")
--- a/packages/daemon/src/bamboosilld/gateway/reachability.py
+++ b/packages/daemon/src/bamboosilld/gateway/reachability.py
@@ -13,6 +13,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosill_common import metrics
+from bamboosilld import memory_account
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
@@ -25,6 +26,7 @@
 _PROBED_SAME_ZONE = 2
 _PROBE_TIMEOUT_S = 0.7
 _PROBE_INTERVAL_S = 0.5
+_MAX_PROBE_BYTES = 128 * 1024
 # Shortest time between probes while some upstreams respond.
 _CHECK_INTERVAL_S = 1.0
 # Connections on which a response arrived this recently are kept during a cut.
@@ -178,7 +180,11 @@
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 connection = await upstream.pool.open()
-                await connection.exchange(self._format_probe(upstream), b"")
+                await connection.exchange(
+                    self._format_probe(upstream),
+                    b"",
+                    hold=memory_account.MemoryAccount(_MAX_PROBE_BYTES).open(),
+                )
                 return True
         except upstream_connection_lib.ExchangeError as error:
             return error.begun
--- a/packages/daemon/tests/gateway/test_upstream_connection.py
+++ b/packages/daemon/tests/gateway/test_upstream_connection.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bamboosilld import memory_account
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
 from .conftest import make_response
@@ -249,3 +250,24 @@
         end = await ends.get()
     assert end == ("reset" if discards else "end of file")
     server.close()
+
+
+@pytest.mark.parametrize("length", [10_000, 10_000_000])
+async def test_a_response_without_room_is_given_up(serve, length):
+    """Guards against responses that exceed the memory together."""
+    server = await serve(_respond(make_response("r1", b"a" * length)))
+    pool = upstream_connection_lib.Pool(server.address, b"x-id")
+    account = memory_account.MemoryAccount(1024 * 1024)
+    hold = account.open()
+    connection = await pool.acquire()
+    if length > account.limit_bytes:
+        with pytest.raises(upstream_connection_lib.ExchangeError) as caught:
+            await connection.exchange(_REQUEST, b"r1", hold=hold)
+        assert (caught.value.code, caught.value.sent) == ("memory", True)
+        assert not connection.is_reusable
+        assert account.held_bytes == 0
+    else:
+        response = await connection.exchange(_REQUEST, b"r1", hold=hold)
+        assert len(response.body) == length
+        # Counted until the response is sent to the caller.
+        assert account.held_bytes > length
