Bound the request bodies of the entry role together

Without room a request gets 503, not-run, `memory`, before its body is read if its length is stated.

The new cases cannot run on the code before, which has no account; there a body of any allowed length is read.

--- a/packages/daemon/src/bamboosilld/entry/request_parser.py
+++ b/packages/daemon/src/bamboosilld/entry/request_parser.py
@@ -14,6 +14,7 @@
 from bamboosill_common import auth
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import requestid
+from bamboosilld import memory_account
 from bamboosilld.entry import headers
 from bamboosilld.entry import interfaces
 from bamboosilld.entry import rejections
@@ -142,9 +143,14 @@
         ] = {}
 
     async def parse(
-        self, request: web.BaseRequest
+        self, request: web.BaseRequest, hold: memory_account.Hold
     ) -> Result[InboundRequest, rejections.Rejection]:
-        """Returns the parsed request, or why it is rejected."""
+        """Returns the parsed request, or why it is rejected.
+
+        Args:
+            request: The request.
+            hold: Counts the bytes of its body.
+        """
         received_s = self._clock.monotonic()
         rejection = _check_duplicate_headers(request)
         if rejection is not None:
@@ -186,7 +192,7 @@
         if isinstance(request_id_result, Failure):
             return request_id_result
         body = await self._read_body(
-            request, service.limits.max_body_bytes, until
+            request, service.limits.max_body_bytes, until, hold
         )
         if isinstance(body, Failure):
             return body
@@ -298,7 +304,11 @@
         return Success(requestid.RequestId(made, 0))
 
     async def _read_body(
-        self, request: web.BaseRequest, limit: int, until: float
+        self,
+        request: web.BaseRequest,
+        limit: int,
+        until: float,
+        hold: memory_account.Hold,
     ) -> Result[bytes, rejections.Rejection]:
         content = request.content
         length = request.content_length
@@ -307,6 +317,11 @@
         )
         if length is not None and length > limit:
             return Failure(too_large)
+        no_memory = rejections.refuse(
+            503, "memory", "the bodies of other requests use the memory"
+        )
+        if length is not None and not hold.has_room(length):
+            return Failure(no_memory)
         if content.at_eof():
             return Success(b"")
         if request.headers.get("Expect", "").lower() == "100-continue":
@@ -319,6 +334,8 @@
                     size += len(chunk)
                     if size > limit:
                         return Failure(too_large)
+                    if not hold.try_add(len(chunk)):
+                        return Failure(no_memory)
                     chunks.append(chunk)
         except TimeoutError:
             detail = "the body did not arrive before the deadline"
--- a/packages/daemon/src/bamboosilld/entry/server.py
+++ b/packages/daemon/src/bamboosilld/entry/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 import random
 import ssl
+import sys
 from typing import Any
 
 from aiohttp import web
@@ -21,6 +22,7 @@
 from bamboosill_common import settings as settings_lib
 from bamboosill_common.generated import zone as zone_messages
 from bamboosilld import crash_detector as crash_detector_lib
+from bamboosilld import memory_account
 from bamboosilld.entry import contract_sync
 from bamboosilld.entry import dispatch as dispatch_lib
 from bamboosilld.entry import forward as forward_lib
@@ -82,6 +84,7 @@
         server_tls: ssl.SSLContext | None = None,
         client_tls: ssl.SSLContext | None = None,
         instance_count: Callable[[], int] | None = None,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         """Creates the role; `start` begins to listen.
 
@@ -100,6 +103,8 @@
             instance_count: Returns the number of entry instances of the
                 zone, among which the connection limit of each upstream is
                 divided.
+            account: Counts the bytes of request bodies; by default they are
+                not bounded together.
         """
         self._member = member
         self._authenticator = authenticator
@@ -127,6 +132,7 @@
         # Time at which requests in flight are broken off, once it is known.
         self._stop_at_s = float("inf")
         self._instance_count = instance_count or (lambda: 1)
+        self._account = account or memory_account.MemoryAccount(sys.maxsize)
         self._load_recorder = load_stats_lib.LoadRecorder(
             clock, self._admission[0]
         )
@@ -277,7 +283,17 @@
         return response
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        parsed = await self._parser.parse(request)
+        hold = self._account.open()
+        try:
+            return await self._serve_held(request, hold)
+        finally:
+            hold.release()
+
+    async def _serve_held(
+        self, request: web.BaseRequest, hold: memory_account.Hold
+    ) -> web.StreamResponse:
+        """Serves a request whose body is counted until the response is sent."""
+        parsed = await self._parser.parse(request, hold)
         if isinstance(parsed, Failure):
             given = request.headers.get(headers.REQUEST_ID, "")
             # A malformed id is not echoed.
@@ -302,6 +318,8 @@
             # Continues after the caller disconnects, so that the outcome is
             # recorded for a resend.
             task = self._spawn(self._router.serve(context))
+            task_hold = hold.move()
+            task.add_done_callback(lambda _: task_hold.release())
             try:
                 await asyncio.shield(task)
             except asyncio.CancelledError:
--- a/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
+++ b/packages/daemon/src/bamboosilld/fleet/upstream_calls.py
@@ -17,13 +17,13 @@
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 
+# The answer to a call is short; its handover data is a header.
+_MAX_RESPONSE_BYTES = 128 * 1024
 # Bytes that an upstream has not acknowledged are no longer sent after this
 # time, also while this process is paused.
 _USER_TIMEOUT_MS = 600
 # A call that was given up must not arrive any more: a link that was down would
 # carry it seconds later.
-# The answer to a call is short; its handover data is a header.
-_MAX_RESPONSE_BYTES = 128 * 1024
 _CONNECTION_OPTIONS = upstream_connection_lib.Options(
     user_timeout_ms=_USER_TIMEOUT_MS, trusts_order=True, discards_on_close=True
 )
--- a/packages/daemon/src/bamboosilld/instance.py
+++ b/packages/daemon/src/bamboosilld/instance.py
@@ -27,6 +27,7 @@
 from bamboosill_common.generated import control as control_messages
 from bamboosill_common.generated import settings as generated
 from bamboosilld import gauges
+from bamboosilld import memory_account
 from bamboosilld import startup
 from bamboosilld.admin import app
 from bamboosilld.admin import dependencies as dependencies_lib
@@ -47,6 +48,8 @@
 
 CONTROL_GROUP = "control"
 
+_BYTES_PER_MIB = 1024 * 1024
+
 _log = logs.get_logger("instance")
 
 
@@ -359,6 +362,9 @@
             server_tls=shared.tls.server,
             client_tls=shared.tls.client,
             instance_count=count_entry_instances,
+            account=memory_account.MemoryAccount(
+                settings.body_memory_mb * _BYTES_PER_MIB
+            ),
         )
         self._exit_stack.push_async_callback(self._stop_entry, entry)
         addresses = (settings.caller_listen, settings.upstream_listen)
--- a/packages/daemon/src/bamboosilld/memory_account.py
+++ b/packages/daemon/src/bamboosilld/memory_account.py
@@ -82,6 +82,12 @@
         self.held_bytes -= count
         self._account.held_bytes -= count
 
+    def move(self) -> "Hold":
+        """Returns a hold that has all bytes of this one."""
+        moved = Hold(self._account)
+        moved.held_bytes, self.held_bytes = self.held_bytes, 0
+        return moved
+
     def release(self) -> None:
         """Takes off all bytes."""
         self.remove(self.held_bytes)
--- a/packages/daemon/tests/entry/test_server.py
+++ b/packages/daemon/tests/entry/test_server.py
@@ -6,6 +6,8 @@
 import aiohttp
 import pytest
 
+from bamboosilld import memory_account
+
 
 async def test_answer_of_the_owner_reaches_the_caller(harness):
     """Guards against a response that is lost or lacks an outcome."""
@@ -147,3 +149,33 @@
     assert (view.id, view.in_flight, view.completions) == ("u1", 0, 2)
     assert (view.refusals, view.failures) == (1, 0)
     assert {each.shard for each in report.shard_load} == {1}
+
+
+async def _iterate(data):
+    yield data
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+@pytest.mark.parametrize(("length", "status"), [(900, 201), (1100, 503)])
+async def test_bodies_are_bounded_over_all_requests(
+    harness, is_chunked, length, status
+):
+    """Guards against bodies that are allowed alone and too much together."""
+    account = memory_account.MemoryAccount(1000)
+    await harness.start(account=account)
+    await harness.start_upstream()
+    data = b"a" * length
+    response = await harness.send(
+        "POST",
+        "/shopfront/orders",
+        data=_iterate(data) if is_chunked else data,
+        headers={
+            "Bamboosill-Request-Id": "018bcfe5-6800-7000-8000-000000000001",
+        },
+    )
+    assert response[0] == status
+    if status == 503:
+        assert response[1]["Bamboosill-Outcome"] == "not-run"
+        assert response[1]["Bamboosill-Reason"] == "memory"
+    await asyncio.sleep(0.05)
+    assert account.held_bytes == 0
