Do not answer an offer of another protocol a second time

A caller that sends Upgrade: h2c, as some client libraries do by default, got its answer and then a 400, which its next request on the connection could take for its own (seen by the review; a form of a connection that ends with answers under way).

Cause: the parser stops after such a request, and the listener took that for bytes that are no request. Now the offer is ignored, and parsing goes on after it in a loop; a tunnel (CONNECT) is still refused with 400.

--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -134,16 +134,25 @@
     def data_received(self, data: bytes) -> None:
         """Feeds received bytes to the parser."""
         self._received_s = self._loop.time()
-        if self._error_status or self._is_lingering:
-            return
+        while data and not (self._error_status or self._is_lingering):
+            data = data[self._parse(data) :]
+
+    def _parse(self, data: bytes) -> int:
+        """Feeds bytes to the parser; returns how many it has taken."""
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+        except httptools.HttpParserUpgrade as upgrade:
+            if self._parser.get_method() != b"CONNECT":
+                # An offer of another protocol need not be taken: the request
+                # was handled, and others may follow in this one.
+                self._parser = httptools.HttpRequestParser(self)
+                return int(upgrade.args[0])
             self._fail_connection(400)
         except httptools.HttpParserError as error:
             if not self._error_status:
                 _log.info("Malformed request. Reason: %s.", error)
                 self._fail_connection(400)
+        return len(data)
 
     def on_message_begin(self) -> None:
         """Starts a request and its header timeout."""
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -443,3 +443,32 @@
     connection.check_timeouts(now_s + 61.0)
     await asyncio.sleep(0.05)
     assert not server.listener.connections
+
+
+_UPGRADE = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+
+
+@pytest.mark.parametrize("count", [0, 1, 3, 2000])
+async def test_an_offer_of_another_protocol_is_not_taken(count):
+    """Guards against a second answer, which the next request would take."""
+    reader, writer = await _Server(_echo).connect()
+    paths = ["/0", *(f"/{number + 1}" for number in range(count))]
+    writer.write(b"".join(_format(path, _UPGRADE) for path in paths))
+    for path in paths:
+        assert await _read(reader) == (200, path.encode(), False)
+    writer.write(_format("/last"))
+    assert await _read(reader) == (200, b"/last", False)
+
+
+async def test_a_tunnel_is_refused():
+    """Guards against bytes of a tunnel that are read as requests."""
+    reader, writer = await _Server(_echo).connect()
+    writer.write(b"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n" + _format("/a"))
+    statuses = []
+    while not reader.at_eof():
+        try:
+            statuses.append((await _read(reader))[0])
+        except asyncio.IncompleteReadError:
+            break
+    assert statuses[-1] == 400
+    assert len(statuses) <= 2
