--- a/packages/dev/src/bamboosill_dev/fleetsoak/site.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/site.py
@@ -36,6 +36,8 @@
 _EARLY_SIGHUP_S = (0.1, 0.6)
 # Time of a client between two requests.
 _MEAN_PAUSE_S = 0.15
+_QUIET_PAUSE_S = 2.0
+_QUIET_RESET_SHARE = 0.8
 
 
 class Result(NamedTuple):
@@ -51,7 +53,9 @@
     """The processes, upstreams, clients and the operator of a run.
 
     Seeds that are even have planned work only, so that what is lost around it
-    counts; in others, processes are also killed and paused.
+    counts; in others, processes are also killed and paused. In each third one,
+    few clients meet upstreams that break most connections, so that the constant
+    part of the retry budget counts.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
     ) -> None:
         self._rng = random.Random(seed)
         self._has_failures = seed % 2 == 1
+        self._is_quiet = seed % 3 == 0
         network = f"127.{100 + seed % 100}.{time.time_ns() // 1000 % 250}"
         self.record = records.Record()
         self._zones: dict[str, list[processes.Process]] = {}
@@ -153,8 +158,9 @@
         for upstream in self._upstreams:
             await upstream.start()
         await asyncio.sleep(_SETTLE_S)
+        pause_s = _QUIET_PAUSE_S if self._is_quiet else _MEAN_PAUSE_S
         clients = [
-            asyncio.create_task(self._run_client(number, _MEAN_PAUSE_S))
+            asyncio.create_task(self._run_client(number, pause_s))
             for number in range(_CLIENT_COUNT)
         ]
         faults = [
@@ -163,7 +169,11 @@
                 self._repeat(self._stop_in_turn, 2.0, 4.0),
                 self._repeat(self._hang_up, 0.5, 3.0),
                 self._repeat(self._replace_upstream, 0.5, 3.0),
-                self._repeat(self._burst, 3.0, 8.0),
+                (
+                    self._repeat(self._break_connections, 0.5, 1.0)
+                    if self._is_quiet
+                    else self._repeat(self._burst, 3.0, 8.0)
+                ),
                 self._repeat(
                     lambda: self._change_configuration(session), 0.2, 2.0
                 ),
@@ -308,6 +318,10 @@
                 if not each.is_up:
                     await each.start()
 
+    async def _break_connections(self) -> None:
+        for upstream in self._upstreams:
+            upstream.reset_share = _QUIET_RESET_SHARE
+
     async def _burst(self) -> None:
         """Sends more than the upstreams take, for some seconds."""
         tasks = [
