Count no constant part of the retry budget in the first window

Found by reading while BUDGET of the users' runs was looked for: a process that replaces another one had the constant part of its instance again at once, so restarts in series added up to more than the limit.

Change: the constant part counts once a process has run for a window; until then its repeats are bounded by the ratio.

--- a/packages/daemon/src/bamboosilld/gateway/budget.py
+++ b/packages/daemon/src/bamboosilld/gateway/budget.py
@@ -22,11 +22,24 @@
         ratio: float,
         constant: float,
         window_s: float,
+        started_s: float = float("-inf"),
     ) -> None:
+        """Creates a budget without requests and retries.
+
+        Args:
+            clock: Source of time.
+            ratio: Agreed retries as a fraction of requests.
+            constant: Agreed retries beyond that, over all instances.
+            window_s: Length of the window in seconds.
+            started_s: Monotonic time at which the instance started. Its part of
+                the constant may have been used in the window before that, by
+                the process that it replaces.
+        """
         self._clock = clock
         self._retries_per_request = ratio
         self._constant_retries = constant
         self._window_s = window_s
+        self._constant_from_s = started_s + window_s
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -41,10 +54,9 @@
         now_s = self._clock.monotonic()
         _drop_older(self._requests, now_s - self._window_s)
         _drop_older(self._retries, now_s - self._window_s)
-        limit = (
-            self._retries_per_request * len(self._requests)
-            + self._constant_retries / instances
-        )
+        limit = self._retries_per_request * len(self._requests)
+        if now_s >= self._constant_from_s:
+            limit += self._constant_retries / instances
         if len(self._retries) + 1 > limit * _USABLE_FRACTION:
             return False
         self._retries.append(now_s)
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -123,6 +123,7 @@
         self._view = view
         self._clock = clock
         self._splitter = view_lib.routes_lib.TrafficSplitter(rng)
+        self._started_s = clock.monotonic()
         self._retry_budgets: dict[str, budget_lib.RetryBudget] = {}
         self._latencies: dict[str, latency_lib.Latency] = {}
         self._work_ms_by_block: dict[tuple[str, int], float] = {}
@@ -361,6 +362,7 @@
                 self._settings.retry_ratio,
                 self._settings.retry_constant,
                 self._settings.retry_window_s,
+                self._started_s,
             )
         return budget
 
--- a/packages/daemon/tests/gateway/test_parts.py
+++ b/packages/daemon/tests/gateway/test_parts.py
@@ -109,6 +109,40 @@
     assert budget.try_acquire(1)
 
 
+@pytest.mark.parametrize("restarts", [0, 1, 4])
+def test_restarts_do_not_enlarge_the_shared_limit(restarts):
+    """Guards against repeats that pile up while instances restart in series.
+
+    Each new process had the whole constant part of its instance again.
+    """
+    clock = _Clock()
+    limit = 0.2 * 8 * 10 + 50
+    budgets = [budget_lib.RetryBudget(clock, 0.2, 50, 10.0) for _ in range(8)]
+    retries = 0
+    for _ in range(restarts + 1):
+        for budget in budgets:
+            for _ in range(10 // (restarts + 1)):
+                budget.count_request()
+            retries += sum(budget.try_acquire(8) for _ in range(100))
+        clock.now_s += 9.0 / (restarts + 1)
+        budgets = [
+            budget_lib.RetryBudget(clock, 0.2, 50, 10.0, clock.now_s)
+            for _ in range(8)
+        ]
+    assert retries <= limit
+
+
+def test_the_constant_part_comes_after_the_first_window():
+    """Guards against an instance that never gets its part."""
+    clock = _Clock()
+    budget = budget_lib.RetryBudget(clock, 0.2, 80, 10.0, clock.now_s)
+    assert not budget.try_acquire(8)
+    clock.now_s += 9.9
+    assert not budget.try_acquire(8)
+    clock.now_s += 0.2
+    assert budget.try_acquire(8)
+
+
 def test_the_quantile_is_above_most_latencies():
     """Guards against hedging of requests with ordinary latency."""
     rng = random.Random(1)
