--- a/packages/daemon/src/bamboosilld/entry/connection.py
+++ b/packages/daemon/src/bamboosilld/entry/connection.py
@@ -19,6 +19,8 @@
 # buffered before the response is streamed to the caller.
 BUFFER_BYTES = 64 * 1024
 _MAX_RESPONSE_HEADERS = 128
+# What an upstream may send in a row without any byte of a body.
+_MAX_BYTES_WITHOUT_BODY = 64 * 1024
 _BODYLESS_STATUSES = frozenset({204, 304})
 _FIRST_FINAL_STATUS = 200
 
@@ -90,6 +92,8 @@
         self._busy = True
         self._bodyless = bodyless
         self._head = None
+        self._bytes_without_body = 0
+        self._body_bytes = 0
         self.response_started = False
         self.exchanges += 1
         self._parser = http.HttpResponseParser(
@@ -207,6 +211,22 @@
                 return
             self._head = ResponseHead(message, payload)
             self._wake()
+        if self._is_endless(len(data)):
+            self.fail("malformed")
+
+    def _is_endless(self, count: int) -> bool:
+        """Returns whether too many bytes came in a row without a body.
+
+        Informational responses and the extensions of chunks need not end.
+        """
+        body_bytes = self._head.payload.total_bytes if self._head else 0
+        is_complete = self._head is not None and self._head.payload.is_eof()
+        if body_bytes != self._body_bytes or is_complete:
+            self._body_bytes = body_bytes
+            self._bytes_without_body = 0
+            return False
+        self._bytes_without_body += count
+        return self._bytes_without_body > _MAX_BYTES_WITHOUT_BODY
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fails the exchange in progress."""
--- a/packages/daemon/tests/entry/test_exchange.py
+++ b/packages/daemon/tests/entry/test_exchange.py
@@ -150,3 +150,52 @@
     assert pool.size == 2
     pool.close()
     server.close()
+
+
+_HEAD = b"HTTP/1.1 200 OK\r\nBamboosill-Request-Id: r\r\n"
+_CHUNKED_HEAD = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Sockets and the transports of both sides hold a part of what is sent.
+_MAX_SENT_BYTES = 32 * 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated"),
+    [
+        (b"", b"a" * 65536),
+        (_HEAD, b"x-more: value\r\n" * 4096),
+        (_HEAD + b"x-long: ", b"a" * 65536),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2048),
+        (b"", b"HTTP/1.1 103 Early\r\nx: y\r\n\r\n" * 2048),
+        (_CHUNKED_HEAD + b"1;x=", b"a" * 65536),
+        (_CHUNKED_HEAD + b"0\r\n", b"x-more: value\r\n" * 4096),
+    ],
+)
+async def test_bytes_without_end_that_are_no_body_end_the_exchange(
+    first, repeated
+):
+    """Guards against a faulty upstream that keeps an instance busy."""
+    sent_bytes = 0
+
+    async def serve(reader, writer):
+        nonlocal sent_bytes
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first)
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+                sent_bytes += len(repeated)
+        except OSError:
+            return
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = pools.Pool(f"127.0.0.1:{port}", 2)
+    result = await exchange_once(pool)
+    assert result.failure().code == "malformed"
+    assert result.failure().may_have_run
+    assert sent_bytes < _MAX_SENT_BYTES
+    assert pool.size == 0
+    server.close()
