--- a/packages/daemon/src/bamboosilld/crash_detector.py
+++ b/packages/daemon/src/bamboosilld/crash_detector.py
@@ -71,7 +71,7 @@
         self._report = report
         self._clock = clock
         self._settle_s = settle_s
-        self._tokens = itertools.count()
+        self._numbers = itertools.count()
         # Fingerprints by number of the exchange.
         self._in_flight: dict[Target, dict[int, bytes]] = {}
         self._suspects: collections.OrderedDict[bytes, float] = (
@@ -87,7 +87,7 @@
 
     def begin_exchange(self, target: Target, fingerprint: bytes) -> int:
         """Registers a request before it is written; returns its number."""
-        number = next(self._tokens)
+        number = next(self._numbers)
         self._in_flight.setdefault(target, {})[number] = fingerprint
         return number
 
