--- a/packages/dev/tests/platform/test_odd_bodies.py
+++ b/packages/dev/tests/platform/test_odd_bodies.py
@@ -102,12 +102,26 @@
     assert not asked
 
 
-@pytest.mark.parametrize("kind", [["safe"], {"a": 1}, [], {}, 1, None, "x"])
-async def test_an_odd_kind_of_a_route_is_rejected(kind):
+@pytest.mark.parametrize(
+    ("column", "value"),
+    [
+        *(("kind", kind) for kind in (["safe"], {"a": 1}, [], {}, 1, "x")),
+        ("kind", None),
+        *(
+            ("traffic_split", [part])
+            for part in (1, None, "service", ["service", "weight"], True)
+        ),
+    ],
+)
+async def test_an_odd_part_of_a_route_is_rejected(column, value):
     """Guards against an operator's request that ends without an answer."""
     document = copy.deepcopy(_WHOLE_CONFIGURATION)
     table = document["routes"]
-    table["rows"][0][table["columns"].index("kind")] = kind
+    if column not in table["columns"]:
+        table["columns"].append(column)
+        for row in table["rows"]:
+            row.append(None)
+    table["rows"][0][table["columns"].index(column)] = value
     asked, response = await _send(
         "/v1/configuration", json.dumps(document).encode(), None
     )
