Let the load of the memory test last until short requests were made

The check bounded wall time, which the house rules exclude. Now the load goes on until 20 short requests were made, at least 5 s; all must be served. That is stricter.

--- a/packages/dev/tests/fleetsoak/test_memory.py
+++ b/packages/dev/tests/fleetsoak/test_memory.py
@@ -16,6 +16,8 @@
 _LIMIT_MB = processes.MEMORY_LIMITS_MB["entry"]
 _REQUESTS_AT_ONCE = 16
 _LOAD_S = 5.0
+# The load lasts until so many short requests were made beside it.
+_SHORT_REQUESTS = 20
 _START_ATTEMPTS = 200
 _BLOCK = b"a" * 65536
 _CHUNK = b"10000\r\n" + _BLOCK + b"\r\n"
@@ -172,18 +174,20 @@
     async def run_load(self, load):
         """Runs a load, and short requests beside it; returns their statuses."""
         statuses = []
-        end_s = time.monotonic() + _LOAD_S
+        is_over = False
 
         async def repeat():
-            while time.monotonic() < end_s:
+            while not is_over:
                 await load()
 
         loads = [
             asyncio.create_task(repeat()) for _ in range(_REQUESTS_AT_ONCE)
         ]
-        while time.monotonic() < end_s:
+        end_s = time.monotonic() + _LOAD_S
+        while time.monotonic() < end_s or len(statuses) < _SHORT_REQUESTS:
             statuses.append(await self.ask("/sound/x"))
             await asyncio.sleep(0.05)
+        is_over = True
         await asyncio.gather(*loads)
         return statuses
 
@@ -259,7 +263,6 @@
 def _check(site, statuses):
     assert site.entry.is_running, site.entry.wait()
     assert site.peak_mb <= _LIMIT_MB
-    assert len(statuses) > 5
     assert set(statuses) == {200}
 
 
