Free the response of a caller that has left at once

An entry instance used 338 and 308 MB, 300 are allowed, with callers that do not read their responses and leave (test_memory.py, once its load lasted longer).

Cause: a cancelled task keeps its frames, with the response of up to 32 MiB; it was referred to by its connection, which forms a cycle with its parser, so that all of it stayed until the garbage collector ran, while the account had released it. Ruled out: the transport's buffers, which refer to the response without a copy and are freed with the connection.

Change: a connection that ends drops its task and its requests, and a response is not referred to once it is written.

--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -115,13 +115,20 @@
         peer = transport.get_extra_info("peername")
         self._caller_host = peer[0] if peer else ""
         self._listener.connections.add(self)
-        self._task = self._loop.create_task(self._serve())
+        self._task: asyncio.Task[None] | None = self._loop.create_task(
+            self._serve()
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels all pending requests: the caller has disconnected."""
         self._listener.connections.discard(self)
         self._drop_requests()
-        self._task.cancel()
+        if self._task is not None:
+            self._task.cancel()
+            # A cancelled task keeps its frames, and this object is part of a
+            # cycle with its parser: responses would be held until that is
+            # collected.
+            self._task = None
 
     def pause_writing(self) -> None:
         """Holds back responses until the caller reads."""
@@ -253,10 +260,12 @@
         self._has_work.set()
 
     def _drop_requests(self) -> None:
-        for each in self._pending:
+        while self._pending:
+            each = self._pending.popleft()
             each.task.cancel()
             each.hold.release()
         self._hold.release()
+        self._reset()
 
     async def _serve(self) -> None:
         try:
@@ -292,19 +301,26 @@
     async def _respond(self) -> bool:
         """Sends the next response; returns whether the connection goes on.
 
-        Returns only once nothing refers to the request and the response.
+        What the request holds is released once the response is sent.
         """
         request = self._pending[0]
         response = await self._wait_for_response(request.task)
-        self._pending.popleft()
         if response.close or self._listener.is_closing:
             self._is_ending = True
+        await self._writable.wait()
+        self._pending.popleft()
         # Requests that were begun are answered before the close: upstreams are
         # at work on them.
         keep_alive = request.keep_alive and not (
             self._is_ending and not self._pending
         )
-        await self._send(response, keep_alive, request.hold)
+        hold = request.hold
+        self._write(response, keep_alive)
+        del request, response
+        try:
+            await self._writable.wait()
+        finally:
+            hold.release()
         if not keep_alive:
             if self._is_ending or self._in_message:
                 await self._linger()
@@ -313,20 +329,6 @@
             self._resume_reading()
         return True
 
-    async def _send(
-        self,
-        response: http_messages.Response,
-        keep_alive: bool,
-        hold: memory_account.Hold,
-    ) -> None:
-        """Writes a response; what it holds is released once it is sent."""
-        try:
-            await self._writable.wait()
-            self._write(response, keep_alive)
-            await self._writable.wait()
-        finally:
-            hold.release()
-
     def _resume_reading(self) -> None:
         self._is_paused = False
         # A request may have arrived in part; its caller was not late meanwhile.
--- a/packages/daemon/tests/gateway/test_listener.py
+++ b/packages/daemon/tests/gateway/test_listener.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP server with raw request bytes."""
 
 import asyncio
+import gc
+import weakref
 
 import pytest
 
@@ -472,3 +474,32 @@
             break
     assert statuses[-1] == 400
     assert len(statuses) <= 2
+
+
+class _Body(bytearray):
+    """A long body that tells when it is freed."""
+
+
+async def test_a_response_is_freed_when_its_caller_leaves():
+    """Guards against responses kept until cycles are collected.
+
+    Seen in test_memory.py: an instance used 338 MB, as cancelled tasks kept
+    the responses of callers that had left.
+    """
+    references = []
+
+    async def handle(request):
+        body = _Body(30_000_000)
+        references.append(weakref.ref(body))
+        return http_messages.Response(200, [], body)
+
+    gc.disable()
+    try:
+        _, writer = await _Server(handle).connect()
+        writer.write(_format("/1") + _format("/2"))
+        await asyncio.sleep(0.2)
+        writer.transport.abort()
+        await asyncio.sleep(0.2)
+        assert [each() for each in references] == [None, None]
+    finally:
+        gc.enable()
