Let the instances of the forwarding tests have run for a window

Cause: keeps the constant part of the retry budget from an instance in its first window, and these instances have a budget of that part alone and are new.

The fixture now states that its instances have run for a window. Checks and bounds are as they were; with the old fixture the same test fails on this code.

--- a/packages/daemon/tests/gateway/test_forwarding.py
+++ b/packages/daemon/tests/gateway/test_forwarding.py
@@ -58,6 +58,8 @@
             clock,
             random.Random(1),
         )
+        # The instance has run for a window of the retry budget.
+        self.service._started_s = float("-inf")
         self.reachability = self.service._context.reachability
         self.listener = listener_lib.Listener(self.service.handle_forwarded)
         items = tuple(
