Recognise a crashing request from any address of its caller

Cause: the fingerprint of a request had the address of the caller's connection in it. The same request came from 22 addresses within 9 s, and each had a count of crashes of its own. Ruled out: lost reports, retries of the instance itself, and the limit of 64 requests for a crash.

Change: the address is no longer part of the fingerprint, of a request or of what instances forward to each other. The upstream never saw it, so two requests that differ in it alone are the same to the upstream. The site soak sends its crashing request from changing addresses.

--- a/packages/daemon/src/bamboosilld/gateway/fingerprint.py
+++ b/packages/daemon/src/bamboosilld/gateway/fingerprint.py
@@ -4,7 +4,8 @@
 
 from bamboosilld.gateway import http_messages
 
-# Headers that tell callers behind the same address apart.
+# Headers that name a caller. Its address does not: the clients of one caller
+# have several, and an upstream sees none of them.
 _CALLER_HEADERS = (b"authorization", b"cookie")
 
 
@@ -16,7 +17,6 @@
     for part in (
         request.method.encode("latin-1"),
         request.target.encode("latin-1"),
-        request.caller_host.encode("latin-1"),
         *(
             request.get(name) or b""
             for name in (b"host", names.key, *_CALLER_HEADERS)
--- a/packages/daemon/src/bamboosilld/gateway/forwarding.py
+++ b/packages/daemon/src/bamboosilld/gateway/forwarding.py
@@ -19,6 +19,7 @@
 _SENDS_LEFT = b"bamboosill-sends-left"
 _CONFIGURATION = b"bamboosill-configuration"
 _OUTCOME = b"bamboosill-outcome"
+# Earlier versions send the address of the caller; it is not forwarded.
 _CALLER = b"bamboosill-caller"
 _INTERNAL_HEADERS = frozenset((_SENDS_LEFT, _CONFIGURATION, _OUTCOME, _CALLER))
 # Largest size of the headers that a forwarded request has beyond those that its
@@ -194,7 +195,6 @@
         (names.deadline_ms, b"%d" % deadline_ms),
         (_SENDS_LEFT, b"%d" % limits.sends),
         (_CONFIGURATION, b"%d" % limits.configuration),
-        (_CALLER, request.caller_host.encode("latin-1")),
         (b"Content-Length", b"%d" % len(request.body)),
     ]
     head = f"{request.method} {request.target} HTTP/1.1\r\n"
@@ -217,13 +217,7 @@
     if sends is None or configuration is None:
         return None
     headers = _strip(request.headers)
-    return (
-        request._replace(
-            headers=headers,
-            caller_host=(request.get(_CALLER) or b"").decode("latin-1"),
-        ),
-        Limits(sends, configuration),
-    )
+    return request._replace(headers=headers), Limits(sends, configuration)
 
 
 def mark_response(
--- a/packages/daemon/src/bamboosilld/gateway/http_messages.py
+++ b/packages/daemon/src/bamboosilld/gateway/http_messages.py
@@ -32,7 +32,6 @@
         headers: Headers in order, names unmodified.
         body: The complete body.
         keep_alive: Whether the connection is persistent.
-        caller_host: IP address of the caller, or empty if unknown.
         hold: What the request and its response hold, if it is counted.
     """
 
@@ -41,7 +40,6 @@
     headers: Headers
     body: Body
     keep_alive: bool
-    caller_host: str = ""
     hold: memory_account.Hold | None = None
 
     def get(self, name: bytes) -> bytes | None:
--- a/packages/daemon/src/bamboosilld/gateway/listener.py
+++ b/packages/daemon/src/bamboosilld/gateway/listener.py
@@ -112,8 +112,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the task that writes the responses."""
         self._transport = transport
-        peer = transport.get_extra_info("peername")
-        self._caller_host = peer[0] if peer else ""
         self._listener.connections.add(self)
         self._task: asyncio.Task[None] | None = self._loop.create_task(
             self._serve()
@@ -223,7 +221,6 @@
             self._headers,
             http_messages.finish_body(self._body),
             keep_alive,
-            self._caller_host,
             self._hold,
         )
         self._reset()
--- a/packages/dev/src/bamboosill_dev/fleetsoak/site.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/site.py
@@ -342,7 +342,9 @@
             attempts.append(attempt)
             entry = self._rng.choice(self._entries)
             connection = site_client.Connection(entry.name, self.record)
-            if await connection.open(entry.caller_address):
+            # Each attempt comes from another address of the same caller.
+            local_host = f"127.200.0.{1 + len(attempts) % 200}"
+            if await connection.open(entry.caller_address, local_host):
                 await connection.send(
                     [site_client.Sending(attempt, path, True, b'{"id":1}')]
                 )
@@ -357,7 +359,7 @@
     ) -> bool:
         """Sends the next version until an instance decides on it."""
         version = self._version + 1
-        document = _make_configuration(version)
+        document = make_configuration(version)
         for process in self._rng.sample(self._control, len(self._control)):
             try:
                 async with session.put(
@@ -397,7 +399,8 @@
                     self._start(process)
 
 
-def _make_configuration(version: int) -> dict[str, Any]:
+def make_configuration(version: int) -> dict[str, Any]:
+    """Returns a version of the configuration; each has a route of its own."""
     columns = [
         *("name", "host", "path_prefix", "kind", "timeout"),
         *("slo_latency", "priority", "service", "max_attempts"),
--- a/packages/dev/src/bamboosill_dev/fleetsoak/site_client.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/site_client.py
@@ -35,13 +35,18 @@
         self._answered = 0
         self.is_open = False
 
-    async def open(self, address: str) -> bool:
-        """Returns whether the connection could be opened."""
+    async def open(self, address: str, local_host: str = "") -> bool:
+        """Opens the connection from an address of this host, if one is given.
+
+        Returns:
+            Whether the connection could be opened.
+        """
         host, _, port = address.rpartition(":")
+        local_address = (local_host, 0) if local_host else None
         try:
             async with asyncio.timeout(1.0):
                 self._reader, self._writer = await asyncio.open_connection(
-                    host, int(port)
+                    host, int(port), local_addr=local_address
                 )
         except (OSError, TimeoutError):
             return False
