Add the schema of cold upstreams, evacuations and effective slots

The parts of docs/hard-load.md are built side by side; their fields and messages are agreed on first, so that none is numbered twice. All are appended and nothing reads them yet.

Noted: a change of the configuration is recognised by a hash of its encoded bytes, and a longer ServiceItem changes these. Sent again to an instance of another version, an accepted change looks like another one, as with every field that was added to routes or services before.

--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -33,6 +33,10 @@
   sharded @5 :Bool;
   keyWarmupMs @6 :UInt32;
   grants @7 :Text;
+  # How long upstreams are cold after their start, and the requests a second that
+  # all instances together may send to a cold one; 0 for no limit.
+  warmupMs @8 :UInt32;
+  warmupPerS @9 :Float64;
 }
 
 struct CallerLimits {
@@ -140,6 +144,7 @@
   gone @4 :List(UpstreamLife);
   keys @5 :List(ServiceKeys);
   crashes @6 :List(UpstreamCrash);
+  evacuatedZones @7 :List(Text);
 }
 
 struct UpstreamCrash {
@@ -151,8 +156,10 @@
 }
 
 struct RecordCrashes {
-  # Command: crashes that entry instances have reported.
+  # Command: crashes that entry instances have reported, and fingerprints of
+  # suspected requests that an upstream has answered since.
   crashes @0 :List(UpstreamCrash);
+  answered @1 :List(Data);
 }
 
 struct ReportUpstreamCrash {
@@ -166,6 +173,34 @@
   reserved @0 :UInt32;
 }
 
+struct ReportAnswered {
+  # A request that was in flight at a crash and that an upstream has answered
+  # since, sent to the leader.
+  fingerprint @0 :Data;
+}
+
+struct ReportAnsweredReply {
+  # Reply to ReportAnswered, sent once it is recorded.
+  reserved @0 :UInt32;
+}
+
+struct SetEvacuation {
+  # Command: whether the upstreams of an availability zone get no requests.
+  zone @0 :Text;
+  isEvacuated @1 :Bool;
+}
+
+struct ChangeEvacuation {
+  # An order of an operator, forwarded to the leader.
+  zone @0 :Text;
+  isEvacuated @1 :Bool;
+}
+
+struct ChangeEvacuationReply {
+  # Reply to ChangeEvacuation, sent once the order is committed.
+  reserved @0 :UInt32;
+}
+
 struct KeyWork {
   # Load caused by one block of keys, in milliseconds of upstream time.
   service @0 :Text;
@@ -175,10 +210,12 @@
 
 struct UpstreamPace {
   # How slow an upstream was relative to the mean of its service, measured over
-  # responses that usually take `usualMs` in total.
+  # responses that usually take `usualMs` in total. `utilisation` is the quarter
+  # of its slots that were busy, from 1 to 4, or 0 for all responses.
   upstream @0 :Text;
   pace @1 :Float32;
   usualMs @2 :Float32;
+  utilisation @3 :UInt8;
 }
 
 struct UpstreamLoad {
@@ -242,6 +279,9 @@
   # that take forwarded requests.
   forwarders @9 :List(EntryAddress);
   forwardersVersion @10 :UInt64;
+  # Effective slots in the order of `loads`, in 1/200 of the stated ones; 0 if
+  # unknown.
+  slotShares @11 :Data;
 }
 
 struct UpstreamLimit {
@@ -252,6 +292,8 @@
   bornMs @1 :UInt64;
   ratePerS @2 :Float64;
   ageMs @3 :UInt32;
+  # Time for which the upstream stays cold; 0 if it is not.
+  coldMs @4 :UInt32;
 }
 
 struct AcquirePermits {
