Let errors of upstreams clear no request of a crash

Cause: any answer marked a request as sound, which keeps it out of reports of crashes for a minute. An upstream may send 504 at the deadline to a request that it has not started, and a proxy beside it 502. Such an answer says nothing about the request.

Change: the crash detector gets the status of an answer and ignores 500 to 599. It decides this for both request paths, which no longer differ.

Changed tests: calls of record_answer in test_crash_detector.py name a status, 200; what they check is unchanged.

--- a/packages/daemon/src/bamboosilld/crash_detector.py
+++ b/packages/daemon/src/bamboosilld/crash_detector.py
@@ -2,8 +2,8 @@
 
 Requests that repeatedly crash upstreams are quarantined on all instances. To
 find them, each instance reports the fingerprints of its requests that were in
-flight at an upstream when it crashed, unless the same request has recently run
-to its end.
+flight at an upstream when it crashed, unless the same request has recently been
+answered.
 """
 
 import asyncio
@@ -30,6 +30,9 @@
 # A request that an upstream has answered this recently did not cause a crash.
 _SOUND_TTL_S = 60.0
 MAX_SOUND_REQUESTS = 4096
+# An upstream may give up a request that it has not started, with an error such
+# as 504 at its deadline.
+_FIRST_ERROR_STATUS = 500
 _MAX_REPORTED_CRASHES = 256
 
 _log = logs.get_logger("crash")
@@ -98,8 +101,17 @@
         if not in_flight:
             del self._in_flight[target]
 
-    def record_answer(self, fingerprint: bytes) -> None:
-        """Records that an upstream has run a request to its end."""
+    def record_answer(self, fingerprint: bytes, status: int) -> None:
+        """Records that an upstream has answered a request.
+
+        Errors of upstreams do not show that the request is harmless.
+
+        Args:
+            fingerprint: The request.
+            status: Status of the answer, which is not a rejection.
+        """
+        if status >= _FIRST_ERROR_STATUS:
+            return
         self._suspects.pop(fingerprint, None)
         _put(
             self._sound,
--- a/packages/daemon/src/bamboosilld/entry/dispatch.py
+++ b/packages/daemon/src/bamboosilld/entry/dispatch.py
@@ -238,8 +238,10 @@
             )
             complete = True
             if isinstance(attempt_result, Success):
-                self._crash_detector.record_answer(inbound.fingerprint)
-            return attempt_result
+                self._crash_detector.record_answer(
+                    inbound.fingerprint, attempt_result.unwrap()
+                )
+            return attempt_result.map(lambda _: None)
         finally:
             self._crash_detector.end_exchange(target, exchange_number)
             if not complete or _is_deadline_exceeded(attempt_result):
@@ -250,7 +252,8 @@
         result: Result[exchange.HttpResponse, faults.Fault],
         upstream: zone_messages.Upstream,
         options: AttemptOptions,
-    ) -> Result[None, AttemptFailure]:
+    ) -> Result[int, AttemptFailure]:
+        """Delivers a response; returns its status, or why there is none."""
         if isinstance(result, Failure):
             fault = result.failure()
             if fault.code in ("broken", "truncated"):
@@ -269,7 +272,7 @@
             detail = f"{upstream.address}: the answer was truncated"
             await self._crash_detector.check_crash(_make_target(upstream))
             return Failure(faults.Fault("cut", detail, True))
-        return Success(None)
+        return Success(response.status)
 
     def _cancel(
         self,
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -300,7 +300,9 @@
             self._record_possible_run()
             self._record_failed_attempt(upstream, fault)
             return None
-        self._context.crash_detector.record_answer(self._routed.fingerprint)
+        self._context.crash_detector.record_answer(
+            self._routed.fingerprint, response.status
+        )
         is_error = response.status >= _FIRST_ERROR_STATUS
         if is_error and self._routed.route.idempotent:
             self._record_possible_run()
--- a/packages/daemon/tests/entry/test_router.py
+++ b/packages/daemon/tests/entry/test_router.py
@@ -360,6 +360,21 @@
     assert harness.member.count("ReportCrash") == 0
 
 
+@pytest.mark.parametrize(
+    ("fault", "status", "is_sound"),
+    [("", 200, True), ("status:409", 409, True), ("status:503", 503, False)],
+)
+async def test_an_error_of_an_upstream_shows_no_sound_request(
+    harness, fault, status, is_sound
+):
+    """Guards against a crashing request that an upstream's error clears."""
+    await harness.start()
+    await harness.start_upstream()
+    response = await harness.send(headers={"X-Test-Fault": fault})
+    assert response[0] == status
+    assert bool(harness.entry._crash_detector._sound) == is_sound
+
+
 async def test_quarantined_request_is_explained(harness):
     """Guards against a quarantined request that runs under another id."""
     await harness.start()
--- a/packages/daemon/tests/gateway/test_crashing_requests.py
+++ b/packages/daemon/tests/gateway/test_crashing_requests.py
@@ -63,6 +63,10 @@
     writer.write(make_response(headers["x-id"], b"", status, extra))
 
 
+async def _answer_late(server, headers, writer):
+    writer.write(make_response(headers["x-id"], b"", "504 Late"))
+
+
 async def _answer_encoded(server, headers, writer):
     extra = "Content-Encoding: gzip\r\n"
     writer.write(make_response(headers["x-id"], extra=extra))
@@ -163,12 +167,17 @@
 
 @pytest.mark.parametrize(
     ("script", "is_sound"),
-    [(_answer, True), (_reject, False), (_answer_encoded, False)],
+    [
+        (_answer, True),
+        (_reject, False),
+        (_answer_late, False),
+        (_answer_encoded, False),
+    ],
 )
 async def test_only_an_answer_shows_that_a_request_is_sound(
     serve, script, is_sound
 ):
-    """Guards against a crashing request that a rejection clears."""
+    """Guards against a crashing request that a rejection or a 504 clears."""
     gateway = _Gateway()
     gateway.add(await serve(script))
     await gateway.send()
--- a/packages/daemon/tests/test_crash_detector.py
+++ b/packages/daemon/tests/test_crash_detector.py
@@ -52,7 +52,7 @@
 ):
     """Guards against a popular request that is blamed for others' crashes."""
     for each in answered:
-        upstream.detector.record_answer(each)
+        upstream.detector.record_answer(each, 200)
     for each in (b"a", b"b", b"a"):
         upstream.detector.begin_exchange(upstream.target, each)
     await upstream.crash()
@@ -63,10 +63,36 @@
     assert await check
     assert upstream.reports == [fingerprints]
     assert upstream.detector.is_suspect(b"b") == (b"b" in fingerprints)
-    upstream.detector.record_answer(b"b")
+    upstream.detector.record_answer(b"b", 200)
     assert not upstream.detector.is_suspect(b"b")
 
 
+@pytest.mark.parametrize(
+    ("status", "is_cleared"),
+    [
+        (200, True),
+        (404, True),
+        (499, True),
+        (500, False),
+        (504, False),
+        (599, False),
+    ],
+)
+async def test_an_error_of_an_upstream_does_not_clear_a_request(
+    upstream, status, is_cleared
+):
+    """Guards against a crashing request that a 504 at its deadline clears."""
+    number = upstream.detector.begin_exchange(upstream.target, b"a")
+    await upstream.crash()
+    check = upstream.detector.begin_check(upstream.target)
+    await asyncio.sleep(0)
+    upstream.detector.end_exchange(upstream.target, number)
+    assert await check
+    upstream.detector.record_answer(b"a", status)
+    assert upstream.detector.is_suspect(b"a") != is_cleared
+    assert (b"a" in upstream.detector._sound) == is_cleared
+
+
 async def test_an_exchange_that_continues_shows_that_there_was_no_crash(
     upstream,
 ):
@@ -94,5 +120,5 @@
     """Guards against memory that grows with the number of requests."""
     detector = upstream.detector
     for number in range(crash_detector.MAX_SOUND_REQUESTS + 10):
-        detector.record_answer(b"%d" % number)
+        detector.record_answer(b"%d" % number, 200)
     assert len(detector._sound) == crash_detector.MAX_SOUND_REQUESTS
