Clear a suspected request that an upstream has answered

Cause: a popular request is in flight at most crashes that another request causes. An instance that saw it answered within a minute does not report it, but one of many has not, and three crashes quarantined it everywhere for 10 minutes.

Change: an instance that gets an answer below 500 to a suspected request sends ReportAnswered to the leader, one at a time for each request (gateway/crash_reports.py, which takes over the reports of crashes from the service). The leader commits it with the crashes of that moment. A quarantined request is cleared by nothing. In the crashes of a cleared request an empty fingerprint takes its place, so that no other request is taken for the only one in flight.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -200,6 +200,11 @@
     "Requests forwarded to other entry instances, by outcome.",
     ["outcome"],
 )
+gateway_answer_reports = prometheus_client.Counter(
+    "bamboosill_gateway_answer_reports_total",
+    "Reports that an upstream answered a suspected request, by outcome.",
+    ["outcome"],
+)
 gateway_sync_age = prometheus_client.Gauge(
     "bamboosill_gateway_sync_age_seconds",
     "Time since the leader last answered this entry instance.",
--- a/packages/daemon/src/bamboosilld/crash_detector.py
+++ b/packages/daemon/src/bamboosilld/crash_detector.py
@@ -61,6 +61,7 @@
         report: Callable[[Crash], Awaitable[None]],
         clock: clock_lib.Clock,
         settle_s: float = 0.0,
+        on_sound: Callable[[bytes], None] = lambda fingerprint: None,
     ) -> None:
         """Creates a detector.
 
@@ -70,9 +71,12 @@
             settle_s: Time after a broken connection before a probe. An exchange
                 that continues for so long shows that the upstream did not
                 crash. With 0, each broken connection is followed by a probe.
+            on_sound: Called with each request that an answer shows to be
+                harmless.
         """
         self._report = report
         self._clock = clock
+        self._on_sound = on_sound
         self._settle_s = settle_s
         self._numbers = itertools.count()
         # Fingerprints by number of the exchange.
@@ -119,6 +123,7 @@
             self._clock.monotonic(),
             MAX_SOUND_REQUESTS,
         )
+        self._on_sound(fingerprint)
 
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Returns whether a request was running when an upstream crashed."""
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -68,7 +68,8 @@
     Attributes:
         observations: What entry instances have reported since the election.
         permits: Permits to send to upstreams with a rate limit.
-        crashes: Commits the crashes that entry instances report.
+        crashes: Commits the crashes, and the answered requests, that entry
+            instances report.
     """
 
     def __init__(
@@ -99,7 +100,11 @@
             call_client,
             rng,
         )
-        self.crashes = crash_recorder.CrashRecorder(self._commit, clock)
+        self.crashes = crash_recorder.CrashRecorder(
+            self._commit,
+            clock,
+            lambda fingerprint: state.quarantine.is_suspected(fingerprint),
+        )
         self._elected_at_s: float | None = None
         self._reset()
 
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -97,6 +97,7 @@
             messages.SubmitChange: self._on_submit,
             messages.ReadConfiguration: self._on_read,
             messages.ReportUpstreamCrash: self._on_report_crash,
+            messages.ReportAnswered: self._on_report_answered,
         }
         for message_type in self._handlers:
             handlers.register(message_type)(self._on_leader_request)
@@ -339,6 +340,12 @@
         await self.authority.crashes.record(report.crash)
         return messages.ReportUpstreamCrashReply()
 
+    async def _on_report_answered(
+        self, report: messages.ReportAnswered
+    ) -> messages.ReportAnsweredReply:
+        await self.authority.crashes.record_answered(report)
+        return messages.ReportAnsweredReply()
+
     async def _on_submit(
         self, submit: messages.SubmitChange
     ) -> messages.SubmitReply:
--- a/packages/daemon/src/bamboosilld/fleet/crash_recorder.py
+++ b/packages/daemon/src/bamboosilld/fleet/crash_recorder.py
@@ -1,6 +1,7 @@
-"""Commits the crashes of upstreams that entry instances report.
+"""Commits crashes of upstreams, and answers that clear suspected requests.
 
-After one crash, many instances report at about the same time. Reports that
+After one crash, many instances report it at about the same time, and soon
+afterwards that a popular request was answered that was in flight. Reports that
 arrive while a command is being committed share the next one.
 """
 
@@ -16,19 +17,29 @@
 _MAX_BATCH = 256
 
 
+_Report = messages.UpstreamCrash | messages.ReportAnswered
+
+
 class CrashRecorder:
-    """Collects reported crashes and commits them in batches."""
+    """Collects what instances report and commits it in batches."""
 
     def __init__(
         self,
         commit: Callable[[object], Awaitable[None]],
         clock: clock_lib.Clock,
+        is_suspected: Callable[[bytes], bool],
     ) -> None:
+        """Creates a recorder.
+
+        Args:
+            commit: Commits a command.
+            clock: Source of the time of crashes.
+            is_suspected: Returns whether an answer clears a request.
+        """
         self._commit = commit
         self._clock = clock
-        self._waiting: list[
-            tuple[messages.UpstreamCrash, asyncio.Future[None]]
-        ] = []
+        self._is_suspected = is_suspected
+        self._waiting: list[tuple[_Report, asyncio.Future[None]]] = []
         self._task: asyncio.Task[None] | None = None
 
     async def record(self, crash: messages.UpstreamCrash) -> None:
@@ -37,11 +48,22 @@
         Raises:
             errors.HandlerError: It was not committed in time.
         """
+        await self._record(crash._replace(at_ms=self._clock.wall_ms()))
+
+    async def record_answered(self, report: messages.ReportAnswered) -> None:
+        """Returns once an answered request is not suspected any more.
+
+        Raises:
+            errors.HandlerError: That was not committed in time.
+        """
+        if self._is_suspected(report.fingerprint):
+            await self._record(report)
+
+    async def _record(self, report: _Report) -> None:
         future: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
-        crash = crash._replace(at_ms=self._clock.wall_ms())
-        self._waiting.append((crash, future))
+        self._waiting.append((report, future))
         if self._task is None:
             self._task = asyncio.create_task(self._commit_waiting())
         await future
@@ -56,16 +78,15 @@
             self._task = None
 
     async def _commit_batch(
-        self,
-        batch: list[tuple[messages.UpstreamCrash, asyncio.Future[None]]],
+        self, batch: list[tuple[_Report, asyncio.Future[None]]]
     ) -> None:
         error: Exception | None = None
-        try:
-            await self._commit(
-                messages.RecordCrashes(tuple(crash for crash, _ in batch))
-            )
-        except errors.HandlerError as handler_error:
-            error = handler_error
+        command = self._make_command([report for report, _ in batch])
+        if command.crashes or command.answered:
+            try:
+                await self._commit(command)
+            except errors.HandlerError as handler_error:
+                error = handler_error
         for _, future in batch:
             if future.done():
                 continue
@@ -73,3 +94,16 @@
                 future.set_result(None)
             else:
                 future.set_exception(error)
+
+    def _make_command(self, reports: list[_Report]) -> messages.RecordCrashes:
+        crashes = (
+            each for each in reports if isinstance(each, messages.UpstreamCrash)
+        )
+        answered = dict.fromkeys(
+            each.fingerprint
+            for each in reports
+            if isinstance(each, messages.ReportAnswered)
+            # The command before may have cleared it.
+            and self._is_suspected(each.fingerprint)
+        )
+        return messages.RecordCrashes(tuple(crashes), tuple(answered))
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -151,26 +151,65 @@
 
         It is tried again for a while, as the leader may be changing.
         """
-        report = messages.ReportUpstreamCrash(crash)
+        reason = await self._report(
+            messages.ReportUpstreamCrash(crash),
+            messages.ReportUpstreamCrashReply,
+            lambda: True,
+        )
+        if reason:
+            _log.warning(
+                "Crash not reported. Upstream: %s. Reason: %s.",
+                crash.upstream,
+                reason,
+            )
+        return not reason
+
+    async def report_answered(self, fingerprint: bytes) -> bool:
+        """Reports to the leader that a suspected request was answered.
+
+        It is tried again for a while, unless the request is cleared or
+        quarantined meanwhile.
+
+        Returns:
+            Whether it is not suspected any more.
+        """
+        reason = await self._report(
+            messages.ReportAnswered(fingerprint),
+            messages.ReportAnsweredReply,
+            lambda: self.state.quarantine.is_suspected(fingerprint),
+        )
+        if reason:
+            _log.info(
+                "Answer not reported. Request: %s. Reason: %s.",
+                fingerprint.hex(),
+                reason,
+            )
+        return not reason
+
+    async def _report(
+        self,
+        report: object,
+        reply_type: type[NamedTuple],
+        is_needed: Callable[[], bool],
+    ) -> str:
+        """Has the leader record something.
+
+        Returns:
+            Why it was not recorded, or an empty string.
+        """
         reason = "none known"
         for _ in range(_REPORT_ATTEMPTS):
+            if not is_needed():
+                return ""
             if self._leader:
                 result = await self._directory.call(
-                    self._leader,
-                    report,
-                    messages.ReportUpstreamCrashReply,
-                    _REPORT_TIMEOUT_S,
+                    self._leader, report, reply_type, _REPORT_TIMEOUT_S
                 )
                 if isinstance(result, Success):
-                    return True
+                    return ""
                 reason = result.failure().code
             await self._clock.sleep(_REPORT_RETRY_DELAY_S)
-        _log.warning(
-            "Crash not reported. Upstream: %s. Reason: %s.",
-            crash.upstream,
-            reason,
-        )
-        return False
+        return reason
 
     def _list_candidates(self) -> list[str]:
         others = list(
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -271,6 +271,18 @@
         return ""
 
     def _record_crashes(self, command: messages.RecordCrashes) -> str:
+        # First, as the answers were reported after earlier crashes.
+        cleared = [
+            each.hex()
+            for each in command.answered
+            if self.quarantine.clear(each)
+        ]
+        if cleared:
+            _log.info(
+                "Suspected requests cleared by answers: %d.",
+                len(cleared),
+                extra={"fingerprints": cleared},
+            )
         for crash in command.crashes:
             blocked = self.quarantine.report(
                 (crash.upstream, crash.born_ms), crash.fingerprints, crash.at_ms
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -14,6 +14,7 @@
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import keyranges
 from bamboosilld.gateway import budget as budget_lib
+from bamboosilld.gateway import crash_reports
 from bamboosilld.gateway import fingerprint
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
@@ -87,6 +88,7 @@
     ) -> None:
         self._settings = settings
         self._names = settings.names
+        crash_reporter = crash_reports.CrashReporter(follower)
         self._context = request_context.SendContext(
             settings.zone,
             settings.names,
@@ -116,7 +118,10 @@
             ),
             request_context.Shutdown(),
             crash_detector_lib.CrashDetector(
-                self._report_crash, clock, _CRASH_SETTLE_S
+                crash_reporter.report_crash,
+                clock,
+                _CRASH_SETTLE_S,
+                crash_reporter.report_answer,
             ),
         )
         self._follower = follower
@@ -306,27 +311,6 @@
             self._count_request(routed)
         return await self._send(routed)
 
-    async def _report_crash(self, crash: crash_detector_lib.Crash) -> None:
-        """Reports requests that may have crashed an upstream.
-
-        An upstream that leaves ends its last connections itself.
-        """
-        item = self._view.state.upstreams.get(crash.target.upstream)
-        if (
-            not crash.fingerprints
-            or item is None
-            or item.born_ms != crash.target.incarnation
-            or item.draining
-        ):
-            return
-        await self._follower.report_crash(
-            messages.UpstreamCrash(
-                crash.target.upstream,
-                crash.target.incarnation,
-                fingerprints=crash.fingerprints,
-            )
-        )
-
     def _count_request(self, routed: request_context.RoutedRequest) -> None:
         service, key, route = routed.service, routed.key, routed.route
         self._get_retry_budget(service).count_request()
--- a/packages/daemon/src/bamboosilld/quarantine.py
+++ b/packages/daemon/src/bamboosilld/quarantine.py
@@ -3,10 +3,14 @@
 Part of the replicated state of a zone group and of a control group. Entry
 instances report the requests that were in flight at a crashed upstream. A
 request that was in flight at several crashes is quarantined for a time, so that
-it causes no more of them.
+it causes no more of them. An answer clears a request that is only suspected.
+
+Which requests are suspected or quarantined follows from the recorded crashes
+alone, so that a restored snapshot and the applied commands give the same table.
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -20,6 +24,9 @@
 MAX_CRASHES = 1_000
 # Limit of requests stored for one crash.
 MAX_FINGERPRINTS_PER_CRASH = 64
+# Stands for requests that were dropped from a crash. The others were still not
+# the only one in flight.
+_DROPPED = b""
 
 CrashKey = tuple[str, int]
 """Upstream id and incarnation."""
@@ -76,11 +83,27 @@
         current = self._crashes.pop(key, Crash(now_ms, ()))
         merged = dict.fromkeys((*current.fingerprints, *fingerprints))
         kept = tuple(merged)[:MAX_FINGERPRINTS_PER_CRASH]
-        self._put(key, Crash(current.at_ms, kept))
-        for each in kept:
-            self._update_quarantine(each)
+        self.restore(key, Crash(current.at_ms, kept))
         return tuple(each for each in kept if each in self._until_ms)
 
+    def is_suspected(self, fingerprint: bytes) -> bool:
+        """Returns whether a request is suspected, but not quarantined."""
+        return (
+            fingerprint in self._by_fingerprint
+            and fingerprint not in self._until_ms
+        )
+
+    def clear(self, fingerprint: bytes) -> bool:
+        """Clears a request that an upstream has answered.
+
+        Returns:
+            Whether it was suspected. A quarantined request is not cleared.
+        """
+        if not self.is_suspected(fingerprint):
+            return False
+        self._drop_everywhere(fingerprint)
+        return True
+
     def find(self, fingerprint: bytes, now_ms: int) -> Explanation | None:
         """Returns why a request is quarantined at a wall time, or None."""
         until_ms = self._until_ms.get(fingerprint)
@@ -98,16 +121,21 @@
 
     def restore(self, key: CrashKey, crash: Crash) -> None:
         """Restores a crash that `list_crashes` has returned."""
-        self._put(key, crash)
-        for each in crash.fingerprints:
-            self._update_quarantine(each)
-
-    def _put(self, key: CrashKey, crash: Crash) -> None:
         self._crashes[key] = crash
         for each in crash.fingerprints:
-            self._by_fingerprint.setdefault(each, {})[key] = None
+            if each != _DROPPED:
+                keys = self._by_fingerprint.setdefault(each, {})
+                # In the order of `_crashes`, as after a restored snapshot.
+                keys.pop(key, None)
+                keys[key] = None
         while len(self._crashes) > MAX_CRASHES:
             self._remove(next(iter(self._crashes)))
+        for each in crash.fingerprints:
+            self._update_quarantine(each)
+            if each in self._until_ms:
+                self._until_ms.move_to_end(each)
+        while len(self._until_ms) > MAX_QUARANTINED:
+            self._drop_everywhere(next(iter(self._until_ms)))
 
     def _update_quarantine(self, fingerprint: bytes) -> None:
         """Derives from the known crashes whether a request is quarantined."""
@@ -116,32 +144,54 @@
             for key in self._by_fingerprint.get(fingerprint, ())
         ]
         sole_crashes = sum(len(crash.fingerprints) == 1 for crash in crashes)
-        self._until_ms.pop(fingerprint, None)
         if (
             sole_crashes < SOLE_CRASH_LIMIT
             and len(crashes) < SHARED_CRASH_LIMIT
         ):
+            self._until_ms.pop(fingerprint, None)
             return
         last_ms = max(crash.at_ms for crash in crashes)
         self._until_ms[fingerprint] = last_ms + QUARANTINE_MS
-        while len(self._until_ms) > MAX_QUARANTINED:
-            self._until_ms.popitem(last=False)
 
     def _expire(self, now_ms: int) -> None:
+        """Drops old crashes from the counts of requests.
+
+        Those that have quarantined a request count until its quarantine ends.
+        """
         limit_ms = now_ms - QUARANTINE_MS
-        for key in [
-            key
-            for key, crash in self._crashes.items()
-            if crash.at_ms <= limit_ms
-        ]:
-            self._remove(key)
+        for key, crash in list(self._crashes.items()):
+            if crash.at_ms > limit_ms:
+                continue
+            dropped = {
+                each
+                for each in crash.fingerprints
+                if self._until_ms.get(each, 0) <= now_ms
+            }
+            if len(dropped) == len(crash.fingerprints):
+                self._remove(key)
+            else:
+                self._drop(key, dropped)
 
     def _remove(self, key: CrashKey) -> None:
-        crash = self._crashes.pop(key)
-        for each in crash.fingerprints:
+        self._drop(key, self._crashes[key].fingerprints)
+        del self._crashes[key]
+
+    def _drop_everywhere(self, fingerprint: bytes) -> None:
+        for key in tuple(self._by_fingerprint[fingerprint]):
+            self._drop(key, (fingerprint,))
+
+    def _drop(self, key: CrashKey, dropped: Collection[bytes]) -> None:
+        """Drops requests from a crash."""
+        crash = self._crashes[key]
+        fingerprints = dict.fromkeys(
+            _DROPPED if each in dropped else each for each in crash.fingerprints
+        )
+        self._crashes[key] = crash._replace(fingerprints=tuple(fingerprints))
+        for each in dropped:
+            if each == _DROPPED:
+                continue
             keys = self._by_fingerprint[each]
-            keys.pop(key, None)
+            del keys[key]
             if not keys:
                 del self._by_fingerprint[each]
-            if len(keys) < SOLE_CRASH_LIMIT:
-                self._until_ms.pop(each, None)
+            self._update_quarantine(each)
--- a/packages/daemon/tests/gateway/test_crashing_requests.py
+++ b/packages/daemon/tests/gateway/test_crashing_requests.py
@@ -13,6 +13,7 @@
 from bamboosilld import crash_detector
 from bamboosilld.fleet import state as state_lib
 from bamboosilld.gateway import budget
+from bamboosilld.gateway import crash_reports
 from bamboosilld.gateway import fingerprint
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
@@ -80,8 +81,9 @@
         self.state = state_lib.FleetState()
         self.clock = clock_lib.LoopClock()
         self._view = view_lib.View(self.state, self.clock, NAMES.request_id)
+        reporter = crash_reports.CrashReporter(self)
         self.detector = crash_detector.CrashDetector(
-            self._report, self.clock, 0.05
+            self._report, self.clock, 0.05, reporter.report_answer
         )
         self._index = 0
         self._apply(
@@ -96,6 +98,10 @@
     async def _report(self, crash):
         self.reports.append((crash.target.upstream, crash.fingerprints))
 
+    async def report_answered(self, fingerprint):
+        self._apply(fleet_messages.RecordCrashes(answered=(fingerprint,)))
+        return True
+
     def _apply(self, command):
         self._index += 1
         self.state.apply(self._index, wire.pack(command))
@@ -219,6 +225,37 @@
     assert other.upstream_response is not None
 
 
+@pytest.mark.parametrize(
+    ("script", "statuses"),
+    [
+        (_answer, [200, 200, 200, 200]),
+        # The caller is refused by the instance.
+        (_answer_late, [504, 504, None, None]),
+    ],
+)
+async def test_answers_keep_a_harmless_request_from_being_refused(
+    serve, script, statuses
+):
+    """Guards against refusing a request that was in flight at each crash.
+
+    Without reports of answers, it was refused from the third crash on.
+    """
+    gateway = _Gateway()
+    gateway.add(await serve(script))
+    harmless = fingerprint.compute_fingerprint(_REQUEST, NAMES)
+    seen = []
+    for number in range(4):
+        gateway.record_crash(
+            number, gateway.clock.wall_ms(), harmless, b"crashing"
+        )
+        response = (await gateway.send()).upstream_response
+        seen.append(response.status if response is not None else None)
+        await asyncio.sleep(0)
+    assert seen == statuses
+    now_ms = gateway.clock.wall_ms()
+    assert gateway.state.quarantine.find(b"crashing", now_ms)
+
+
 async def test_a_quarantine_ends(serve):
     """Guards against requests that are refused for good."""
     gateway = _Gateway()
--- a/packages/dev/tests/fleetsoak/test_crashing_requests.py
+++ b/packages/dev/tests/fleetsoak/test_crashing_requests.py
@@ -20,6 +20,10 @@
 _MAX_LATE_ARRIVALS = 3
 _CRASHING_PATH = f"{site_upstream.CRASHING_PREFIX}/1"
 _START_ATTEMPTS = 300
+_HARMLESS_PATH = "/look/harmless"
+_HARMLESS_WORK_S = 0.7
+_HARMLESS_REQUESTS = 18
+_CLEARED_ATTEMPTS = 30
 
 
 class _Site:
@@ -86,6 +90,10 @@
             if not upstream.is_up:
                 await upstream.start()
 
+    def slow_down(self, work_s):
+        for upstream in self._upstreams:
+            upstream.work_s = work_s
+
     async def send(self, attempt, path, *, entry=0, local_host=""):
         process = self._entries[entry]
         connection = site_client.Connection(process.name, self.record)
@@ -133,3 +141,30 @@
         ]
         assert len(late) <= _MAX_LATE_ARRIVALS
         assert await tested.send("sound", "/look/x") == 200
+
+
+async def test_an_answer_clears_a_request_that_was_in_flight(
+    tmp_path, monkeypatch
+):
+    """Guards against an answer that no instance commits.
+
+    Without reports of answers, no instance logs that a request was cleared.
+    """
+    # All work takes equally long, so that the first answer follows the crash.
+    monkeypatch.setattr(random.Random, "lognormvariate", lambda *_: 1.0)
+    async with _Site(tmp_path) as tested:
+        tested.slow_down(_HARMLESS_WORK_S)
+        harmless = [
+            asyncio.create_task(tested.send(f"h{number}", _HARMLESS_PATH))
+            for number in range(_HARMLESS_REQUESTS)
+        ]
+        await asyncio.sleep(_HARMLESS_WORK_S / 10)
+        await tested.send("crash", _CRASHING_PATH)
+        await asyncio.gather(*harmless)
+        for _ in range(_CLEARED_ATTEMPTS):
+            logs = [each.read_text() for each in tmp_path.glob("*.log")]
+            if all("cleared by answers: 1." in each for each in logs):
+                break
+            assert await tested.send("later", _HARMLESS_PATH) == 200
+        assert len(logs) == 3
+        assert all("cleared by answers: 1." in each for each in logs)
