Accept only statuses of 100 to 599 from upstreams

Cause: both parsers accept any three digits as a status. Statuses below 200 were taken for informational, so that a caller waited until its deadline, or got 000 as its answer if the body ended with the connection. 600 to 999 were passed on.

Change: response_status says for both request paths what a status may be: 100 to 599, except 101. Any other ends the exchange as malformed once its head is there; the request may have run. Informational responses are skipped as before, within the bounds on their bytes. The entry role kept a connection on which status 000 followed a complete response; it closes it now.

--- a/packages/daemon/src/bamboosilld/entry/connection.py
+++ b/packages/daemon/src/bamboosilld/entry/connection.py
@@ -14,6 +14,8 @@
 from aiohttp import http
 from aiohttp import streams
 
+from bamboosilld import response_status
+
 _MAX_HEADER_LINE_BYTES = 16 * 1024
 # Read buffer of a connection. Also bounds how much of a response body is
 # buffered before the response is streamed to the caller.
@@ -22,7 +24,6 @@
 # What an upstream may send in a row without any byte of a body.
 _MAX_BYTES_WITHOUT_BODY = 64 * 1024
 _BODYLESS_STATUSES = frozenset({204, 304})
-_FIRST_FINAL_STATUS = 200
 
 
 class ConnectionFaultError(Exception):
@@ -199,13 +200,16 @@
             self.fail("malformed")
             return
         for message, payload in messages:
-            if message.code < _FIRST_FINAL_STATUS:
+            if response_status.is_informational(message.code):
                 continue
             if self._head is not None:
                 # The first response is complete and valid, but the connection
                 # must not be reused.
                 self._surplus_response = True
                 continue
+            if not response_status.is_valid(message.code):
+                self.fail("malformed")
+                return
             if not self._is_framed(message):
                 self.fail("unframed")
                 return
--- a/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_connection.py
@@ -16,6 +16,7 @@
 from bamboosill_common import logs
 from bamboosilld import connector
 from bamboosilld import memory_account
+from bamboosilld import response_status
 from bamboosilld.gateway import http_messages
 
 # Several round trips between zones. After it, the request is retried, possibly
@@ -268,6 +269,10 @@
             return
         self._has_headers = True
         self._status = self._parser.get_status_code()
+        if not response_status.is_valid(self._status):
+            self._fail("malformed")
+            self.abort()
+            return
         names = {name.lower() for name, _ in self._headers}
         self._is_framed = (
             b"content-length" in names
@@ -289,7 +294,10 @@
         """
         if self._is_complete or self._parser is None:
             return
-        if self._status < 200 or not self._is_expected():
+        if (
+            response_status.is_informational(self._status)
+            or not self._is_expected()
+        ):
             self._reset_response()
             return
         self._keep_alive = self._is_framed and self._parser.should_keep_alive()
--- a/packages/daemon/tests/gateway/test_request_sender.py
+++ b/packages/daemon/tests/gateway/test_request_sender.py
@@ -59,6 +59,13 @@
     await asyncio.sleep(60)
 
 
+def _send_status(status):
+    async def script(server, headers, writer):
+        writer.write(make_response(headers["x-id"], status=f"{status} X"))
+
+    return script
+
+
 class _Fleet:
     """Upstreams of one service and the view of an entry instance."""
 
@@ -160,6 +167,11 @@
         # first.
         (True, _fail, 2, 200, True),
         (False, _fail, 1, 500, True),
+        # A status that no upstream may send is no response.
+        (True, _send_status("000"), 2, 200, True),
+        (False, _send_status("000"), 1, None, True),
+        (True, _send_status("600"), 2, 200, True),
+        (False, _send_status("600"), 1, None, True),
     ],
 )
 async def test_only_repeatable_requests_are_retried(
--- a/packages/daemon/tests/gateway/test_service.py
+++ b/packages/daemon/tests/gateway/test_service.py
@@ -182,6 +182,28 @@
         assert float(dict(response.headers)[b"Retry-After"]) < 0.2
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+async def test_a_status_that_no_upstream_may_send_becomes_an_error_of_ours(
+    serve, status
+):
+    """Guards against callers that get status 000 as an answer."""
+
+    async def respond(server, headers, writer):
+        writer.write(make_response(headers["x-id"], status=f"{status} X"))
+
+    follower = _Follower()
+    service = _make_service(follower)
+    server = await serve(respond)
+    _configure(follower, server.address, is_idempotent=False)
+    headers = [(b"Host", b"a.example"), (b"x-id", b"r1")]
+    async with asyncio.timeout(2.0):
+        response = await service.handle(
+            http_messages.Request("POST", "/", headers, b"", True)
+        )
+    assert response.status == 502
+    assert len(server.requests) == 1
+
+
 @pytest.mark.looptime
 async def test_the_deadline_includes_the_wait_for_a_configuration(monkeypatch):
     """Guards against upstreams that get more time than the caller has left."""
--- a/packages/dev/src/bamboosill_dev/upstream/faults.py
+++ b/packages/dev/src/bamboosill_dev/upstream/faults.py
@@ -80,6 +80,10 @@
     )
 
 
+def _zero_status(request: web.BaseRequest, body: bytes) -> bytes:
+    return format_answer(request, body).replace(b" 200 OK", b" 000 OK", 1)
+
+
 _CLOSING_FAULTS: dict[str, Callable[[web.BaseRequest, bytes], bytes]] = {
     "close-after": lambda request, body: b"",
     "truncated-head": _truncate_head,
@@ -95,6 +99,7 @@
     "oversized": lambda request, body: format_answer(
         request, body + b"surplus", length=len(body)
     ),
+    "zero-status": _zero_status,
     "duplicated": lambda request, body: format_answer(request, body) * 2,
     "duplicated-part": lambda request, body: (
         format_answer(request, body) + format_answer(request, body)[:30]
