--- a/packages/daemon/src/bamboosilld/crash_detector.py
+++ b/packages/daemon/src/bamboosilld/crash_detector.py
@@ -2,8 +2,8 @@
 
 Requests that repeatedly crash upstreams are quarantined on all instances. To
 find them, each instance reports the fingerprints of its requests that were in
-flight at an upstream when it crashed, unless the same request has recently run
-to its end.
+flight at an upstream when it crashed, unless the same request has recently been
+answered.
 """
 
 import asyncio
@@ -30,6 +30,9 @@
 # A request that an upstream has answered this recently did not cause a crash.
 _SOUND_TTL_S = 60.0
 MAX_SOUND_REQUESTS = 4096
+# An upstream may give up a request that it has not started, with an error such
+# as 504 at its deadline.
+_FIRST_ERROR_STATUS = 500
 _MAX_REPORTED_CRASHES = 256
 
 _log = logs.get_logger("crash")
@@ -58,6 +61,7 @@
         report: Callable[[Crash], Awaitable[None]],
         clock: clock_lib.Clock,
         settle_s: float = 0.0,
+        on_sound: Callable[[bytes], None] = lambda fingerprint: None,
     ) -> None:
         """Creates a detector.
 
@@ -67,9 +71,12 @@
             settle_s: Time after a broken connection before a probe. An exchange
                 that continues for so long shows that the upstream did not
                 crash. With 0, each broken connection is followed by a probe.
+            on_sound: Called with each request that an answer shows to be
+                harmless.
         """
         self._report = report
         self._clock = clock
+        self._on_sound = on_sound
         self._settle_s = settle_s
         self._numbers = itertools.count()
         # Fingerprints by number of the exchange.
@@ -98,8 +105,17 @@
         if not in_flight:
             del self._in_flight[target]
 
-    def record_answer(self, fingerprint: bytes) -> None:
-        """Records that an upstream has run a request to its end."""
+    def record_answer(self, fingerprint: bytes, status: int) -> None:
+        """Records that an upstream has answered a request.
+
+        Errors of upstreams do not show that the request is harmless.
+
+        Args:
+            fingerprint: The request.
+            status: Status of the answer, which is not a rejection.
+        """
+        if status >= _FIRST_ERROR_STATUS:
+            return
         self._suspects.pop(fingerprint, None)
         _put(
             self._sound,
@@ -107,6 +123,7 @@
             self._clock.monotonic(),
             MAX_SOUND_REQUESTS,
         )
+        self._on_sound(fingerprint)
 
     def is_suspect(self, fingerprint: bytes) -> bool:
         """Returns whether a request was running when an upstream crashed."""
