Answer polls of entry instances in their own zone

Cause: in fleets of about 90 entry instances, every instance polls the leader twice a second, and a poll with its reply carries about 1.9 KB.

Change: control instances that do not lead have the same state. They answer the polls of their zone, pass them on to the leader together, compressed, and get the stats and limits once for all. A relay without recent contact to the leader, or whose copy is behind, refuses polls. Only fleets of 24 entry instances or more use relays. docs/design/feed-relays.md has the failures and what was weighed.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -248,6 +248,11 @@
     "Bytes of state in replies to polls of entry instances, by content.",
     ["outcome"],
 )
+fleet_relay_exchanges = prometheus_client.Counter(
+    "bamboosill_fleet_relay_exchanges",
+    "Exchanges of this control instance, as a relay, with the leader.",
+    ["outcome"],
+)
 fleet_snapshot_duration = prometheus_client.Histogram(
     "bamboosill_fleet_snapshot_duration_seconds",
     "Time to encode a snapshot of the fleet state.",
--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -282,6 +282,36 @@
   # Effective slots in the order of `loads`, in 1/200 of the stated ones; 0 if
   # unknown.
   slotShares @11 :Data;
+  # Control instances of the zone of the entry instance that it can poll instead
+  # of the leader, and, in the reply of such an instance, the leader's address.
+  relays @12 :List(Text);
+  leader @13 :Text;
+}
+
+struct Polls {
+  # Polls of entry instances that a relay has answered.
+  polls @0 :List(Follow);
+}
+
+struct RelayPolls {
+  # Sent by a control instance that answers polls of its zone to the leader:
+  # a Polls message, compressed with zlib.
+  relay @0 :Text;
+  packed @1 :Data;
+  forwardersVersion @2 :UInt64;
+}
+
+struct RelayPollsReply {
+  # Reply to RelayPolls: what the leader adds to the replicated state, as in
+  # FollowReply, in the order of the upstreams of `revision`.
+  revision @0 :UInt64;
+  entryCount @1 :UInt32;
+  loads @2 :Data;
+  paces @3 :Data;
+  slotShares @4 :Data;
+  limits @5 :List(UpstreamLimit);
+  forwarders @6 :List(EntryAddress);
+  forwardersVersion @7 :UInt64;
 }
 
 struct UpstreamLimit {
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -34,6 +34,7 @@
 from bamboosilld.fleet import authority as authority_lib
 from bamboosilld.fleet import configuration as configuration_lib
 from bamboosilld.fleet import membership as membership_lib
+from bamboosilld.fleet import relay as relay_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import settings as settings_lib
 from bamboosilld.fleet import state as state_lib
@@ -102,6 +103,7 @@
         for message_type in self._handlers:
             handlers.register(message_type)(self._on_leader_request)
         handlers.register(messages.Follow)(self._on_follow)
+        handlers.register(messages.RelayPolls)(self._on_relay_polls)
         handlers.register(messages.AcquirePermits)(self._on_acquire_permits)
         handlers.register(messages.JoinControl)(self._on_join)
         self._tasks: list[asyncio.Task[None]] = []
@@ -117,6 +119,7 @@
             self._run_leader_tasks,
             self._run_joining,
             self._run_reopening,
+            self._run_relay,
         ):
             self._tasks.append(asyncio.create_task(run()))
 
@@ -218,6 +221,14 @@
             self.authority.encode_stats,
             lambda: self.authority.permits.list_limits(),
         )
+        self._relay = relay_lib.Relay(
+            settings.peer_address,
+            self.state,
+            self.changed,
+            self._clock,
+            self._send_relay_polls,
+        )
+        self._relays = relay_lib.Relays(self._clock)
         await self.node.start()
         self._groups.add(GROUP, self.node)
         _log.info(
@@ -269,6 +280,24 @@
             except Exception:
                 _log.exception("Duties of the leader failed.")
 
+    async def _run_relay(self) -> None:
+        while True:
+            # The relay is another one once the data folder was opened again.
+            await self._relay.run_once(self._follows_leader())
+
+    def _follows_leader(self) -> bool:
+        return self.node.leader is not None and not self.node.is_leader
+
+    async def _send_relay_polls(
+        self, polls: messages.RelayPolls
+    ) -> Result[messages.RelayPollsReply, errors.PeerError]:
+        leader = self.node.leader
+        if leader is None:
+            return Failure(errors.PeerError("no_leader", "none known", False))
+        return await self._directory.call(
+            leader.address, polls, messages.RelayPollsReply, _CALL_TIMEOUT_S
+        )
+
     async def _run_joining(self) -> None:
         last_leader_s = self._clock.monotonic()
         while True:
@@ -397,6 +426,11 @@
     ) -> messages.FollowReply:
         if not self.authority.is_active_leader():
             leader = self.node.leader
+            is_own_zone = hello.zone == self._settings.zone
+            if leader and is_own_zone and self._relay.is_current:
+                reply = await self._relay.answer(request, hello.zone)
+                reply = reply._replace(leader=leader.address)
+                return self._add_peers(reply, request)
             raise errors.HandlerError(
                 "not_leader", leader.address if leader else ""
             )
@@ -404,6 +438,12 @@
         reply = await self.feed.answer(request, hello.zone)
         if not self.authority.is_active_leader():
             raise errors.HandlerError("not_leader", "")
+        relays = self._relays.list_addresses(hello.zone, reply.entry_count)
+        return self._add_peers(reply._replace(relays=relays), request)
+
+    def _add_peers(
+        self, reply: messages.FollowReply, request: messages.Follow
+    ) -> messages.FollowReply:
         if request.takes_packed and not reply.loads:
             # Addresses are sent as often as loads, but to older entry
             # instances in every reply.
@@ -414,6 +454,29 @@
             )
         )
 
+    async def _on_relay_polls(
+        self, request: messages.RelayPolls, hello: peer_messages.Hello
+    ) -> messages.RelayPollsReply:
+        if not self.authority.is_active_leader():
+            raise errors.HandlerError("not_leader", "this member does not lead")
+        self._relays.record_exchange(hello.zone, request.relay)
+        for poll in relay_lib.read_polls(request):
+            self.authority.observations.add(poll)
+            self.feed.add_relayed(poll, hello.zone)
+        stats = self.authority.encode_stats()
+        forwarders, version = self.feed.forwarders.list_for_relay(
+            hello.zone, request.forwarders_version
+        )
+        return messages.RelayPollsReply(
+            stats.revision,
+            self.feed.count_entries(),
+            stats.loads,
+            stats.relative_latencies,
+            limits=self.authority.permits.list_limits(),
+            forwarders=forwarders,
+            forwarders_version=version,
+        )
+
     async def _on_acquire_permits(
         self, request: messages.AcquirePermits, hello: peer_messages.Hello
     ) -> messages.AcquirePermitsReply:
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -35,6 +35,8 @@
 _REPORT_RETRY_DELAY_S = 0.3
 # Longer than an election and the time until all instances follow again.
 _ENTRY_COUNT_KEPT_S = 5.0
+# A relay that did not answer is not polled for this time.
+_RELAY_PAUSE_S = 2.0
 
 # Precedes the leader's address in the error of a peer that does not lead.
 _LEADER_PREFIX = "not_leader: "
@@ -99,6 +101,9 @@
         self._forwarders_version = 0
         self._control_peers: tuple[str, ...] = ()
         self._leader = ""
+        # Control instances that answer in place of the leader.
+        self._relays: tuple[str, ...] = ()
+        self._relay_paused_until_s = float("-inf")
         self._last_poll_succeeded = False
         self.state = state_lib.FleetState()
         self._entry_counts: collections.deque[tuple[float, int]] = (
@@ -217,7 +222,13 @@
         )
         random.shuffle(others)
         first = [self._leader] if self._leader else []
-        return list(dict.fromkeys(first + others))
+        return list(dict.fromkeys(self._list_relays() + first + others))
+
+    def _list_relays(self) -> list[str]:
+        """Returns the relays to poll, in a random order to share the load."""
+        if self._clock.monotonic() < self._relay_paused_until_s:
+            return []
+        return random.sample(self._relays, len(self._relays))
 
     async def _poll(self, address: str) -> bool:
         """Polls one instance.
@@ -246,6 +257,8 @@
             _TRANSFER_TIMEOUT_S,
         )
         self._last_poll_succeeded = isinstance(result, Success)
+        if address in self._relays and not self._last_poll_succeeded:
+            self._pause_relays(address)
         reason = ""
         match result:
             case Success(reply):
@@ -272,6 +285,10 @@
             self._leader = ""
         return False
 
+    def _pause_relays(self, address: str) -> None:
+        self._relay_paused_until_s = self._clock.monotonic() + _RELAY_PAUSE_S
+        _log.info("Relay does not answer. Address: %s.", address)
+
     def _log_configuration(
         self, previous: int, reply: messages.FollowReply, started_s: float
     ) -> None:
@@ -290,13 +307,17 @@
         )
 
     def _apply_reply(self, address: str, reply: messages.FollowReply) -> None:
-        if self._leader != address:
+        leader = reply.leader or address
+        if self._leader != leader:
             _log.info(
                 "Following the leader at %s. Revision: %d.",
-                address,
+                leader,
                 reply.revision,
+                extra={"polled": address},
             )
-        self._leader = address
+        self._leader = leader
+        if not reply.leader:
+            self._relays = reply.relays
         self._control_peers = reply.control_peers or self._control_peers
         self.synced_s = self._clock.monotonic()
         self._add_entry_count(max(1, reply.entry_count))
--- a/packages/daemon/src/bamboosilld/fleet/forwarders.py
+++ b/packages/daemon/src/bamboosilld/fleet/forwarders.py
@@ -26,6 +26,8 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._entries: dict[str, _Entry] = {}
+        # Instances that poll elsewhere.
+        self._remote: tuple[messages.EntryAddress, ...] = ()
         # Versions of different leaders differ.
         self._version = rng.getrandbits(62) + 1
 
@@ -36,6 +38,31 @@
             self._entries[request.instance] = entry
             self._version += 1
 
+    def set_remote(self, items: tuple[messages.EntryAddress, ...]) -> None:
+        """Replaces the instances of other zones that poll elsewhere."""
+        if items != self._remote:
+            self._remote = items
+            self._version += 1
+
+    def list_for_relay(
+        self, zone: str, known_version: int
+    ) -> tuple[tuple[messages.EntryAddress, ...], int]:
+        """Returns instances for a relay of a zone, and their version.
+
+        Args:
+            zone: Availability zone whose instances poll the relay.
+            known_version: Version that the relay knows: the list is empty if
+                it is the current one.
+        """
+        if known_version == self._version:
+            return (), 0
+        items = [
+            messages.EntryAddress(address, entry.zone)
+            for address, entry in self._entries.items()
+            if entry.zone != zone and not entry.is_cut_off
+        ]
+        return tuple(self._sample(items, _MAX_OTHER_ZONES)), self._version
+
     def retain(self, polling: Container[str]) -> None:
         """Removes the instances that no longer poll."""
         gone = [each for each in self._entries if each not in polling]
@@ -52,7 +79,7 @@
         own = self._entries.get(request.instance)
         own_zone = own.zone if own is not None else ""
         same_zone: list[messages.EntryAddress] = []
-        other_zones: list[messages.EntryAddress] = []
+        other_zones: list[messages.EntryAddress] = list(self._remote)
         for address, entry in self._entries.items():
             if address == request.instance or entry.is_cut_off:
                 continue
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -84,13 +84,28 @@
         list_limits: Callable[
             [], tuple[messages.UpstreamLimit, ...]
         ] = lambda: (),
+        get_entry_count: Callable[[], int] = lambda: 0,
     ) -> None:
+        """Creates a feed.
+
+        Args:
+            state: The state to replicate.
+            changed: Notified after each change of the state.
+            clock: Source of time.
+            get_stats: Returns the stats to send.
+            list_limits: Returns the rate limits to send.
+            get_entry_count: Returns how many entry instances there are if not
+                all of them poll this feed.
+        """
         self._state = state
         self._changed = changed
         self._clock = clock
         self._get_stats = get_stats
         self._list_limits = list_limits
+        self._get_entry_count = get_entry_count
         self._last_request_s: dict[str, float] = {}
+        # Entry instances that poll a relay.
+        self._relayed_s: dict[str, float] = {}
         self._last_reply_s: dict[str, float] = {}
         self._last_stats_s: dict[str, float] = {}
         # Compressed commands by their first and last revision, least recently
@@ -99,7 +114,7 @@
             tuple[int, int], bytes
         ] = collections.OrderedDict()
         self._snapshot: _Snapshot | None = None
-        self._forwarders = forwarders_lib.Forwarders(random.Random())
+        self.forwarders = forwarders_lib.Forwarders(random.Random())
 
     async def answer(
         self, request: messages.Follow, zone: str = ""
@@ -112,7 +127,7 @@
         """
         started_s = self._clock.monotonic()
         self._last_request_s[request.instance] = started_s
-        self._forwarders.add(request, zone)
+        self.forwarders.add(request, zone)
         await self._changed.wait_until(
             lambda: self._state.revision > request.revision, _LONG_POLL_S
         )
@@ -122,14 +137,14 @@
             # This leader has not yet applied all commands of its predecessor.
             return messages.FollowReply(revision=state.revision)
         reply = messages.FollowReply(
-            revision=state.revision, entry_count=self._count_entries()
+            revision=state.revision, entry_count=self.count_entries()
         )
         reply = self._add_changes(reply, request)
         if reply.revision < state.revision:
             # The rest is sent without a delay.
             self._last_reply_s.pop(request.instance, None)
         reply = self._add_stats(reply, request)
-        reply = self._forwarders.add_to(reply, request)
+        reply = self.forwarders.add_to(reply, request)
         content = measure_content(reply)
         metrics.fleet_feed_replies.labels(content.name).inc()
         metrics.fleet_feed_bytes.labels(content.name).inc(content.size_bytes)
@@ -145,10 +160,19 @@
             )
         return reply
 
+    def add_relayed(self, request: messages.Follow, zone: str) -> None:
+        """Records a poll that a relay has answered."""
+        self._relayed_s[request.instance] = self._clock.monotonic()
+        self.forwarders.add(request, zone)
+
+    def count_entries(self) -> int:
+        """Returns the number of entry instances, wherever they poll."""
+        return max(self._get_entry_count(), self._count_polling())
+
     async def _throttle(self, instance: str, started_s: float) -> None:
         """Delays a reply that would follow the last one too soon."""
         reply_s = self._last_reply_s.get(instance, float("-inf"))
-        interval_s = len(self._last_request_s) * _REPLY_INTERVAL_PER_ENTRY_S
+        interval_s = self.count_entries() * _REPLY_INTERVAL_PER_ENTRY_S
         now_s = self._clock.monotonic()
         delay_s = min(reply_s + interval_s, started_s + _LONG_POLL_S) - now_s
         if delay_s > 0:
@@ -238,18 +262,27 @@
             cache.popitem(last=False)
         return packed
 
-    def _count_entries(self) -> int:
-        now_s = self._clock.monotonic()
-        self._last_request_s = {
-            instance: request_s
-            for instance, request_s in self._last_request_s.items()
-            if now_s - request_s < _ENTRY_EXPIRY_S
-        }
+    def _count_polling(self) -> int:
+        """Forgets instances that no longer poll, and counts the others."""
+        oldest_s = self._clock.monotonic() - _ENTRY_EXPIRY_S
+        self._last_request_s = _drop_before(self._last_request_s, oldest_s)
+        self._relayed_s = _drop_before(self._relayed_s, oldest_s)
         for times_s in (self._last_reply_s, self._last_stats_s):
             for instance in times_s.keys() - self._last_request_s.keys():
                 del times_s[instance]
-        self._forwarders.retain(self._last_request_s)
-        return len(self._last_request_s)
+        polling = self._last_request_s.keys() | self._relayed_s.keys()
+        self.forwarders.retain(polling)
+        return len(polling)
+
+
+def _drop_before(
+    times_s: dict[str, float], oldest_s: float
+) -> dict[str, float]:
+    return {
+        instance: time_s
+        for instance, time_s in times_s.items()
+        if time_s > oldest_s
+    }
 
 
 def _select_commands(
--- a/packages/daemon/tests/fleet/test_replication_feed.py
+++ b/packages/daemon/tests/fleet/test_replication_feed.py
@@ -203,6 +203,6 @@
         feed._last_request_s,
         feed._last_reply_s,
         feed._last_stats_s,
-        feed._forwarders._entries,
+        feed.forwarders._entries,
     ):
         assert len(table) < 10
