--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -213,6 +213,15 @@
     "bamboosill_fleet_configuration_version",
     "Version of the configuration in force here.",
 )
+fleet_evacuated_zones = prometheus_client.Gauge(
+    "bamboosill_fleet_evacuated_zones",
+    "Availability zones whose upstreams get no requests from here.",
+)
+fleet_evacuation_orders = prometheus_client.Counter(
+    "bamboosill_fleet_evacuation_orders_total",
+    "Orders to evacuate a zone or not that this leader handled, by outcome.",
+    ["outcome"],
+)
 fleet_reports = prometheus_client.Counter(
     "bamboosill_fleet_reports_total",
     "Heartbeats of upstreams that this leader answered, by outcome.",
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -61,6 +61,7 @@
 
     revision: int
     configuration_version: int
+    evacuated_zones: frozenset[str]
     data: bytes
     state_bytes: int
 
@@ -211,21 +212,31 @@
         return size_bytes > self._get_snapshot().state_bytes
 
     def _get_snapshot(self) -> _Snapshot:
-        """Returns a snapshot with the configuration in force.
+        """Returns a snapshot with the configuration and orders in force.
 
-        It is encoded anew after a change of the configuration, and when more
+        An instance that starts serves callers with it. It is encoded anew after
+        a change of the configuration or of the evacuated zones, and when more
         bytes of commands would follow it than it has itself.
         """
         state, snapshot = self._state, self._snapshot
         version = state.configuration.version
-        if snapshot is not None and snapshot.configuration_version == version:
+        zones = frozenset(state.evacuated_zones)
+        if (
+            snapshot is not None
+            and snapshot.configuration_version == version
+            and snapshot.evacuated_zones == zones
+        ):
             later = state.list_commands(snapshot.revision)
             limit_bytes = max(_MAX_COMMAND_BYTES, snapshot.state_bytes)
             if later is not None and _sum_sizes(later) <= limit_bytes:
                 return snapshot
         data = state.snapshot()
         self._snapshot = _Snapshot(
-            state.revision, version, data, len(compression.decompress(data))
+            state.revision,
+            version,
+            zones,
+            data,
+            len(compression.decompress(data)),
         )
         return self._snapshot
 
--- a/packages/daemon/src/bamboosilld/fleet/state.py
+++ b/packages/daemon/src/bamboosilld/fleet/state.py
@@ -58,6 +58,7 @@
             "silent" is provisional, as the upstream may report again.
         keys: Holders of keys, by service.
         quarantine: Requests that have crashed upstreams.
+        evacuated_zones: Availability zones whose upstreams get no requests.
     """
 
     def __init__(self) -> None:
@@ -67,6 +68,7 @@
         self.end_reasons: dict[UpstreamIncarnation, str] = {}
         self.keys: dict[str, keyranges.Table] = {}
         self.quarantine = quarantine_lib.QuarantineTable()
+        self.evacuated_zones: set[str] = set()
         # Versions of the configuration by digest of the change that made them.
         # The field of the snapshot format is still called `orders`.
         self._accepted_changes: dict[bytes, int] = {}
@@ -105,6 +107,8 @@
                 value = self._set_keys(index, message)
             case messages.RecordCrashes():
                 value = self._record_crashes(message)
+            case messages.SetEvacuation():
+                value = self._set_evacuation(message)
             case _:
                 _log.error("Command %d is not known here.", index)
                 return ""
@@ -136,6 +140,7 @@
                 messages.UpstreamCrash(*key, *crash)
                 for key, crash in self.quarantine.list_crashes()
             ),
+            evacuated_zones=tuple(sorted(self.evacuated_zones)),
         )
         return compression.pack(snapshot)
 
@@ -165,6 +170,7 @@
                 (each.upstream, each.born_ms),
                 quarantine_lib.Crash(each.at_ms, each.fingerprints),
             )
+        self.evacuated_zones = set(snapshot.evacuated_zones)
         self._recent_commands.clear()
         self._notify(None)
 
@@ -185,6 +191,11 @@
         item = self.upstreams.get(incarnation.upstream)
         return item is not None and item.born_ms == incarnation.born_ms
 
+    def is_evacuated(self, upstream: str) -> bool:
+        """Returns whether an upstream is in an evacuated availability zone."""
+        item = self.upstreams.get(upstream)
+        return item is not None and item.zone in self.evacuated_zones
+
     def has_ended(self, incarnation: UpstreamIncarnation) -> bool:
         """Returns whether an incarnation has ended for good.
 
@@ -284,6 +295,13 @@
                 )
         return ""
 
+    def _set_evacuation(self, command: messages.SetEvacuation) -> str:
+        if command.is_evacuated:
+            self.evacuated_zones.add(command.zone)
+        else:
+            self.evacuated_zones.discard(command.zone)
+        return ""
+
     def _notify(self, message: Any) -> None:
         for listener in self._listeners:
             listener(message)
--- a/packages/daemon/src/bamboosilld/gateway/metrics.py
+++ b/packages/daemon/src/bamboosilld/gateway/metrics.py
@@ -19,6 +19,9 @@
     metrics.fleet_configuration_version.set_function(
         lambda: get_state().configuration.version
     )
+    metrics.fleet_evacuated_zones.set_function(
+        lambda: len(get_state().evacuated_zones)
+    )
 
 
 async def handle(
--- a/packages/daemon/tests/fleet/test_replication_feed.py
+++ b/packages/daemon/tests/fleet/test_replication_feed.py
@@ -206,3 +206,25 @@
         feed._forwarders._entries,
     ):
         assert len(table) < 10
+
+
+@pytest.mark.parametrize("is_evacuated", [True, False])
+async def test_the_first_reply_has_the_orders_in_force(
+    monkeypatch, is_evacuated
+):
+    """Guards against an instance that serves callers before it knows an order.
+
+    The snapshot that an earlier instance got is older than the order.
+    """
+    leader = _Leader(monkeypatch)
+    if not is_evacuated:
+        leader.apply(messages.SetEvacuation("z2", True))
+    await leader.poll(state_lib.FleetState(), "e1")
+    leader.apply(messages.SetEvacuation("z2", is_evacuated))
+    replica = state_lib.FleetState()
+    await leader.poll(replica, "e2")
+    assert replica.configuration.version == 1
+    assert replica.evacuated_zones == leader.state.evacuated_zones
+    leader.encoded.clear()
+    await leader.poll(state_lib.FleetState(), "e3")
+    assert leader.encoded["snapshot"] == 0
