Commit orders to evacuate a zone and move its keys away

The leader handles ChangeEvacuation. It acknowledges an order once it is committed; one that is in force is acknowledged after a read barrier, without another command.

At each tick, the keys of upstreams in evacuated zones are revoked, which both deliveries handle as they do any move. No plan or reservation names such an upstream, and Granter.assign leaves out those that were planned before the order. After a withdrawal, the upstreams of the zone are marked as cold for the warmup of their service, also by a member that is elected later.

Tests: the fleet that plays calls takes settings of its services, and there is one whose upstreams are granted keys by heartbeats. The stand-in node can lose the reply to a command, and has a read barrier.

--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -20,6 +20,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
 from bamboosilld.fleet import crash_recorder
+from bamboosilld.fleet import evacuation
 from bamboosilld.fleet import key_granting
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import observations as observations_lib
@@ -100,6 +101,9 @@
             rng,
         )
         self.crashes = crash_recorder.CrashRecorder(self._commit, clock)
+        self._withdrawals = evacuation.Withdrawals(
+            state, clock, self._mark_cold
+        )
         self._elected_at_s: float | None = None
         self._reset()
 
@@ -117,6 +121,12 @@
         self.permits = permits_lib.PermitBroker(
             self._state, self._clock, self._rng
         )
+        self._mark_cold()
+
+    def _mark_cold(self) -> None:
+        """Marks upstreams as cold whose zone is not evacuated any more."""
+        for each in self._withdrawals.list_cold():
+            self.permits.mark_cold(each.incarnation, each.duration_s)
 
     def is_active_leader(self) -> bool:
         """Returns whether this member may act as leader now.
@@ -305,6 +315,8 @@
             last_report = self._last_reports.get(incarnation)
             if item.service != service or item.draining or last_report is None:
                 continue
+            if self._state.is_evacuated(item.upstream):
+                continue
             silence_s = now_s - last_report.received_s
             if silence_s <= self._lease_s * _MAX_SILENCE_LEASE_FRACTION:
                 holders[incarnation] = keyplan.Holder(
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -33,6 +33,7 @@
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.fleet import authority as authority_lib
 from bamboosilld.fleet import configuration as configuration_lib
+from bamboosilld.fleet import evacuation
 from bamboosilld.fleet import membership as membership_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import settings as settings_lib
@@ -97,6 +98,7 @@
             messages.SubmitChange: self._on_submit,
             messages.ReadConfiguration: self._on_read,
             messages.ReportUpstreamCrash: self._on_report_crash,
+            messages.ChangeEvacuation: self._on_change_evacuation,
         }
         for message_type in self._handlers:
             handlers.register(message_type)(self._on_leader_request)
@@ -339,6 +341,13 @@
         await self.authority.crashes.record(report.crash)
         return messages.ReportUpstreamCrashReply()
 
+    async def _on_change_evacuation(
+        self, message: messages.ChangeEvacuation
+    ) -> messages.ChangeEvacuationReply:
+        return await evacuation.change(
+            message, self.node, self.state, _CALL_TIMEOUT_S
+        )
+
     async def _on_submit(
         self, submit: messages.SubmitChange
     ) -> messages.SubmitReply:
--- a/packages/daemon/src/bamboosilld/fleet/key_granting.py
+++ b/packages/daemon/src/bamboosilld/fleet/key_granting.py
@@ -19,6 +19,7 @@
 
 # Imported so that the deliveries register themselves.
 from bamboosilld.fleet import call_delivery as call_delivery
+from bamboosilld.fleet import evacuation
 from bamboosilld.fleet import heartbeat_delivery as heartbeat_delivery
 from bamboosilld.fleet import key_delivery
 from bamboosilld.fleet import key_reservations
@@ -147,6 +148,10 @@
         table = self._state.keys[service]
         now_s = self._clock.monotonic()
         delivery = self.get_delivery(service)
+        self.revoke(
+            service,
+            evacuation.list_moves(self._state, service, self.list_grants),
+        )
         await self._free_expired(service, table, delivery, now_s)
         await self._distribute_initially(
             service, table, delivery, now_s, last_join_s
@@ -210,9 +215,19 @@
     ) -> None:
         """Grants ranges, under new fences, to the holders that they name.
 
+        Upstreams of evacuated zones are left out: keys may have been reserved
+        for them before the order.
+
         Raises:
             errors.HandlerError: The command could not be committed.
         """
+        ranges = [
+            each
+            for each in ranges
+            if not self._state.is_evacuated(each.upstream)
+        ]
+        if not ranges:
+            return
         self.get_delivery(service).prepare_grants(
             {
                 state_lib.UpstreamIncarnation(each.upstream, each.born_ms)
--- a/packages/daemon/src/bamboosilld/fleet/permits.py
+++ b/packages/daemon/src/bamboosilld/fleet/permits.py
@@ -181,6 +181,11 @@
             tellable=reservation.permits,
         )
 
+    def mark_cold(
+        self, incarnation: state_lib.UpstreamIncarnation, duration_s: float
+    ) -> None:
+        """Marks an upstream as cold for a time."""
+
     def list_limits(self) -> tuple[messages.UpstreamLimit, ...]:
         """Returns the limits in force and those that ended recently."""
         now_s = self._clock.monotonic()
--- a/packages/daemon/tests/fleet/call_network.py
+++ b/packages/daemon/tests/fleet/call_network.py
@@ -189,7 +189,9 @@
         violations: Keys that two upstreams held or worked on at a time.
     """
 
-    def __init__(self, choose_fate=lambda name, item, part: GOOD):
+    grants = "rpc"
+
+    def __init__(self, choose_fate=lambda name, item, part: GOOD, **service):
         self.network = CallNetwork(choose_fate)
         self.state = state_lib.FleetState()
         self.node = Node(self.state)
@@ -205,8 +207,10 @@
         )
         configuration = make_configuration(
             services=(
-                messages.ServiceItem(name="keyed", sharded=True, grants="rpc"),
-                messages.ServiceItem(name="plain"),
+                messages.ServiceItem(
+                    name="keyed", sharded=True, grants=self.grants, **service
+                ),
+                messages.ServiceItem(name="plain", **service),
             )
         )
         self.state.apply(0, wire.pack(configuration))
--- a/packages/daemon/tests/fleet/conftest.py
+++ b/packages/daemon/tests/fleet/conftest.py
@@ -4,8 +4,10 @@
 import random
 
 import pytest
+from returns.result import Failure
 from returns.result import Success
 
+from bamboosill_common import errors
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import core as core_lib
@@ -35,6 +37,8 @@
 
     Attributes:
         post_commit_delay_s: Delay between commit and return of `propose`.
+        loses_replies: Whether leadership is lost after a commit, so that its
+            proposer does not learn of it.
     """
 
     def __init__(self, state):
@@ -45,6 +49,8 @@
         self.post_commit_delay_s = 0.0
         self.commits = asyncio.Event()
         self.commits.set()
+        self.loses_replies = False
+        self.barriers = 0
 
     def has_leader_lease(self):
         return self.is_leader
@@ -58,8 +64,17 @@
         index, value = self._index, self._state.apply(self._index, command)
         # Other tasks run between the commit and the proposer's next step.
         await asyncio.sleep(self.post_commit_delay_s)
+        if self.loses_replies:
+            self.is_leader = False
+            return Failure(errors.ProposeError("not_leader", "lost", True))
         return Success(core_lib.AppliedCommand(index, 1, value))
 
+    async def read_barrier(self, deadline_s):
+        self.barriers += 1
+        if not self.is_leader:
+            return Failure(errors.ProposeError("not_leader", "lost", False))
+        return Success(self._index)
+
 
 def make_configuration(version=1, base=0, **changes):
     """Returns a whole configuration with a plain and a sharded service."""
