Send no requests to the upstreams of evacuated zones

An evacuation is one more obstacle of an upstream. Upstreams that do not hold the key of a request get none at once. Holders get requests for 0.6 of the bound, from the earliest time at which the order can have been committed: the last reply of the leader without it. After that, callers wait for the next holder, or are refused at once if all upstreams are in evacuated zones.

A request that awaits a permit or a connection could reach the zone after the bound, so the obstacle is checked again right before the request is written; this also holds for leaving and pausing upstreams. Probes check again as well. Upstreams with an obstacle do not count for how many have to fail before others are probed: one upstream that is left would never start probes.

--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -71,6 +71,8 @@
     Attributes:
         state: The copy of the fleet's state.
         synced_s: When the leader last replied, on the monotonic clock.
+        previous_sync_s: When it last replied before that. What its last reply
+            changed was committed later.
     """
 
     def __init__(
@@ -104,7 +106,7 @@
         self._entry_counts: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
-        self.synced_s = float("-inf")
+        self.synced_s = self.previous_sync_s = float("-inf")
 
     @property
     def is_synced(self) -> bool:
@@ -259,6 +261,7 @@
             )
         self._leader = address
         self._control_peers = reply.control_peers or self._control_peers
+        self.previous_sync_s = self.synced_s
         self.synced_s = self._clock.monotonic()
         self._add_entry_count(max(1, reply.entry_count))
         if reply.snapshot and reply.revision > self.state.revision:
--- a/packages/daemon/src/bamboosilld/gateway/availability.py
+++ b/packages/daemon/src/bamboosilld/gateway/availability.py
@@ -1,8 +1,10 @@
-"""Whether an upstream takes requests now, by what it states in its responses.
+"""Whether an upstream takes requests now.
 
 This is the one place that decides it for first attempts, retries, hedges,
-forwarded requests and probes. What an upstream states holds for this instance;
-other instances get the same in the responses to their own requests.
+forwarded requests and probes: by what an upstream states in its responses, and
+by orders to evacuate its availability zone. What an upstream states holds for
+this instance; other instances get the same in the responses to their own
+requests.
 """
 
 from collections.abc import Sequence
@@ -31,14 +33,20 @@
     Attributes:
         reason: Reason, for log lines.
         ends_in_s: Seconds until it ends; 0 if that is not known.
+        is_evacuation: Whether the zone is evacuated: the keys of the upstream
+            get other holders.
     """
 
     reason: str
     ends_in_s: float = 0.0
+    is_evacuation: bool = False
+
+
+EVACUATED = Obstacle("availability zone is evacuated", is_evacuation=True)
 
 
 class Availability:
-    """What one incarnation of an upstream has stated.
+    """What one incarnation of an upstream has stated, and orders on its zone.
 
     It leaves for good: only a later incarnation takes requests again.
     """
@@ -58,6 +66,24 @@
         self._drain_s = drain_s
         self._leaving_since_s: float | None = None
         self._paused_until_s = float("-inf")
+        # Monotonic time until which it gets requests for the keys that it
+        # holds; None if its zone is not evacuated.
+        self._holder_until_s: float | None = None
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the upstream is in an evacuated availability zone."""
+        return self._holder_until_s is not None
+
+    def set_evacuation(self, holder_until_s: float | None) -> None:
+        """Sets whether the upstream's availability zone is evacuated.
+
+        Args:
+            holder_until_s: Monotonic time until which the upstream still gets
+                requests for the keys that it holds; None if the zone is not
+                evacuated.
+        """
+        self._holder_until_s = holder_until_s
 
     def observe(
         self,
@@ -119,11 +145,16 @@
         Args:
             is_holder: Whether no other upstream can serve the request.
         """
+        now_s = self._clock.monotonic()
+        if self._holder_until_s is not None and (
+            not is_holder or now_s >= self._holder_until_s
+        ):
+            return EVACUATED
         if self._leaving_since_s is not None:
-            leaving_s = self._clock.monotonic() - self._leaving_since_s
+            leaving_s = now_s - self._leaving_since_s
             if not is_holder or leaving_s >= self._drain_s * _HOLDER_FRACTION:
                 return Obstacle("upstream leaves")
-        pause_s = self._paused_until_s - self._clock.monotonic()
+        pause_s = self._paused_until_s - now_s
         if pause_s > 0:
             return Obstacle("upstream asks for a pause", pause_s)
         return None
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -113,6 +113,12 @@
         """Number of requests that it runs concurrently."""
         return max(1, self.item.slots)
 
+    def mark_cold(self, duration_s: float) -> None:
+        """Treats the upstream as cold for a time."""
+        self._warmup_end_s = max(
+            self._warmup_end_s, self._clock.monotonic() + duration_s
+        )
+
     def estimate_load(self) -> float:
         """Returns the estimated requests at the upstream, of all instances."""
         age_s = self._clock.monotonic() - self._load.observed_s
--- a/packages/daemon/src/bamboosilld/gateway/process.py
+++ b/packages/daemon/src/bamboosilld/gateway/process.py
@@ -83,6 +83,8 @@
             settings.gateway.names.request_id,
             process.settings.peer_address.rpartition(":")[0],
             settings.gateway.drain_s,
+            settings.gateway.evacuation_s,
+            lambda: self._follower.previous_sync_s,
         )
         self.service = service_lib.Service(
             settings.gateway,
--- a/packages/daemon/src/bamboosilld/gateway/reachability.py
+++ b/packages/daemon/src/bamboosilld/gateway/reachability.py
@@ -89,8 +89,10 @@
             self._unconnectable.add(upstream)
         failed = max(len(self._unresponsive), len(self._unconnectable))
         now_s = self._clock.monotonic()
+        # Upstreams that get no requests cannot fail.
+        available = max(1, len(self._list_available()))
         if (
-            failed >= min(_MIN_FAILED_UPSTREAMS, len(self._list_upstreams()))
+            failed >= min(_MIN_FAILED_UPSTREAMS, available)
             and self._check is None
             and now_s - self._checked_s >= _CHECK_INTERVAL_S
         ):
@@ -156,12 +158,15 @@
             for each in probes:
                 each.cancel()
 
-    def _choose_probed(self) -> list[load_balancing.Upstream]:
-        upstreams = [
+    def _list_available(self) -> list[load_balancing.Upstream]:
+        return [
             each
             for each in self._list_upstreams()
             if each.availability.find_obstacle() is None
         ]
+
+    def _choose_probed(self) -> list[load_balancing.Upstream]:
+        upstreams = self._list_available()
         # Probes need no permit, so they spare upstreams with a rate limit.
         upstreams = [
             each for each in upstreams if each.rate_limit.rate_per_s is None
@@ -180,6 +185,8 @@
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 connection = await upstream.pool.open()
+                if upstream.availability.find_obstacle() is not None:
+                    return False
                 await connection.exchange(
                     self._format_probe(upstream),
                     b"",
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -39,6 +39,10 @@
     """The deadline passed before the request was written to a connection."""
 
 
+class _WithheldError(Exception):
+    """The upstream takes no more requests at the moment of sending."""
+
+
 class RequestSender:
     """Sends one request and keeps the state of its attempts."""
 
@@ -128,7 +132,8 @@
             holder = self._selector.find_holder()
             return holder is not None and holder.pool.has_idle
         return any(
-            each.pool.has_idle for each in view.list_upstreams(routed.service)
+            each.pool.has_idle and each.availability.find_obstacle() is None
+            for each in view.list_upstreams(routed.service)
         )
 
     def _make_failed_outcome(self) -> request_context.Outcome:
@@ -273,6 +278,10 @@
             self._record_failed_attempt(upstream, "timeout")
             self._record_possible_run()
             return None
+        except _WithheldError as error:
+            self._record_failed_attempt(upstream, f"withheld ({error})")
+            self._unsent_attempts += 1
+            return None
         except _NotWrittenError:
             upstream.record_failure(no_response=True)
             self._context.reachability.record_failure(
@@ -344,6 +353,7 @@
             upstream_lib.ExchangeError: No complete response was received.
             TimeoutError: The deadline passed after a connection was acquired.
             _NotWrittenError: The deadline passed before that.
+            _WithheldError: The upstream takes no requests any more.
         """
         clock = self._context.clock
         wait_factor = upstream.estimate_wait_factor()
@@ -359,6 +369,7 @@
                     connection = await upstream.pool.open()
                 else:
                     connection = await upstream.pool.acquire()
+                self._check_obstacle(upstream)
                 self._upstream = upstream.item.upstream
                 sent_s = clock.monotonic()
                 response = await self._exchange_on(connection, upstream)
@@ -397,6 +408,19 @@
             )
         return response
 
+    def _check_obstacle(self, upstream: load_balancing.Upstream) -> None:
+        """Checks again whether an upstream takes the request.
+
+        That may have changed while a permit or a connection was awaited.
+
+        Raises:
+            _WithheldError: It does not.
+        """
+        is_holder = self._routed.key != request_context.NO_KEY
+        obstacle = upstream.availability.find_obstacle(is_holder)
+        if obstacle is not None:
+            raise _WithheldError(obstacle.reason)
+
     async def _exchange_on(
         self,
         connection: upstream_connection_lib.Connection,
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -14,6 +14,7 @@
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import keyranges
 from bamboosilld.gateway import budget as budget_lib
+from bamboosilld.gateway import evacuation
 from bamboosilld.gateway import fingerprint
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
@@ -58,6 +59,8 @@
         retry_window_s: Length of the window of the retry budget in seconds.
         drain_s: Time for which an upstream that states that it leaves still
             takes requests.
+        evacuation_s: Time within which the order to evacuate an availability
+            zone is in force at all instances.
     """
 
     instance: str
@@ -68,6 +71,7 @@
     retry_constant: float
     retry_window_s: float
     drain_s: float = load_balancing.DEFAULT_DRAIN_S
+    evacuation_s: float = evacuation.DEFAULT_BOUND_S
 
 
 class Service:
--- a/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -7,6 +7,7 @@
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
 from bamboosilld.gateway import availability as availability_lib
+from bamboosilld.gateway import evacuation
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import request_context
@@ -89,7 +90,10 @@
         )
         obstacle = self._find_obstacle_of_holder()
         if obstacle is not None:
-            self.reason, self.retry_after_s = obstacle
+            self.reason, self.retry_after_s = (
+                obstacle.reason,
+                obstacle.ends_in_s,
+            )
             return None
         holder = self.find_holder()
         if holder is None:
@@ -134,21 +138,35 @@
         """Returns the key's holder, unless it rejected this request's key.
 
         The fence identifies the grant: after a new grant, the same upstream
-        is tried again.
+        is tried again. A holder that takes no more requests because its zone is
+        evacuated counts as none, as the key gets another one.
         """
         routed = self._routed
         holder = self._context.view.find_holder(routed.service, routed.key)
         if holder is None or self._has_rejected_key(holder):
             return None
+        obstacle = holder.availability.find_obstacle(is_holder=True)
+        if obstacle is not None and obstacle.is_evacuation:
+            return None
         return holder
 
     def _find_obstacle_of_holder(self) -> availability_lib.Obstacle | None:
-        """Returns why the key's holder takes no request now, or None."""
-        routed = self._routed
-        holder = self._context.view.find_holder(routed.service, routed.key)
-        if holder is None:
-            return None
-        return holder.availability.find_obstacle(is_holder=True)
+        """Returns why the key is not served now and not soon, or None.
+
+        Its holder takes no request now, or it has none and all upstreams that
+        could hold it are in evacuated zones.
+        """
+        routed, view = self._routed, self._context.view
+        holder = view.find_holder(routed.service, routed.key)
+        if holder is not None:
+            obstacle = holder.availability.find_obstacle(is_holder=True)
+            if obstacle is not None and not obstacle.is_evacuation:
+                return obstacle
+        if self.find_holder() is None and evacuation.are_evacuated(
+            view.list_upstreams(routed.service)
+        ):
+            return availability_lib.EVACUATED
+        return None
 
     def _has_rejected_key(self, holder: load_balancing.Upstream) -> bool:
         routed = self._routed
@@ -203,11 +221,12 @@
         ]
         if not available:
             known = [each for each in obstacles if each is not None]
-            self.reason, self.retry_after_s = min(
+            first = min(
                 known,
                 key=lambda each: each.ends_in_s or float("inf"),
                 default=availability_lib.Obstacle("none"),
             )
+            self.reason, self.retry_after_s = first.reason, first.ends_in_s
         return available
 
     def _choose_from(
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -1,5 +1,6 @@
 """Routing data that an entry instance derives from the fleet's state."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
 
@@ -9,6 +10,7 @@
 from bamboosilld.consensus import change_notifier
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import state as state_lib
+from bamboosilld.gateway import evacuation
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import routes as routes_lib
 
@@ -32,8 +34,26 @@
         request_id_name: bytes,
         local_host: str = "",
         drain_s: float = load_balancing.DEFAULT_DRAIN_S,
+        evacuation_s: float = evacuation.DEFAULT_BOUND_S,
+        get_last_sync_s: Callable[[], float] | None = None,
     ) -> None:
+        """Initializes the instance.
+
+        Args:
+            state: This instance's replica of the fleet's state.
+            clock: Clock of this instance.
+            request_id_name: Name of the header with the id of a request.
+            local_host: Source IP address of connections to upstreams.
+            drain_s: Time for which a leaving upstream still takes requests.
+            evacuation_s: Time within which the order to evacuate a zone is in
+                force at all instances.
+            get_last_sync_s: See `evacuation.Evacuations`; by default, changes
+                of the state are known at once.
+        """
         self._drain_s = drain_s
+        self._evacuations = evacuation.Evacuations(
+            evacuation_s, get_last_sync_s or clock.monotonic
+        )
         self.state = state
         self._clock = clock
         self._request_id_name = request_id_name
@@ -131,8 +151,28 @@
             self.services = {each.name: each for each in configuration.services}
         if command is None or isinstance(command, messages.SetUpstreams):
             self._update_upstreams()
+        if command is None or isinstance(
+            command, messages.SetUpstreams | messages.SetEvacuation
+        ):
+            self._update_evacuations()
         self.changed.notify()
 
+    def _update_evacuations(self) -> None:
+        """Applies which zones are evacuated.
+
+        The upstreams of a zone whose evacuation has ended may have become cold
+        meanwhile.
+        """
+        withdrawn = self._evacuations.update(self.state.evacuated_zones)
+        for upstream in self._upstreams.values():
+            zone = upstream.item.zone
+            upstream.availability.set_evacuation(
+                self._evacuations.get_holders_until_s(zone)
+            )
+            service = self.services.get(upstream.item.service)
+            if zone in withdrawn and service is not None:
+                upstream.mark_cold(service.warmup_ms / 1000)
+
     def _update_upstreams(self) -> None:
         upstreams: dict[
             state_lib.UpstreamIncarnation, load_balancing.Upstream
