Offer the calls that evacuate a zone

POST and DELETE /v1/evacuation/ZONE order and withdraw an evacuation, where the settings have terms.bounds.evacuate; the known zones are those of network.zones.*. Elsewhere the path gets 404 as before.

--- a/packages/daemon/src/bamboosilld/fleet/control_process.py
+++ b/packages/daemon/src/bamboosilld/fleet/control_process.py
@@ -18,15 +18,17 @@
 
 
 class ControlSettings(NamedTuple):
-    """Addresses of a control instance.
+    """Addresses of a control instance, and what its API offers.
 
     Attributes:
         api_address: Listen address of the API for operators and upstreams.
         metrics_port: Port of the metrics on the same host; 0 for none.
+        evacuable_zones: Availability zones that operators can evacuate.
     """
 
     api_address: str
     metrics_port: int
+    evacuable_zones: frozenset[str] = frozenset()
 
 
 MakeApi = Callable[[control_lib.ControlMember], listener_lib.Handler]
--- a/packages/dev/tests/platform/test_api.py
+++ b/packages/dev/tests/platform/test_api.py
@@ -240,6 +240,62 @@
         assert (await api.Api(member).handle(request)).status == 503
 
 
+_ZONES = frozenset(("z1", "zone-b"))
+_COMMITTED = Success(messages.ChangeEvacuationReply())
+
+
+@pytest.mark.parametrize(
+    ("method", "zone", "status", "is_evacuated"),
+    [
+        ("POST", "z1", 200, True),
+        ("DELETE", "z1", 200, False),
+        ("POST", "zone-b?x=1", 200, True),
+        ("POST", "z2", 404, None),
+        ("DELETE", "z2", 404, None),
+        ("POST", "", 404, None),
+        ("POST", "z1/", 404, None),
+        ("POST", "Z1", 404, None),
+        ("GET", "z2", 404, None),
+        ("GET", "z1", 405, None),
+        ("PUT", "z1", 405, None),
+    ],
+)
+async def test_orders_to_evacuate_name_a_known_zone(
+    method, zone, status, is_evacuated
+):
+    """Guards against an order for another zone, or of another meaning."""
+    member = _Member(_COMMITTED)
+    response = await api.Api(member, _ZONES).handle(
+        _make_request(method, f"/v1/evacuation/{zone}")
+    )
+    assert response.status == status
+    assert [tuple(each) for each in member.asked] == (
+        [] if is_evacuated is None else [(zone.partition("?")[0], is_evacuated)]
+    )
+
+
+@pytest.mark.parametrize("method", ["POST", "DELETE", "GET"])
+async def test_without_zones_there_are_no_calls_to_evacuate(method):
+    """Guards against calls that the deployment has not agreed on."""
+    member = _Member(_COMMITTED)
+    response = await api.Api(member).handle(
+        _make_request(method, "/v1/evacuation/z1")
+    )
+    assert response.status == 404
+    assert not member.asked
+
+
+@pytest.mark.parametrize("code", ["no_leader", "timeout", "unavailable"])
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+async def test_an_order_that_may_not_be_committed_gets_503(method, code):
+    """Guards against an acknowledged order that nobody follows."""
+    member = _Member(Failure(errors.PeerError(code, "", False)))
+    response = await api.Api(member, _ZONES).handle(
+        _make_request(method, "/v1/evacuation/z1")
+    )
+    assert response.status == 503
+
+
 async def test_a_heartbeat_is_answered_with_its_keys():
     """Guards against granted keys that the reply leaves out."""
     reply = messages.ReportReply(
--- a/packages/dev/tests/platform/test_settings.py
+++ b/packages/dev/tests/platform/test_settings.py
@@ -55,6 +55,29 @@
     assert [each.place.path for each in findings] == ["self.data_dir"]
 
 
+_ZONES = "network.zones.z1=r1\nnetwork.zones.z2=r1\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "zones", "evacuation_s"),
+    [
+        (_ZONES + "terms.bounds.evacuate=5000ms\n", {"z1", "z2"}, 5.0),
+        (_ZONES + "terms.bounds.evacuate=4s\n", {"z1", "z2"}, 4.0),
+        (_ZONES, set(), 0.0),
+        ("terms.bounds.evacuate=5000ms\n", set(), 5.0),
+    ],
+)
+def test_zones_can_be_evacuated_where_a_bound_is_agreed(
+    text, zones, evacuation_s
+):
+    """Guards against orders without a bound, and against another bound."""
+    loaded, findings = settings.parse("f", _CONTROL + text)
+    assert not findings
+    assert loaded.control.evacuable_zones == zones
+    loaded, _ = settings.parse("f", _ENTRY + text)
+    assert loaded.entry.gateway.evacuation_s == evacuation_s
+
+
 @pytest.mark.parametrize(
     ("old", "new", "path"),
     [
@@ -66,6 +89,11 @@
         ("=10.1.0.35:8140", "=nowhere", "network.listen.readiness"),
         ("budget_slack=56", "budget_slack=many", "terms.bounds.budget_slack"),
         ("bootstrap=true", "bootstrap=yes", "self.bootstrap"),
+        (
+            "a.field.of.tomorrow=x",
+            "terms.bounds.evacuate=soon",
+            "terms.bounds.evacuate",
+        ),
         ("a.field.of.tomorrow=x", "no equals sign", "no equals sign"),
     ],
 )
