Evacuate a zone in the short soak

The calls, the message between control instances and the programs' settings had no test with real processes. An operator now evacuates a zone and withdraws that in turn while processes fail; from the bound after an acknowledgement, no upstream of the zone may get a request that it does not answer with 421. The settings of both soaks name zones and the bound.

--- a/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/processes.py
@@ -81,6 +81,8 @@
             "terms.bounds.budget_slack=50",
             "terms.bounds.budget_window=10s",
             "terms.bounds.retry_budget_ratio=0.2",
+            "terms.bounds.evacuate=5000ms",
+            *(f"network.zones.z{number}=r1" for number in range(1, 4)),
         ]
         if not is_entry:
             lines.append(f"self.data_dir={self._folder / self.name}")
--- a/packages/dev/src/bamboosill_dev/fleetsoak/run.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/run.py
@@ -17,6 +17,7 @@
 import aiohttp
 
 from bamboosill_dev import relay as relay_lib
+from bamboosill_dev.fleetsoak import evacuations as evacuations_lib
 from bamboosill_dev.fleetsoak import processes
 from bamboosill_dev.fleetsoak import upstream as upstream_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
@@ -26,6 +27,8 @@
 # Each entry instance listens on a loopback address of its own.
 MAX_ENTRY_COUNT = 150
 _UPSTREAM_COUNT = 5
+# Upstreams in the zone that is evacuated, if one is.
+_EVACUATED_COUNT = 2
 _CALLER_COUNT = 12
 _START_TIMEOUT_S = 30.0
 # Time after the last fault within which requests must be served again.
@@ -48,6 +51,11 @@
     *("kill control", "pause control", "stop control"),
     "kill all control",
 )
+# An instance that does not reach the leader does not learn of an order in time.
+_EVACUATION_FAULTS = (
+    *("kill control", "pause control", "stop control"),
+    *("kill entry", "stop entry", "crash upstream"),
+)
 _FAULTS = (
     *("kill control", "pause control", "stop control"),
     *("kill entry", "pause entry", "stop entry"),
@@ -87,6 +95,8 @@
         entry_count: Number of entry instances.
         grants_by_call: Whether upstreams take keys by calls, of which a part is
             carried out late or answered with errors.
+        evacuates: Whether an operator evacuates a zone and withdraws that in
+            turn, while at most one control instance fails at a time.
     """
 
     cut_form: str = ""
@@ -94,13 +104,18 @@
     has_link_faults: bool = False
     entry_count: int = DEFAULT_ENTRY_COUNT
     grants_by_call: bool = False
+    evacuates: bool = False
 
 
 DEFAULT_SCENARIO = Scenario()
 
 
 class Soak:
-    """The processes, stand-in upstreams and callers of one run."""
+    """The processes, stand-in upstreams and callers of one run.
+
+    Attributes:
+        evacuations: The operator who evacuates a zone.
+    """
 
     def __init__(
         self,
@@ -134,9 +149,20 @@
                 self._record,
                 self._seeds,
                 scenario.grants_by_call,
+                zone=(
+                    evacuations_lib.ZONE
+                    if scenario.evacuates and number < _EVACUATED_COUNT
+                    else "z1"
+                ),
             )
             for number in range(_UPSTREAM_COUNT)
         ]
+        self.evacuations = evacuations_lib.Evacuations(
+            self._seeds,
+            self._upstreams[:_EVACUATED_COUNT],
+            self._record,
+            random.Random(f"{seed}/evacuations"),
+        )
         self._relays: list[relay_lib.Relay] = []
         self._answers: list[_Answer] = []
         self._version = self._acknowledged = 0
@@ -189,6 +215,12 @@
         tasks.append(asyncio.create_task(self._run_operator(session)))
         end_s = time.monotonic() + seconds
         faults: tuple[str, ...] = _FAULTS
+        evacuations = None
+        if self._scenario.evacuates:
+            faults = _EVACUATION_FAULTS
+            evacuations = asyncio.create_task(
+                self.evacuations.run(session, end_s)
+            )
         if self._scenario.cut_form:
             await self._cut_off_entries(seconds)
         if self._scenario.rate_limit:
@@ -201,6 +233,8 @@
             await asyncio.sleep(self._rng.uniform(0.3, 1.5))
         link_faults.cancel()
         await asyncio.gather(link_faults, return_exceptions=True)
+        if evacuations is not None:
+            await evacuations
         if self._scenario.rate_limit:
             self._check_rate(limited_s)
         await self._end_faults()
--- a/packages/dev/src/bamboosill_dev/fleetsoak/upstream.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/upstream.py
@@ -74,8 +74,10 @@
         record: Record,
         control: list[str],
         takes_calls: bool = False,
+        zone: str = "z1",
     ) -> None:
         self.name = name
+        self._zone = zone
         self._record = record
         self._control = control
         self._takes_calls = takes_calls
@@ -149,7 +151,7 @@
             "info": {
                 "service": "keyed",
                 "version": "v1",
-                "zone": "z1",
+                "zone": self._zone,
                 "max_concurrency": _SLOTS,
             },
             "status": {
--- a/packages/dev/tests/fleetsoak/test_soak.py
+++ b/packages/dev/tests/fleetsoak/test_soak.py
@@ -10,6 +10,7 @@
 _FAULTS_S = 6.0
 _CUT_S = 9.0
 _LIMIT_S = 12.0
+_EVACUATIONS_S = 12.0
 
 
 # Seed 10 sends SIGTERM to processes that do not handle signals yet; the signal
@@ -63,3 +64,18 @@
     result = asyncio.run(run.Soak(tmp_path, seed, scenario).run(_FAULTS_S))
     assert result.violations == ()
     assert result.answered > 0
+
+
+@pytest.mark.parametrize("grants_by_call", [False, True])
+def test_an_evacuated_zone_gets_no_requests_while_processes_fail(
+    tmp_path, grants_by_call
+):
+    """Guards against requests into the zone after the bound.
+
+    Guards also against orders that the programs do not serve.
+    """
+    scenario = run.Scenario(grants_by_call=grants_by_call, evacuates=True)
+    soak = run.Soak(tmp_path, 5, scenario)
+    result = asyncio.run(soak.run(_EVACUATIONS_S))
+    assert result.violations == ()
+    assert soak.evacuations.acknowledged > 0
