Split the handling of evacuation orders into short functions

Whether an order has to be committed and what is logged of it are two functions now. Behaviour is the same.

--- a/packages/daemon/src/bamboosilld/fleet/evacuation.py
+++ b/packages/daemon/src/bamboosilld/fleet/evacuation.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -47,26 +46,12 @@
 ) -> messages.ChangeEvacuationReply:
     """Returns once an order is committed, as the leader.
 
-    An order that is in force already is not committed again. The barrier makes
-    sure of that: a former leader may know less than was committed since.
-
     Raises:
         errors.HandlerError: The order may not be committed; the same order sent
             again settles it.
     """
-    outcome = "repeated"
     try:
-        if _is_in_force(message, state):
-            barrier = await node.read_barrier(timeout_s)
-            if isinstance(barrier, Failure):
-                raise errors.HandlerError("unavailable", "no majority answered")
-        if not _is_in_force(message, state):
-            outcome = "committed"
-            command = messages.SetEvacuation(message.zone, message.is_evacuated)
-            result = await node.propose(wire.pack(command), timeout_s)
-            if isinstance(result, Failure):
-                error = result.failure()
-                raise errors.HandlerError(error.code, error.detail)
+        outcome = await _put_in_force(message, node, state, timeout_s)
     except errors.HandlerError as error:
         _log.warning(
             "Order of an evacuation not acknowledged. Zone: %s. Evacuated: %s. "
@@ -89,6 +74,34 @@
     return messages.ChangeEvacuationReply()
 
 
+async def _put_in_force(
+    message: messages.ChangeEvacuation,
+    node: interfaces.Node,
+    state: state_lib.FleetState,
+    timeout_s: float,
+) -> str:
+    """Commits an order unless it is in force; returns which was the case.
+
+    Without the barrier, a former leader could take an order as in force that
+    was withdrawn since.
+
+    Raises:
+        errors.HandlerError: The order may not be committed.
+    """
+    if _is_in_force(message, state):
+        barrier = await node.read_barrier(timeout_s)
+        if isinstance(barrier, Failure):
+            raise errors.HandlerError("unavailable", "no majority answered")
+        if _is_in_force(message, state):
+            return "repeated"
+    command = messages.SetEvacuation(message.zone, message.is_evacuated)
+    result = await node.propose(wire.pack(command), timeout_s)
+    if isinstance(result, Failure):
+        error = result.failure()
+        raise errors.HandlerError(error.code, error.detail)
+    return "committed"
+
+
 def _is_in_force(
     message: messages.ChangeEvacuation, state: state_lib.FleetState
 ) -> bool:
@@ -103,9 +116,9 @@
     Their new holders are chosen when the keys are free, as for a draining
     upstream: they differ in when their next heartbeat comes.
     """
-    moves = []
+    moves: list[keyplan.Move] = []
     if not state.evacuated_zones:
-        return []
+        return moves
     for item in state.upstreams.values():
         if item.service == service and state.is_evacuated(item.upstream):
             incarnation = state_lib.UpstreamIncarnation(
@@ -169,13 +182,9 @@
         zones = frozenset(self._state.evacuated_zones)
         withdrawn = self._evacuated_zones - zones
         self._evacuated_zones = zones
-        self._forget(zones)
+        for zone in zones:
+            self._withdrawn_s.pop(zone, None)
         if withdrawn:
             now_s = self._clock.monotonic()
             self._withdrawn_s.update(dict.fromkeys(withdrawn, now_s))
             self._on_withdrawn()
-
-    def _forget(self, zones: Collection[str]) -> None:
-        """Forgets the withdrawals of zones that are evacuated again."""
-        for zone in zones:
-            self._withdrawn_s.pop(zone, None)
