Have upstreams of the site soak send status 000

Cause: no soak had an upstream that sends an invalid status, and its client recorded status 000 as a connection that ended without a response.

Change: an upstream that breaks connections also answers a tenth of its requests with status 000 and a body that ends with the connection. A status outside of 100 to 599 breaks the new rule STATUS of the site soak. A closed connection is recorded as -2.

--- a/packages/dev/src/bamboosill_dev/fleetsoak/records.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/records.py
@@ -63,8 +63,8 @@
         sent_s: When its last byte was sent.
         ended_s: When it was answered, closed or given up.
         budget_s: Time budget of the client.
-        status: Status of the response; 0 if the connection ended without one,
-            `GIVEN_UP` if the client closed it.
+        status: Status of the response; `CLOSED` if the connection ended without
+            one, `GIVEN_UP` if the client closed it.
         is_kept: Whether the connection had answered a request before.
         is_behind: Whether it was sent before an earlier one was answered.
     """
@@ -81,7 +81,8 @@
     is_behind: bool
 
 
-CLOSED = 0
+# Not 0, which a response may have as its status.
+CLOSED = -2
 GIVEN_UP = -1
 
 
--- a/packages/dev/src/bamboosill_dev/fleetsoak/rules.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/rules.py
@@ -1,4 +1,4 @@
-"""Checks the rules FAULT, LOST and BUDGET on the record of a site soak.
+"""Checks the rules FAULT, STATUS, LOST and BUDGET on the record of a site soak.
 
 A registry that `_check` fills names each check after its rule.
 """
@@ -37,6 +37,7 @@
 # A request that was sent this long after SIGTERM may be cut in the last sixth.
 _LATE_AFTER_SIGTERM_S = 3.0
 _LAST_PART_OF_GRACE = 1 / 6
+_FIRST_STATUS, _LAST_STATUS = 100, 599
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _UNPLANNED = frozenset(("SIGKILL", "SIGSTOP", "SIGCONT"))
 _CONTROL_PREFIX = "control"
@@ -67,6 +68,18 @@
     yield from record.faults
 
 
+@_check("STATUS")
+def _find_invalid_statuses(
+    record: records.Record, bounds: Bounds
+) -> Iterator[str]:
+    del bounds
+    for each in record.requests:
+        if each.status in (records.CLOSED, records.GIVEN_UP):
+            continue
+        if not _FIRST_STATUS <= each.status <= _LAST_STATUS:
+            yield f"{each.attempt} at {each.entry} got status {each.status}"
+
+
 def _has_event(
     record: records.Record,
     entry: str,
--- a/packages/dev/src/bamboosill_dev/fleetsoak/site.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/site.py
@@ -298,7 +298,7 @@
         self._start(process)
 
     async def _replace_upstream(self) -> None:
-        """Crashes an upstream, lets it leave, or has it break connections."""
+        """Crashes an upstream, lets it leave, or puts it in trouble."""
         upstream = self._rng.choice(self._upstreams)
         if not upstream.is_up:
             await upstream.start()
@@ -309,12 +309,13 @@
         elif action == "leave":
             await upstream.leave()
         elif action == "reset":
-            upstream.reset_share = 0.3
+            upstream.reset_share, upstream.zero_status_share = 0.3, 0.1
         elif action == "slow":
             upstream.work_s = 0.5
         else:
             for each in self._upstreams:
                 each.work_s, each.reset_share = 0.12, 0.0
+                each.zero_status_share = 0.0
                 if not each.is_up:
                     await each.start()
 
--- a/packages/dev/src/bamboosill_dev/fleetsoak/site_upstream.py
+++ b/packages/dev/src/bamboosill_dev/fleetsoak/site_upstream.py
@@ -37,6 +37,8 @@
         work_s: Mean time that a request takes.
         reset_share: Share of the requests whose connection it resets while it
             works on them.
+        zero_status_share: Share of the requests that it answers with status
+            000 and a body that ends with the connection.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         self._starts = 0
         self.work_s = 0.12
         self.reset_share = 0.0
+        self.zero_status_share = 0.0
         self.is_up = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -243,11 +246,16 @@
             _LARGE_BODY_BYTES if path.startswith(LARGE_PREFIX) else 400
         )
         load = f"{min(self._present, _SLOTS)},{max(0, self._present - _SLOTS)}"
+        signature = f"Response-Signature: {self.id}\r\n"
+        if self._rng.random() < self.zero_status_share:
+            head = f"HTTP/1.1 000 X\r\nAttempt-Id: {attempt}\r\n{signature}"
+            writer.write(f"{head}\r\n".encode() + body)
+            return False
         writer.write(
             _format(
                 200,
                 attempt,
-                f"Response-Signature: {self.id}\r\n"
+                f"{signature}"
                 f"Server-Load: {load},{_SLOTS}\r\n"
                 f"Keep-Alive: timeout={int(_IDLE_TIMEOUT_S)}\r\n",
                 body,
--- a/packages/dev/tests/fleetsoak/test_rules.py
+++ b/packages/dev/tests/fleetsoak/test_rules.py
@@ -213,3 +213,21 @@
 def test_faults_are_violations():
     """Guards against an end of a process that is noted and not told."""
     assert _find(faults=["entry-1 ended with -1 by itself"]) == {"FAULT"}
+
+
+@pytest.mark.parametrize(
+    ("status", "is_broken"),
+    [
+        (0, True),
+        (99, True),
+        (100, False),
+        (599, False),
+        (600, True),
+        (records.CLOSED, False),
+        (records.GIVEN_UP, False),
+    ],
+)
+def test_statuses_that_no_response_may_have(status, is_broken):
+    """Guards against status 000 that is taken for a closed connection."""
+    found = _find([_request(status=status)])
+    assert ("STATUS" in found) == is_broken
