Test malformed and missing columns of cold upstreams

The columns warmup and warmup_per_s are refused if malformed, and left out of a configuration that has none.

--- a/packages/dev/tests/platform/test_api.py
+++ b/packages/dev/tests/platform/test_api.py
@@ -12,6 +12,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import configuration as configuration_lib
 from bamboosilld.gateway import http_messages
+import configuration
 
 _TRAFFIC_SPLIT = [
     {"service": "s", "weight": 90},
@@ -167,6 +168,22 @@
         ]
 
 
+def test_a_configuration_without_cold_limits_has_no_columns_for_them():
+    """Guards against columns that were not sent, in a configuration read."""
+    service = messages.ServiceItem("s", warmup_ms=1500)
+    for services, warmup in (((), None), ((service,), "1500ms")):
+        read = configuration.encode(
+            messages.Configuration(
+                services=(messages.ServiceItem("p"), *services)
+            )
+        )["services"]
+        rows = [
+            dict(zip(read["columns"], row, strict=True)) for row in read["rows"]
+        ]
+        assert "warmup_per_s" not in rows[0]
+        assert rows[-1].get("warmup") == warmup
+
+
 @pytest.mark.parametrize(
     ("outcome", "status"),
     [
@@ -194,6 +211,9 @@
         lambda document: document["routes"]["rows"][0].__setitem__(4, "fast"),
         lambda document: document["routes"]["rows"][0].__setitem__(7, None),
         lambda document: document["services"]["rows"][0].__setitem__(2, -1),
+        lambda document: document["services"]["rows"][1].__setitem__(8, 3),
+        lambda document: document["services"]["rows"][1].__setitem__(9, -1),
+        lambda document: document["services"]["rows"][1].__setitem__(9, "4"),
         lambda document: document["limits"].update(max_body_bytes="big"),
     ],
 )
