Grant permits for cold upstreams at the leader

A cold upstream was sent as many requests as its load allowed, and crashes at a rate well above that of its service for cold upstreams.

Each control instance keeps until when upstreams are cold, by the committed items; the leader also uses the heartbeats, and commits an upstream that becomes cold again. The token bucket of the upstream has the lower of the stated rate and that of the service. Limits sent to instances say for how long an upstream stays cold. A heartbeat that is older than the last mark does not end it. Refused callers are told no permit long after the end of the warm-up.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -191,6 +191,15 @@
     "Questions for permits to send to upstreams with a rate limit, by outcome.",
     ["outcome"],
 )
+gateway_cold_requests = prometheus_client.Counter(
+    "bamboosill_gateway_cold_requests_total",
+    "Requests for cold upstreams that were sent or refused, by outcome.",
+    ["outcome"],
+)
+fleet_cold_upstreams = prometheus_client.Gauge(
+    "bamboosill_fleet_cold_upstreams",
+    "Upstreams that the leader limits because they are cold.",
+)
 gateway_cut_off = prometheus_client.Gauge(
     "bamboosill_gateway_cut_off",
     "1 while this instance reaches no upstream.",
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -19,6 +19,7 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
+from bamboosilld.fleet import cold_upstreams
 from bamboosilld.fleet import crash_recorder
 from bamboosilld.fleet import key_granting
 from bamboosilld.fleet import keyplan
@@ -100,6 +101,7 @@
             rng,
         )
         self.crashes = crash_recorder.CrashRecorder(self._commit, clock)
+        self._cold = cold_upstreams.ColdUpstreams(state, clock)
         self._elected_at_s: float | None = None
         self._reset()
 
@@ -115,7 +117,7 @@
         self._stats_computed_s = now_s
         self.observations = observations_lib.Observations(self._clock)
         self.permits = permits_lib.PermitBroker(
-            self._state, self._clock, self._rng
+            self._state, self._clock, self._rng, self._cold
         )
 
     def is_active_leader(self) -> bool:
@@ -211,7 +213,8 @@
         self._last_reports[incarnation] = _LastReport(report.sequence, now_s)
         if last_report is None:
             self._last_join_s[item.service] = now_s
-        if self._has_changed(item):
+        is_news = self._cold.observe(item)
+        if self._has_changed(item) or is_news:
             _log.info(
                 "Upstream %s registered or changed. Born: %d. Service: %s. "
                 "Address: %s. State: %s.",
