Send to cold upstreams with permits only

Instances limit an upstream from the replicated item and the configuration on, before a poll reply names it. Replies and permits of questions asked before the upstream became cold are not used. Permits for cold upstreams last 0.4 s and are asked for shortly ahead, so that they do not end unused. Upstreams that need no permit come first while they meet the target latency; then, up to three cold ones are asked for.

Result: daemon/tests/gateway/test_cold_upstreams.py passes. Neighbours in daemon/tests/fleet and daemon/tests/gateway: 768 passed.

--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -75,7 +75,8 @@
         failures: Consecutive failures.
         backoff_until_s: It gets no request before this time, unless all
             upstreams are backing off.
-        rate_limit: The rate limit that it states in its responses.
+        rate_limit: The rate limit that it states in its responses, or that
+            applies while it is cold.
         availability: Whether it takes requests now, as it states there.
     """
 
@@ -113,6 +114,12 @@
         """Number of requests that it runs concurrently."""
         return max(1, self.item.slots)
 
+    def mark_cold(self, duration_s: float) -> None:
+        """Treats it as cold for at least this time from now on."""
+        end_s = self._clock.monotonic() + duration_s
+        self._warmup_end_s = max(self._warmup_end_s, end_s)
+        self.rate_limit.mark_cold(duration_s)
+
     def estimate_load(self) -> float:
         """Returns the estimated requests at the upstream, of all instances."""
         age_s = self._clock.monotonic() - self._load.observed_s
--- a/packages/daemon/src/bamboosilld/gateway/permit_client.py
+++ b/packages/daemon/src/bamboosilld/gateway/permit_client.py
@@ -21,6 +21,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import permits as permits_lib
 from bamboosilld.gateway import load_balancing
+from bamboosilld.gateway import rate_limit as rate_limit_lib
 
 # A permit ends this long after it was asked for, so that an instance that was
 # frozen does not send with permits from before.
@@ -28,6 +29,10 @@
 # Permits for requests expected within this time are asked for at once.
 _DEMAND_AHEAD_S = 0.4
 _MAX_WANTED = 8
+# The same two times for cold upstreams: each takes few requests, so permits
+# that wait for a request at one instance are missing at others.
+_COLD_PERMIT_LIFETIME_S = 0.4
+_COLD_DEMAND_AHEAD_S = 0.1
 # Time after which the leader is asked again if it did not reply.
 _FAILED_ASK_PAUSE_S = 0.5
 # Fraction of an equal part of the limit that is used without the leader. All
@@ -105,10 +110,11 @@
         task.add_done_callback(self._reports.discard)
 
     async def _report(self, upstream: load_balancing.Upstream) -> None:
+        asked_s = self._clock.monotonic()
         match await self._ask_leader(self._make_request(upstream, 0)):
             case Success(reply):
                 now_s = self._clock.monotonic()
-                upstream.rate_limit.apply(reply.limit, now_s)
+                upstream.rate_limit.apply(reply.limit, now_s, asked_s)
             case Failure(error):
                 # The next question for a permit carries the limit as well.
                 _log.info(
@@ -121,7 +127,9 @@
         self, upstream: load_balancing.Upstream, demand: _Demand
     ) -> None:
         asked_s = self._clock.monotonic()
-        wanted = self._estimate_wanted(demand, asked_s)
+        wanted = self._estimate_wanted(
+            demand, asked_s, upstream.rate_limit.is_cold
+        )
         demand.requests, demand.asked_s = 0, asked_s
         try:
             result = await self._ask_leader(
@@ -137,16 +145,19 @@
                 metrics.gateway_permits.labels("failure").inc()
                 self._grant_self(upstream, demand, error.code)
 
-    def _estimate_wanted(self, demand: _Demand, now_s: float) -> int:
+    def _estimate_wanted(
+        self, demand: _Demand, now_s: float, is_cold: bool
+    ) -> int:
+        ahead_s = _COLD_DEMAND_AHEAD_S if is_cold else _DEMAND_AHEAD_S
         elapsed_s = max(_DEMAND_AHEAD_S, now_s - demand.asked_s)
-        expected = demand.requests / elapsed_s * _DEMAND_AHEAD_S
+        expected = demand.requests / elapsed_s * ahead_s
         return max(1, min(_MAX_WANTED, round(expected)))
 
     def _make_request(
         self, upstream: load_balancing.Upstream, wanted: int
     ) -> messages.AcquirePermits:
         limit, item = upstream.rate_limit, upstream.item
-        rate_per_s = limit.rate_per_s
+        rate_per_s = limit.stated_per_s
         age_s = self._clock.monotonic() - limit.observed_s
         return messages.AcquirePermits(
             self._instance,
@@ -154,7 +165,7 @@
                 item.upstream,
                 item.born_ms,
                 permits_lib.NO_LIMIT if rate_per_s is None else rate_per_s,
-                round(age_s * 1000),
+                permits_lib.encode_age(age_s),
             ),
             wanted,
         )
@@ -167,10 +178,11 @@
     ) -> None:
         now_s = self._clock.monotonic()
         limit = upstream.rate_limit
-        limit.apply(reply.limit, now_s)
+        limit.apply(reply.limit, now_s, asked_s)
         if limit.rate_per_s is None:
             return
-        limit.add_permits(reply.granted, asked_s + _PERMIT_LIFETIME_S)
+        if not limit.was_cold_since(asked_s):
+            limit.add_permits(reply.granted, asked_s + _get_lifetime_s(limit))
         limit.set_next_permit(
             now_s + reply.next_permit_ms / 1000,
             now_s + reply.ask_again_ms / 1000,
@@ -201,7 +213,7 @@
             demand.self_granted_s = now_s - self._rng.uniform(0.0, interval_s)
         if now_s >= demand.self_granted_s + interval_s:
             demand.self_granted_s = now_s
-            limit.add_permits(1, now_s + _PERMIT_LIFETIME_S)
+            limit.add_permits(1, now_s + _get_lifetime_s(limit))
         limit.set_next_permit(
             demand.self_granted_s + interval_s,
             now_s + _FAILED_ASK_PAUSE_S,
@@ -210,5 +222,9 @@
         )
 
 
+def _get_lifetime_s(limit: rate_limit_lib.RateLimit) -> float:
+    return _COLD_PERMIT_LIFETIME_S if limit.is_cold else _PERMIT_LIFETIME_S
+
+
 def _bound_rate(rate_per_s: float) -> float:
     return max(permits_lib.MIN_RATE_PER_S, rate_per_s)
--- a/packages/daemon/src/bamboosilld/gateway/rate_limit.py
+++ b/packages/daemon/src/bamboosilld/gateway/rate_limit.py
@@ -1,8 +1,9 @@
-"""Rate limit that an upstream states for the requests of all instances.
+"""Rate limit of an upstream for the requests of all instances.
 
 An upstream that is short of capacity names in its responses how many requests a
 second it takes from all entry instances together. The limit holds until a
-response states another one or none.
+response states another one or none. While an upstream is cold, it takes as many
+as its service allows for cold upstreams, if that is less.
 """
 
 import collections
@@ -11,6 +12,7 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import permits
 
@@ -18,6 +20,7 @@
 _MAX_LOGGED_BYTES = 40
 # Callers that are expected to return, at most.
 _MAX_TOLD = 1024
+_NEVER = float("-inf")
 
 _log = logs.get_logger("limit")
 
@@ -36,19 +39,72 @@
     """The limit of one incarnation of an upstream, and permits to send to it.
 
     Attributes:
-        rate_per_s: Requests a second, or None without a limit.
-        observed_s: When the limit was observed, on the monotonic clock.
+        stated_per_s: Requests a second that the upstream states, or None.
+        observed_s: When that was observed, on the monotonic clock.
         next_permit_s: When the next permit is due that no caller was told.
     """
 
     def __init__(self, upstream: str, clock: clock_lib.Clock) -> None:
         self._upstream = upstream
         self._clock = clock
-        self.rate_per_s: float | None = None
+        self.stated_per_s: float | None = None
         self.observed_s = float("-inf")
+        # Requests a second to a cold upstream, or None if that is not limited.
+        self._cold_per_s: float | None = None
+        self._cold_end_s = _NEVER
+        self._cold_since_s = _NEVER
         self._permit_ends_s: collections.deque[float] = collections.deque()
         self._forget_permits()
 
+    @property
+    def rate_per_s(self) -> float | None:
+        """Requests a second of all instances together, None without a limit."""
+        if not self.is_cold:
+            return self.stated_per_s
+        if self.stated_per_s is None or self._cold_per_s is None:
+            return self._cold_per_s
+        return min(self.stated_per_s, self._cold_per_s)
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the limit for cold upstreams applies now."""
+        if self._cold_end_s == _NEVER:
+            return False
+        if self._cold_end_s <= self._clock.monotonic():
+            self._cold_end_s = _NEVER
+        return self._cold_per_s is not None and self._cold_end_s != _NEVER
+
+    def set_cold_rate(self, cold_per_s: float) -> None:
+        """Sets the limit of the service for cold upstreams; 0 for none."""
+        if cold_per_s != (self._cold_per_s or 0.0):
+            self._cold_per_s = cold_per_s or None
+            self._forget_permits()
+
+    def mark_cold(self, duration_s: float) -> None:
+        """Treats the upstream as cold for at least this time from now on.
+
+        Permits that were granted before are not used.
+        """
+        now_s = self._clock.monotonic()
+        end_s = now_s + duration_s
+        if end_s <= max(now_s, self._cold_end_s):
+            return
+        was_cold = self.is_cold
+        self._cold_end_s, self._cold_since_s = end_s, now_s
+        if self._cold_per_s is not None and not was_cold:
+            _log.info(
+                "Upstream is cold. Upstream: %s. Rate: %s per second. For: "
+                "%.1f s.",
+                self._upstream,
+                f"{self._cold_per_s:g}",
+                duration_s,
+            )
+            self._forget_permits()
+
+    def was_cold_since(self, asked_s: float) -> bool:
+        """Returns whether the upstream was marked as cold after this time."""
+        return self._cold_since_s > asked_s
+
     def _forget_permits(self) -> None:
         self._permit_ends_s.clear()
         self._ask_again_s = float("-inf")
@@ -96,7 +152,7 @@
 
         Older observations than the last one are ignored.
         """
-        if observed_s < self.observed_s or rate_per_s == self.rate_per_s:
+        if observed_s < self.observed_s or rate_per_s == self.stated_per_s:
             return False
         self.observed_s = observed_s
         _log.info(
@@ -104,14 +160,33 @@
             self._upstream,
             "none" if rate_per_s is None else f"{rate_per_s:g}",
         )
-        self.rate_per_s = rate_per_s
+        self.stated_per_s = rate_per_s
         self._forget_permits()
         return True
 
-    def apply(self, limit: messages.UpstreamLimit, now_s: float) -> None:
-        """Applies a limit that any instance observed."""
+    def apply(
+        self,
+        limit: messages.UpstreamLimit,
+        now_s: float,
+        asked_s: float | None = None,
+    ) -> None:
+        """Applies what the leader knows of the upstream.
+
+        Args:
+            limit: Limit that any instance observed, and how long the upstream
+                stays cold.
+            now_s: Current monotonic time.
+            asked_s: When the leader was asked, if not with a poll. It may have
+                replied before it knew that the upstream is cold.
+        """
         rate_per_s = limit.rate_per_s if limit.rate_per_s >= 0 else None
         self.update(rate_per_s, now_s - limit.age_ms / 1000)
+        if asked_s is not None and self.was_cold_since(asked_s):
+            return
+        if limit.cold_ms and not self.is_cold:
+            self.mark_cold(limit.cold_ms / 1000)
+        else:
+            self._cold_end_s = now_s + limit.cold_ms / 1000
 
     def has_permit(self) -> bool:
         """Returns whether a request may be sent now."""
@@ -126,6 +201,8 @@
         """Uses a permit for a request, if there is a limit."""
         if self.rate_per_s is not None and self._permit_ends_s:
             self._permit_ends_s.popleft()
+        if self.is_cold:
+            metrics.gateway_cold_requests.labels("sent").inc()
 
     def add_permits(self, count: int, end_s: float) -> None:
         """Adds permits that may be used until a monotonic time."""
@@ -158,6 +235,15 @@
         """Whether a refused caller was told to return by now."""
         return bool(self._told_s and self._told_s[0] <= self._clock.monotonic())
 
+    @property
+    def can_ask(self) -> bool:
+        """Whether the leader would be asked for a permit now."""
+        return (
+            self.is_caller_due
+            or self._has_told_all
+            or self._clock.monotonic() >= self._ask_again_s
+        )
+
     def may_ask(self) -> bool:
         """Returns whether the leader is asked for a permit now.
 
--- a/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -1,11 +1,13 @@
 """Chooses the upstream to which one request is sent.
 
 Only the holder of a key may run a request for it. Other requests go to the
-upstream with the lowest expected latency that takes requests at its rate.
+upstream with the lowest expected latency that takes requests at its rate. Cold
+upstreams are used when the others do not respond in time.
 """
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosilld.gateway import availability as availability_lib
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
@@ -16,6 +18,8 @@
 _KEY_HOLDER_WAIT_FRACTION = 0.6
 # Longest wait for the leader's reply to a question for a permit.
 _PERMIT_WAIT_S = 0.25
+# Cold upstreams for which one choice asks the leader, at most.
+_MAX_COLD_QUESTIONS = 3
 # Multiples of the route's target latency beyond which a request is refused, by
 # priority from the most urgent. Under overload, low priorities go first.
 _LATENCY_FACTOR_BY_PRIORITY = (1.6, 1.4, 1.0)
@@ -127,6 +131,8 @@
             known or upstreams[:1],
             key=lambda each: each.rate_limit.next_permit_s,
         )
+        if first.rate_limit.is_cold:
+            metrics.gateway_cold_requests.labels("refused").inc()
         self.reason = "rate limit of upstream"
         self.retry_after_s = first.rate_limit.tell_retry_after()
 
@@ -163,6 +169,8 @@
         Asks for a permit at most once: meanwhile, other upstreams can serve.
         """
         candidates = self._list_available()
+        if any(each.rate_limit.is_cold for each in candidates):
+            return await self._choose_beside_cold(candidates, excluded)
         chosen = self._choose_from(
             _list_due(candidates) or candidates, excluded
         )
@@ -174,6 +182,40 @@
             return None
         return self.choose_permitted_now(excluded)
 
+    async def _choose_beside_cold(
+        self, candidates: list[load_balancing.Upstream], excluded: set[str]
+    ) -> load_balancing.Upstream | None:
+        """Returns an upstream that takes a request now; some are cold.
+
+        Those that need no permit come first if they meet the target latency.
+        """
+        free = self._choose_from(_list_free(candidates), excluded)
+        if (
+            free is not None
+            and free.item.upstream not in excluded
+            and self._meets_target(free)
+        ):
+            return free
+        ends_s = self._context.clock.monotonic() + _PERMIT_WAIT_S
+        asked = set(excluded)
+        for _ in range(_MAX_COLD_QUESTIONS):
+            upstream = self._choose_from(
+                _list_first_to_ask(candidates, asked), asked
+            )
+            if upstream is None:
+                break
+            if await self._acquire_permit(upstream):
+                return upstream
+            asked.add(upstream.item.upstream)
+            if self._context.clock.monotonic() >= ends_s:
+                break
+            candidates = self._list_available()
+        if not any(each.rate_limit.has_permit() for each in candidates):
+            if candidates:
+                self._refuse_for_limit(candidates)
+            return None
+        return self.choose_permitted_now(excluded)
+
     def choose_permitted_now(
         self, excluded: set[str]
     ) -> load_balancing.Upstream | None:
@@ -187,6 +229,10 @@
         permitted = [
             each for each in candidates if each.rate_limit.has_permit()
         ]
+        if any(each.rate_limit.is_cold for each in permitted):
+            chosen = self._choose_from(_list_free(permitted), excluded)
+            if chosen is not None:
+                return chosen
         return self._choose_from(permitted, excluded)
 
     def _list_available(self) -> list[load_balancing.Upstream]:
@@ -229,6 +275,14 @@
             return None
         return chosen if self._is_fast_enough(chosen) else None
 
+    def _meets_target(self, upstream: load_balancing.Upstream) -> bool:
+        """Returns whether a response is expected within the target latency."""
+        elapsed_s = self._context.clock.monotonic() - self._routed.received_s
+        latency_s = upstream.estimate_latency(self._route_latency.mean_s)
+        has_queue = upstream.estimate_load() >= upstream.slots
+        target_s = self._routed.route.target_latency_ms / 1000
+        return not has_queue or elapsed_s + latency_s <= target_s
+
     def _is_fast_enough(self, upstream: load_balancing.Upstream) -> bool:
         """Returns whether the upstream is expected to respond in time."""
         route = self._routed.route
@@ -283,3 +337,31 @@
     if any(each.rate_limit.has_permit() for each in upstreams):
         return []
     return [each for each in upstreams if each.rate_limit.is_caller_due]
+
+
+def _list_free(
+    upstreams: list[load_balancing.Upstream],
+) -> list[load_balancing.Upstream]:
+    """Returns the upstreams that need no permit."""
+    return [each for each in upstreams if each.rate_limit.rate_per_s is None]
+
+
+def _list_first_to_ask(
+    upstreams: list[load_balancing.Upstream], excluded: set[str]
+) -> list[load_balancing.Upstream]:
+    """Returns the limited upstreams to try first.
+
+    These are the ones with a permit, then those for whose permits refused
+    callers return now, then those that the leader may have a permit for.
+    """
+    limited = [
+        each
+        for each in upstreams
+        if each.rate_limit.rate_per_s is not None
+        and each.item.upstream not in excluded
+    ]
+    return (
+        [each for each in limited if each.rate_limit.has_permit()]
+        or [each for each in limited if each.rate_limit.is_caller_due]
+        or [each for each in limited if each.rate_limit.can_ask]
+    )
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -1,5 +1,6 @@
 """Routing data that an entry instance derives from the fleet's state."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 
@@ -129,10 +130,38 @@
             configuration = self.state.configuration
             self.routes = routes_lib.Routes(configuration.routes)
             self.services = {each.name: each for each in configuration.services}
+            self._update_cold_rates()
         if command is None or isinstance(command, messages.SetUpstreams):
             self._update_upstreams()
+            self._mark_cold(
+                self.state.upstreams.values()
+                if command is None
+                else command.upstreams
+            )
         self.changed.notify()
 
+    def _update_cold_rates(self) -> None:
+        for upstream in self._upstreams.values():
+            upstream.rate_limit.set_cold_rate(
+                self._get_cold_rate(upstream.item.service)
+            )
+
+    def _get_cold_rate(self, service: str) -> float:
+        item = self.services.get(service)
+        return item.warmup_per_s if item is not None else 0.0
+
+    def _mark_cold(self, items: Iterable[messages.UpstreamItem]) -> None:
+        """Marks upstreams as cold that were so when they were committed.
+
+        The item of a snapshot may be old; the leader's replies correct that.
+        """
+        for item in items:
+            upstream = self._upstreams.get(
+                state_lib.UpstreamIncarnation(item.upstream, item.born_ms)
+            )
+            if upstream is not None and self._get_cold_rate(item.service):
+                upstream.mark_cold(item.warmup_ms / 1000)
+
     def _update_upstreams(self) -> None:
         upstreams: dict[
             state_lib.UpstreamIncarnation, load_balancing.Upstream
@@ -162,7 +191,9 @@
                     continue
                 if known is not None:
                     upstream.availability = known.availability
+                    upstream.rate_limit = known.rate_limit
             upstream.item = item
+            upstream.rate_limit.set_cold_rate(self._get_cold_rate(item.service))
             upstreams[incarnation] = upstream
             if not item.draining:
                 by_service.setdefault(item.service, []).append(upstream)
