Send no limits through a relay that are older than a change

Cause: an instance takes a limit in a poll's reply to be as new as the commands of that reply. A relay's limits come with its last exchange, up to 0.25 s earlier. An upstream that became cold by a command since then would be taken for warm again, and get more than the cold rate.

Change: a relay leaves out limits of upstreams that a command has changed since the revision of the exchange, and all after an evacuation has changed.

--- a/packages/daemon/src/bamboosilld/fleet/relay.py
+++ b/packages/daemon/src/bamboosilld/fleet/relay.py
@@ -12,6 +12,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 from returns.result import Failure
@@ -108,6 +109,10 @@
         self._stats: dict[str, _UpstreamStats] = {}
         self._encoded = replication_feed_lib.EncodedStats(-1, b"", b"")
         self._forwarders_version = 0
+        # Revisions of the last changes of upstreams and of evacuations: what
+        # the leader said of limits before these is outdated.
+        self._changed_at: dict[state_lib.UpstreamIncarnation, int] = {}
+        self._all_changed_at = 0
         self._feed = replication_feed_lib.Feed(
             state,
             changed,
@@ -116,7 +121,7 @@
             self._list_limits,
             lambda: self._reply.entry_count,
         )
-        state.add_listener(lambda command: self._apply_pending())
+        state.add_listener(self._apply_change)
 
     @property
     def is_current(self) -> bool:
@@ -179,12 +184,29 @@
             self._feed.forwarders.set_remote(reply.forwarders)
         self._reply = reply
         self._pending = reply
+        self._changed_at = {
+            incarnation: revision
+            for incarnation, revision in self._changed_at.items()
+            if revision > reply.revision
+        }
         if self._state.revision >= reply.revision:
             self._behind_since_s = None
         elif self._behind_since_s is None:
             self._behind_since_s = now_s
         self._apply_pending()
 
+    def _apply_change(self, command: Any) -> None:
+        revision = self._state.revision
+        if isinstance(command, messages.SetUpstreams):
+            for item in command.upstreams:
+                incarnation = state_lib.UpstreamIncarnation(
+                    item.upstream, item.born_ms
+                )
+                self._changed_at[incarnation] = revision
+        elif command is None or isinstance(command, messages.SetEvacuation):
+            self._all_changed_at = revision
+        self._apply_pending()
+
     def _apply_pending(self) -> None:
         """Applies stats once the state has their revision."""
         reply = self._pending
@@ -218,7 +240,13 @@
         return self._encoded
 
     def _list_limits(self) -> tuple[messages.UpstreamLimit, ...]:
-        """Returns the limits that the leader sent, with their age now."""
+        """Returns the limits that the leader sent, with their age now.
+
+        Those from before a change that instances know already are left out: an
+        upstream may have become cold with it.
+        """
+        if self._all_changed_at > self._reply.revision:
+            return ()
         passed_ms = round((self._clock.monotonic() - self._exchanged_s) * 1000)
         return tuple(
             each._replace(
@@ -226,6 +254,8 @@
                 cold_ms=max(0, each.cold_ms - passed_ms),
             )
             for each in self._reply.limits
+            if state_lib.UpstreamIncarnation(each.upstream, each.born_ms)
+            not in self._changed_at
         )
 
 
--- a/packages/daemon/tests/fleet/test_relay.py
+++ b/packages/daemon/tests/fleet/test_relay.py
@@ -146,6 +146,26 @@
     assert limit.age_ms >= 500 and limit.cold_ms == 0
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        messages.SetUpstreams((make_item("u1"),)),
+        messages.SetEvacuation("z1", False),
+    ],
+)
+async def test_limits_from_before_a_change_are_not_sent(change):
+    """Guards against an old limit that makes a cold upstream warm."""
+    fleet = _Fleet()
+    item = make_item("u1")
+    fleet.limits = (messages.UpstreamLimit("u1", item.born_ms, 5.0),)
+    await fleet.relay.exchange()
+    assert (await fleet.poll(1, "e1")).limits
+    fleet.apply(change)
+    assert not (await fleet.poll(1, "e2")).limits
+    await fleet.relay.exchange()
+    assert (await fleet.poll(1, "e3")).limits
+
+
 class _Directory:
     """A leader that names a relay, and the relay, which may refuse."""
 
