Tell refused callers when there will be capacity

Cause: a caller that was refused for lack of room was told 0.4 of the target latency of its route, whatever the load. Callers returned together and many were refused again.

Change: return_times.py derives the time from the excess of load over slots and the completion rate of the upstreams that can serve the request, and spreads the refused callers of an instance by half of its share of that rate. More urgent callers take earlier times, and callers that would not honour the time take none of the others'. Without load information, the time is the former one. A log line has the reason, the time told and the load.

--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -155,6 +155,11 @@
         age_s = self._clock.monotonic() - self._load.observed_s
         return int(age_s * 1000) if age_s < 1e9 else -1
 
+    def has_recent_load(self) -> bool:
+        """Returns whether the last load still has weight in estimates."""
+        age_s = self._clock.monotonic() - self._load.observed_s
+        return age_s < _LOAD_REPORT_MAX_AGE_S
+
     def pop_no_response(self) -> bool:
         """Returns whether an attempt got no response since the last call."""
         no_response, self._no_response = self._no_response, False
--- a/packages/daemon/src/bamboosilld/gateway/request_context.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_context.py
@@ -10,12 +10,12 @@
 from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import permit_client
 from bamboosilld.gateway import reachability as reachability_lib
+from bamboosilld.gateway import return_times as return_times_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import view as view_lib
 
 NO_KEY = -1
-# Shortest time after which a refused caller is told to return.
-MIN_RETRY_AFTER_S = 0.1
+MIN_RETRY_AFTER_S = return_times_lib.MIN_RETRY_AFTER_S
 
 
 class RoutedRequest(NamedTuple):
@@ -103,3 +103,4 @@
     instances: forwarding.Instances
     shutdown: Shutdown
     crash_detector: crash_detector_lib.CrashDetector
+    return_times: return_times_lib.ReturnTimes
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -454,7 +454,11 @@
         latency_s: float,
         wait_factor: float,
     ) -> None:
-        self._route_latency.add_sample(latency_s, wait_factor > 1.0)
+        was_queued = wait_factor > 1.0
+        self._route_latency.add_sample(latency_s, was_queued)
+        self._context.return_times.record_latency(
+            self._routed.service, latency_s, was_queued
+        )
         upstream.record_success()
         upstream.record_latency(
             latency_s / wait_factor, self._route_latency.mean_s
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -23,11 +23,13 @@
 from bamboosilld.gateway import reachability as reachability_lib
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import request_sender
+from bamboosilld.gateway import return_times as return_times_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import view as view_lib
 
 _DEFAULT_DEADLINE_S = 30.0
-# Retry-After of a refused request: a fraction of its route's target latency.
+# Retry-After of a refused request for which no better time is known: a fraction
+# of its route's target latency.
 _RETRY_AFTER_FRACTION = 0.4
 # Retry-After before this instance has synced with the leader: about the time of
 # an election and a heartbeat.
@@ -118,6 +120,7 @@
             crash_detector_lib.CrashDetector(
                 self._report_crash, clock, _CRASH_SETTLE_S
             ),
+            return_times_lib.ReturnTimes(clock, rng),
         )
         self._follower = follower
         self._view = view
--- a/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
+++ b/packages/daemon/src/bamboosilld/gateway/upstream_selection.py
@@ -10,6 +10,7 @@
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import request_context
+from bamboosilld.gateway import return_times
 
 # Longest wait for a key to get a holder, as a fraction of the time left until
 # the route's target latency or the deadline, whichever is sooner.
@@ -20,6 +21,12 @@
 # priority from the most urgent. Under overload, low priorities go first.
 _LATENCY_FACTOR_BY_PRIORITY = (1.6, 1.4, 1.0)
 
+_UPSTREAM_FULL = "upstream is full"
+_UPSTREAMS_FULL = "all upstreams are full"
+_TOO_SLOW = "upstreams are too slow now"
+# Reasons of refusals for lack of room.
+_ROOM_REASONS = frozenset((_UPSTREAM_FULL, _UPSTREAMS_FULL, _TOO_SLOW))
+
 _log = logs.get_logger("gateway")
 
 
@@ -45,8 +52,8 @@
     Attributes:
         failed: Ids of upstreams to which an attempt has failed.
         reason: Why none was chosen, or why the last attempt failed.
-        retry_after_s: Seconds after which a permit is due for the caller, or 0
-            if no rate limit is the reason.
+        retry_after_s: Seconds after which a permit or a slot is expected for
+            the caller, or 0 if that is not known.
     """
 
     def __init__(
@@ -67,7 +74,16 @@
         self.retry_after_s = 0.0
 
     async def wait_for_upstream(self) -> load_balancing.Upstream | None:
-        """Returns the upstream to send to; waits for the holder of a key."""
+        """Returns the upstream to send to; waits for the holder of a key.
+
+        If there is none, sets the reason and when the caller is to return.
+        """
+        upstream = await self._find_upstream()
+        if upstream is None and self.reason in _ROOM_REASONS:
+            self._tell_return_time()
+        return upstream
+
+    async def _find_upstream(self) -> load_balancing.Upstream | None:
         routed, view = self._routed, self._context.view
         if routed.key == request_context.NO_KEY:
             return await self._choose_permitted(self.failed)
@@ -106,6 +122,55 @@
         self._refuse_for_limit([holder])
         return None
 
+    def _tell_return_time(self) -> None:
+        routed, pool = self._routed, self._find_pool()
+        room = self._measure_room()
+        self.retry_after_s = self._context.return_times.tell(
+            pool,
+            return_times.Caller(
+                routed.route.priority,
+                self._get_remaining_s(),
+                routed.route.target_latency_ms / 1000,
+            ),
+            room,
+        )
+        _log.info(
+            "Caller told to return. Reason: %s. Seconds: %.2f.",
+            self.reason,
+            self.retry_after_s,
+            extra={
+                "request": routed.request_id.decode("latin-1"),
+                "pool": "/".join(pool),
+                "excess": round(room.excess, 1) if room else None,
+                "rate_per_s": round(room.rate_per_s, 1) if room else None,
+            },
+        )
+
+    def _find_pool(self) -> tuple[str, str]:
+        """Returns the service and, of a sharded one, the key's holder."""
+        if self._routed.key == request_context.NO_KEY:
+            return self._routed.service, ""
+        holder = self.find_holder()
+        return self._routed.service, holder.item.upstream if holder else ""
+
+    def _measure_room(self) -> return_times.Room | None:
+        """Returns the load of the upstreams that can serve the request."""
+        routed = self._routed
+        if routed.key == request_context.NO_KEY:
+            upstreams = [
+                each
+                for each in self._context.view.list_upstreams(routed.service)
+                if each.availability.find_obstacle() is None
+            ]
+        else:
+            holder = self.find_holder()
+            upstreams = [holder] if holder is not None else []
+        return return_times.measure_room(
+            upstreams,
+            self._context.return_times.get_mean_latency(routed.service),
+            self._entry_count,
+        )
+
     async def _acquire_permit(self, upstream: load_balancing.Upstream) -> bool:
         timeout_s = max(0.0, min(_PERMIT_WAIT_S, self._get_remaining_s()))
         return await self._context.permits.acquire(upstream, timeout_s)
@@ -225,7 +290,7 @@
         )
         if chosen is None:
             if candidates:
-                self.reason = "all upstreams are full"
+                self.reason = _UPSTREAMS_FULL
             return None
         return chosen if self._is_fast_enough(chosen) else None
 
@@ -240,9 +305,9 @@
         latency_s = upstream.estimate_latency(self._route_latency.mean_s)
         has_queue = upstream.estimate_load() >= upstream.slots
         if upstream.is_full():
-            self.reason = "upstream is full"
+            self.reason = _UPSTREAM_FULL
         elif has_queue and elapsed_s + latency_s > limit_s:
-            self.reason = "upstreams are too slow now"
+            self.reason = _TOO_SLOW
         else:
             return True
         _log.info(
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -13,6 +13,7 @@
 from bamboosilld.gateway import permit_client
 from bamboosilld.gateway import reachability
 from bamboosilld.gateway import request_context
+from bamboosilld.gateway import return_times
 
 NAMES = http_messages.HeaderNames(
     request_id=b"x-id",
@@ -125,6 +126,7 @@
         instances,
         request_context.Shutdown(),
         crash_detector.CrashDetector(_ignore_crash, clock),
+        return_times.ReturnTimes(clock, rng),
     )
 
 
--- a/packages/daemon/tests/gateway/test_request_sender.py
+++ b/packages/daemon/tests/gateway/test_request_sender.py
@@ -383,6 +383,36 @@
     assert record.expected_ms > record.limit_ms
 
 
+@pytest.mark.parametrize(
+    ("has_report", "earliest_s", "latest_s"), [(True, 2.7, 3.4), (False, 0, 0)]
+)
+async def test_a_refused_caller_is_told_when_the_load_has_drained(
+    serve, caplog, has_report, earliest_s, latest_s
+):
+    """Guards against a time that does not depend on the load.
+
+    Without a report of the load, the caller is told the default time.
+    """
+    caplog.set_level("INFO")
+    latency = latency_lib.Latency()
+    latency.add_sample(1.2, False)
+    fleet = _Fleet(sharded=True)
+    upstream = fleet.add("u0", await serve(_respond))
+    fleet.grant("u0")
+    if has_report:
+        upstream.update_load(b"4,9,4")
+    else:
+        upstream.in_flight = 13
+    sender = fleet.make_sender(key=7, latency=latency)
+    sender._context.return_times.record_latency("s", 1.2, False)
+    outcome = await sender.run()
+    assert outcome.reason == "upstreams are too slow now"
+    assert earliest_s <= outcome.retry_after_s <= latest_s
+    (record,) = [each for each in caplog.records if "told to" in each.msg]
+    assert record.pool == "s/u0"
+    assert outcome.reason in record.getMessage()
+
+
 @pytest.mark.parametrize("is_sharded", [False, True])
 async def test_an_old_rejection_is_not_taken_for_that_of_a_retry(
     serve, is_sharded
