Read load headers with four values and choose by expected latency

Cause: a load header with four values was discarded, so that instances saw only their own hundredth of an upstream's load.

The penalty of another zone is 0.3 of the slots, 1.8 or 0.6 of a request, and random differences of the loads, half a second old, exceed it all the time. And the cost is proportional to the load below the slots, where load adds no latency, so that slow upstreams with free slots get requests before fast ones with fewer. Ruled out as main causes by trials: the wait that is predicted from the load and taken out of the relative latency, smoothing of the loads, smaller samples, and steeper costs above the slots.

Change: the first three values are read as before. The fourth is divided out of the relative latency and is a factor of the cost for 0.4 s. Where upstreams of the service state it, the cost is the relative latency times 1 + utilisation^2, times 3 in another zone.

--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -297,16 +297,25 @@
             return ()
 
     def _apply_stats(self, reply: messages.FollowReply) -> None:
-        upstreams = sorted(self.state.upstreams)
-        if not len(upstreams) == len(reply.loads) == len(reply.paces):
-            return
-        self._on_stats(
-            {
-                upstream: UpstreamStats(
-                    requests, relative_latency_lib.decode(step)
-                )
-                for upstream, requests, step in zip(
-                    upstreams, reply.loads, reply.paces, strict=True
-                )
-            }
+        stats = decode_stats(sorted(self.state.upstreams), reply)
+        if stats is not None:
+            self._on_stats(stats)
+
+
+def decode_stats(
+    upstreams: list[str], reply: messages.FollowReply
+) -> dict[str, UpstreamStats] | None:
+    """Returns the stats in a reply, or None if they are of other upstreams.
+
+    Args:
+        upstreams: Ids of the upstreams at the revision of the reply, sorted.
+        reply: The leader's reply.
+    """
+    if not len(upstreams) == len(reply.loads) == len(reply.paces):
+        return None
+    return {
+        upstream: UpstreamStats(requests, relative_latency_lib.decode(step))
+        for upstream, requests, step in zip(
+            upstreams, reply.loads, reply.paces, strict=True
         )
+    }
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -46,6 +46,18 @@
 # Added load of an upstream in another zone, as a fraction of its slots:
 # traffic between zones is costly.
 _CROSS_ZONE_LOAD_PENALTY = 0.3
+# The same where upstreams state their slowness, as a factor of the cost. Loads
+# that other instances report are older than most requests take: with the
+# penalty above, random differences of a request or two send traffic to another
+# zone.
+_CROSS_ZONE_COST_FACTOR = 3.0
+# Age from which on a stated slowness is not used, as it changes many times a
+# second, and its bounds.
+_SLOWNESS_MAX_AGE_S = 0.4
+_MIN_SLOWNESS = 0.1
+_MAX_SLOWNESS = 20.0
+# Value of a stated slowness that stands for the usual speed.
+_USUAL_SLOWNESS_PERCENT = 100
 # Requests that may be queued at an upstream, per slot: some upstreams never
 # answer a request that they cannot queue.
 _MAX_QUEUED_PER_SLOT = 2.5
@@ -64,6 +76,40 @@
     observed_s: float
 
 
+class LoadReport(NamedTuple):
+    """What an upstream states of its load in a response.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait for a slot.
+        slots: Requests that it runs concurrently.
+        slowness: How long work takes on its machine at this moment, 2 is twice
+            as long as usual; None if it does not state it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float | None
+
+
+def parse_load(value: bytes) -> LoadReport | None:
+    """Returns a load header with three or four values, or None if not valid."""
+    parts = [
+        http_messages.parse_count(part.strip()) for part in value.split(b",")
+    ]
+    counts = [part for part in parts if part is not None]
+    if len(counts) != len(parts) or len(counts) not in (3, 4):
+        return None
+    slowness = None
+    if len(counts) == 4:
+        if not counts[3]:
+            return None
+        ratio = counts[3] / _USUAL_SLOWNESS_PERCENT
+        slowness = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
+    return LoadReport(counts[0], counts[1], counts[2], slowness)
+
+
 class Upstream:
     """One incarnation of an upstream as this instance sees it.
 
@@ -72,6 +118,7 @@
         in_flight: Requests of this instance in flight to it.
         relative_latency: Recent latency relative to the mean of its service; 2
             is twice as slow.
+        states_slowness: Whether its load reports have a slowness.
         failures: Consecutive failures.
         backoff_until_s: It gets no request before this time, unless all
             upstreams are backing off.
@@ -105,6 +152,9 @@
         self._warmup_end_s = clock.monotonic() + item.warmup_ms / 1000
         self._load = Load(0, 0, float("-inf"))
         self._has_new_load = False
+        self.states_slowness = False
+        self._slowness = 1.0
+        self._slowness_end_s = float("-inf")
         self._no_response = False
         self._no_response_count = 0
 
@@ -120,18 +170,23 @@
         others = self._load.requests - self._load.own
         return self.in_flight + max(0, others) * weight
 
-    def update_load(self, value: bytes) -> None:
-        """Applies a load header: running and waiting requests, slots."""
-        parts = [
-            http_messages.parse_count(part.strip())
-            for part in value.split(b",")
-        ]
-        counts = [part for part in parts if part is not None]
-        if len(parts) != 3 or len(counts) != 3:
-            return
-        running, waiting, _ = counts
+    def update_load(self, value: bytes) -> LoadReport | None:
+        """Applies a load header and returns it, or None if it is not valid."""
+        report = parse_load(value)
+        if report is None:
+            return None
         self._has_new_load = True
-        self._set_load(min(running + waiting, _MAX_LOAD))
+        self._set_load(min(report.running + report.waiting, _MAX_LOAD))
+        if report.slowness is not None:
+            self.states_slowness = True
+            self._slowness = report.slowness
+            self._slowness_end_s = self._clock.monotonic() + _SLOWNESS_MAX_AGE_S
+        return report
+
+    def get_slowness(self) -> float:
+        """Returns how slow the upstream is at this moment; 1 if unknown."""
+        is_fresh = self._clock.monotonic() < self._slowness_end_s
+        return self._slowness if is_fresh else 1.0
 
     def update_shared_load(self, requests: int) -> None:
         """Applies a load that any instance observed recently."""
@@ -170,13 +225,22 @@
         self.backoff_until_s = 0.0
         self._no_response = False
 
-    def record_latency(self, latency_s: float, baseline_s: float) -> None:
+    def record_latency(
+        self,
+        latency_s: float,
+        baseline_s: float,
+        report: LoadReport | None = None,
+    ) -> None:
         """Updates the relative latency from one response.
 
         Args:
             latency_s: Its latency without the wait for a slot.
             baseline_s: Mean latency of its route.
+            report: Load that the upstream stated in it.
         """
+        if report is not None and report.slowness is not None:
+            # The relative latency is the lasting one.
+            latency_s /= report.slowness
         self._latency_sum_s += latency_s
         self._baseline_sum_s += baseline_s
         ratio = latency_s / baseline_s
@@ -260,6 +324,22 @@
         queued = max(0.0, self.estimate_load() + 1.0 - self.slots)
         return 1.0 + queued / self.slots
 
+    def compute_latency_cost(self, zone: str) -> float:
+        """Returns the cost where upstreams state their slowness.
+
+        Below the slots, load hardly adds to the latency: a slow upstream is not
+        better for having more free slots. The cost rises before the slots are
+        full, as the load is known late.
+        """
+        utilisation = (self.estimate_load() + 1.0) / self.slots
+        cost = self.relative_latency * (1.0 + utilisation * utilisation)
+        cost *= self.get_slowness()
+        if self.item.zone != zone:
+            cost *= _CROSS_ZONE_COST_FACTOR
+        if self._clock.monotonic() < self._warmup_end_s:
+            cost *= 2.0
+        return cost
+
     def compute_cost(self, zone: str) -> float:
         """Returns the cost of sending one more request; the lowest wins."""
         load = self.estimate_load() + 1.0
@@ -288,6 +368,11 @@
     available = [each for each in usable if not each.is_backing_off()] or usable
     if not available:
         return None
+    # One instance hears rarely from one upstream: all of a service are alike.
+    if any(each.states_slowness for each in available):
+        compute_cost = Upstream.compute_latency_cost
+    else:
+        compute_cost = Upstream.compute_cost
     if instances >= _SAMPLING_MIN_INSTANCES:
         same_zone = [each for each in available if each.item.zone == zone]
         other_zones = [each for each in available if each.item.zone != zone]
@@ -298,5 +383,5 @@
             ),
         ]
     return min(
-        available, key=lambda each: (each.compute_cost(zone), rng.random())
+        available, key=lambda each: (compute_cost(each, zone), rng.random())
     )
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -374,8 +374,7 @@
                 upstream.pool.release(connection)
         self._context.reachability.record_response()
         load = response.get(self._context.names.load)
-        if load is not None:
-            upstream.update_load(load)
+        report = upstream.update_load(load) if load is not None else None
         if response.status != exchange.STATUS_MISDIRECTED:
             upstream.availability.observe(
                 response.status,
@@ -393,7 +392,7 @@
             response, self._context.names
         ):
             self._record_latency(
-                upstream, clock.monotonic() - started_s, wait_factor
+                upstream, clock.monotonic() - started_s, wait_factor, report
             )
         return response
 
@@ -453,11 +452,12 @@
         upstream: load_balancing.Upstream,
         latency_s: float,
         wait_factor: float,
+        report: load_balancing.LoadReport | None,
     ) -> None:
         self._route_latency.add_sample(latency_s, wait_factor > 1.0)
         upstream.record_success()
         upstream.record_latency(
-            latency_s / wait_factor, self._route_latency.mean_s
+            latency_s / wait_factor, self._route_latency.mean_s, report
         )
 
     def _get_remaining_s(self) -> float:
