Measure and use the effective slots of upstreams

Cause: some upstreams slow down long before their slots are full. The choice, the expected latency and the key planner took the stated slots for capacity.

Change: instances sum latencies by the quarter of the slots that was busy (gateway/utilisation.py) and report them in Follow.paces; the leader keeps decayed sums (half-life 10 s) and derives the concurrency beyond which an upstream becomes slower without more throughput (fleet/effective_slots.py). FollowReply.slotShares has it, one byte per upstream, and is empty unless some value is below the stated slots. It is used in both costs, the expected latency, and keyplan.Holder.slots; the relative latency has this slowdown taken out.

--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -19,6 +19,7 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
+from bamboosilld.fleet import effective_slots
 from bamboosilld.fleet import relative_latency as relative_latency_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import state as state_lib
@@ -59,10 +60,13 @@
             `suspicion.SUSPECT_LOAD_MARKER`.
         relative_latency: Its latency relative to its service, or None if
             unknown.
+        slot_share: Its effective slots as a fraction of the stated ones, or
+            None if unknown.
     """
 
     requests: int
     relative_latency: float | None
+    slot_share: float | None = None
 
 
 class Follower:
@@ -313,9 +317,16 @@
     """
     if not len(upstreams) == len(reply.loads) == len(reply.paces):
         return None
+    slot_shares = reply.slot_shares
+    if len(slot_shares) != len(upstreams):
+        slot_shares = bytes(len(upstreams))
     return {
-        upstream: UpstreamStats(requests, relative_latency_lib.decode(step))
-        for upstream, requests, step in zip(
-            upstreams, reply.loads, reply.paces, strict=True
+        upstream: UpstreamStats(
+            requests,
+            relative_latency_lib.decode(step),
+            effective_slots.decode(share),
+        )
+        for upstream, requests, step, share in zip(
+            upstreams, reply.loads, reply.paces, slot_shares, strict=True
         )
     }
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -52,12 +52,13 @@
     """An upstream that may hold keys.
 
     Attributes:
-        slots: Requests that it runs concurrently.
+        slots: Effective slots: requests that it runs concurrently without
+            slowing down.
         relative_latency: Its latency relative to the mean of its service.
         next_heartbeat_s: Expected time until its next heartbeat.
     """
 
-    slots: int
+    slots: float
     relative_latency: float
     next_heartbeat_s: float = 0.0
 
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -46,14 +46,16 @@
 
 
 class EncodedStats(NamedTuple):
-    """Loads and relative latencies of a revision's upstreams, a byte each.
+    """Loads, relative latencies and effective slots of a revision's upstreams.
 
-    They are in the order of the ids of the upstreams.
+    Each has one byte per upstream, in the order of the ids. The
+    effective slots are empty if they are the stated ones.
     """
 
     revision: int
     loads: bytes
     relative_latencies: bytes
+    slot_shares: bytes = b""
 
 
 class _Snapshot(NamedTuple):
@@ -175,6 +177,7 @@
         return reply._replace(
             loads=stats.loads,
             paces=stats.relative_latencies,
+            slot_shares=stats.slot_shares,
             limits=self._list_limits(),
         )
 
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -9,9 +9,10 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import suspicion
 from bamboosilld.gateway import availability as availability_lib
-from bamboosilld.gateway import http_messages
+from bamboosilld.gateway import load_report
 from bamboosilld.gateway import rate_limit as rate_limit_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
+from bamboosilld.gateway import utilisation as utilisation_lib
 
 # Weight of the newest sample in the moving average of the relative latency: an
 # upstream's latency relative to the mean of its service.
@@ -24,6 +25,8 @@
 _LOAD_REPORT_MAX_AGE_S = 2.5
 # Largest load that can be reported to the leader.
 _MAX_LOAD = 2**16 - 1
+# Effective slots that were not received again for this time are not used.
+_SLOT_SHARE_MAX_AGE_S = 2.5
 # Load seen by other instances replaces an own report older than this.
 _OWN_LOAD_FRESH_S = 0.4
 # From this many entry instances on, each one chooses among a random sample of
@@ -52,12 +55,8 @@
 # zone.
 _CROSS_ZONE_COST_FACTOR = 3.0
 # Age from which on a stated slowness is not used, as it changes many times a
-# second, and its bounds.
+# second.
 _SLOWNESS_MAX_AGE_S = 0.4
-_MIN_SLOWNESS = 0.1
-_MAX_SLOWNESS = 20.0
-# Value of a stated slowness that stands for the usual speed.
-_USUAL_SLOWNESS_PERCENT = 100
 # Requests that may be queued at an upstream, per slot: some upstreams never
 # answer a request that they cannot queue.
 _MAX_QUEUED_PER_SLOT = 2.5
@@ -76,40 +75,6 @@
     observed_s: float
 
 
-class LoadReport(NamedTuple):
-    """What an upstream states of its load in a response.
-
-    Attributes:
-        running: Requests that run.
-        waiting: Requests that wait for a slot.
-        slots: Requests that it runs concurrently.
-        slowness: How long work takes on its machine at this moment, 2 is twice
-            as long as usual; None if it does not state it.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    slowness: float | None
-
-
-def parse_load(value: bytes) -> LoadReport | None:
-    """Returns a load header with three or four values, or None if not valid."""
-    parts = [
-        http_messages.parse_count(part.strip()) for part in value.split(b",")
-    ]
-    counts = [part for part in parts if part is not None]
-    if len(counts) != len(parts) or len(counts) not in (3, 4):
-        return None
-    slowness = None
-    if len(counts) == 4:
-        if not counts[3]:
-            return None
-        ratio = counts[3] / _USUAL_SLOWNESS_PERCENT
-        slowness = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
-    return LoadReport(counts[0], counts[1], counts[2], slowness)
-
-
 class Upstream:
     """One incarnation of an upstream as this instance sees it.
 
@@ -122,6 +87,7 @@
         failures: Consecutive failures.
         backoff_until_s: It gets no request before this time, unless all
             upstreams are backing off.
+        latency_sums: Latencies by utilisation that were not reported yet.
         rate_limit: The rate limit that it states in its responses.
         availability: Whether it takes requests now, as it states there.
     """
@@ -152,6 +118,9 @@
         self._warmup_end_s = clock.monotonic() + item.warmup_ms / 1000
         self._load = Load(0, 0, float("-inf"))
         self._has_new_load = False
+        self.latency_sums = utilisation_lib.LatencySums()
+        self._slot_share = 1.0
+        self._slot_share_end_s = float("-inf")
         self.states_slowness = False
         self._slowness = 1.0
         self._slowness_end_s = float("-inf")
@@ -163,6 +132,17 @@
         """Number of requests that it runs concurrently."""
         return max(1, self.item.slots)
 
+    def get_effective_slots(self) -> float:
+        """Returns the concurrency up to which it does not slow down."""
+        if self._clock.monotonic() >= self._slot_share_end_s:
+            return self.slots
+        return max(1.0, self.slots * self._slot_share)
+
+    def update_slot_share(self, share: float | None) -> None:
+        """Applies the effective fraction of the slots; None is unknown."""
+        self._slot_share = 1.0 if share is None else share
+        self._slot_share_end_s = self._clock.monotonic() + _SLOT_SHARE_MAX_AGE_S
+
     def estimate_load(self) -> float:
         """Returns the estimated requests at the upstream, of all instances."""
         age_s = self._clock.monotonic() - self._load.observed_s
@@ -170,9 +150,9 @@
         others = self._load.requests - self._load.own
         return self.in_flight + max(0, others) * weight
 
-    def update_load(self, value: bytes) -> LoadReport | None:
+    def update_load(self, value: bytes) -> load_report.LoadReport | None:
         """Applies a load header and returns it, or None if it is not valid."""
-        report = parse_load(value)
+        report = load_report.parse(value)
         if report is None:
             return None
         self._has_new_load = True
@@ -229,20 +209,28 @@
         self,
         latency_s: float,
         baseline_s: float,
-        report: LoadReport | None = None,
+        report: load_report.LoadReport | None = None,
+        wait_factor: float = 1.0,
     ) -> None:
         """Updates the relative latency from one response.
 
         Args:
-            latency_s: Its latency without the wait for a slot.
+            latency_s: Its latency, with the wait for a slot.
             baseline_s: Mean latency of its route.
             report: Load that the upstream stated in it.
+            wait_factor: Factor of the latency by which it probably waited.
         """
         if report is not None and report.slowness is not None:
             # The relative latency is the lasting one.
             latency_s /= report.slowness
-        self._latency_sum_s += latency_s
-        self._baseline_sum_s += baseline_s
+        if report is not None and not report.waiting:
+            part = utilisation_lib.find_part(report.running, report.slots)
+            self.latency_sums.add(part, latency_s, baseline_s)
+            latency_s /= max(1.0, report.running / self.get_effective_slots())
+        else:
+            latency_s /= wait_factor
+            self._latency_sum_s += latency_s
+            self._baseline_sum_s += baseline_s
         ratio = latency_s / baseline_s
         relative_latency = self.relative_latency + _RELATIVE_LATENCY_GAIN * (
             ratio - self.relative_latency
@@ -271,6 +259,8 @@
     def pop_relative_latency(self) -> tuple[float, float]:
         """Returns the relative latency of the responses since the last call.
 
+        Responses that are counted by utilisation are not among them.
+
         Returns:
             The relative latency, and the sum of the baseline latencies in
             seconds.
@@ -317,13 +307,19 @@
         Args:
             baseline_s: Mean latency of the request's route without a wait.
         """
-        return baseline_s * self.relative_latency * self.estimate_wait_factor()
+        return baseline_s * self.relative_latency * self.estimate_slowdown()
 
     def estimate_wait_factor(self) -> float:
         """Returns the factor by which a wait for a slot adds to latency."""
         queued = max(0.0, self.estimate_load() + 1.0 - self.slots)
         return 1.0 + queued / self.slots
 
+    def estimate_slowdown(self) -> float:
+        """Returns the factor by which load beyond the effective slots adds."""
+        return max(
+            1.0, (self.estimate_load() + 1.0) / self.get_effective_slots()
+        )
+
     def compute_latency_cost(self, zone: str) -> float:
         """Returns the cost where upstreams state their slowness.
 
@@ -331,7 +327,8 @@
         better for having more free slots. The cost rises before the slots are
         full, as the load is known late.
         """
-        utilisation = (self.estimate_load() + 1.0) / self.slots
+        load = self.estimate_load() + 1.0
+        utilisation = load / self.get_effective_slots()
         cost = self.relative_latency * (1.0 + utilisation * utilisation)
         cost *= self.get_slowness()
         if self.item.zone != zone:
@@ -347,7 +344,7 @@
             load += _CROSS_ZONE_LOAD_PENALTY * self.slots
         if self._clock.monotonic() < self._warmup_end_s:
             load *= 2.0
-        return load / self.slots * self.relative_latency
+        return load / self.get_effective_slots() * self.relative_latency
 
 
 def choose(
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -16,6 +16,7 @@
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
+from bamboosilld.gateway import load_report
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import upstream_selection
@@ -452,12 +453,12 @@
         upstream: load_balancing.Upstream,
         latency_s: float,
         wait_factor: float,
-        report: load_balancing.LoadReport | None,
+        report: load_report.LoadReport | None,
     ) -> None:
         self._route_latency.add_sample(latency_s, wait_factor > 1.0)
         upstream.record_success()
         upstream.record_latency(
-            latency_s / wait_factor, self._route_latency.mean_s, report
+            latency_s, self._route_latency.mean_s, report, wait_factor
         )
 
     def _get_remaining_s(self) -> float:
--- a/packages/daemon/tests/gateway/test_uneven_load.py
+++ b/packages/daemon/tests/gateway/test_uneven_load.py
@@ -1,6 +1,7 @@
 """Choice between upstreams of uneven speed whose loads all instances see."""
 
 import random
+import statistics
 
 import pytest
 
@@ -85,3 +86,55 @@
     shares = fleet.measure(12.0)
     assert shares.in_time > in_time
     assert shares.cross_zone < cross_zone
+
+
+def _play_knees(sends_slot_shares):
+    traits = uneven_fleet.list_traits(36, knees=(1.0, 0.33), moments=True)
+    fleet = uneven_fleet.Fleet(traits, sends_slot_shares=sends_slot_shares)
+    fleet.run(24.0, 0.8)
+    return fleet
+
+
+def test_callers_get_more_when_effective_slots_are_used():
+    """Guards against slots that slow an upstream down, and against lost ones.
+
+    Upstreams that do not slow down must keep their slots, also those that have
+    slowed down before.
+    """
+    without, fleet = _play_knees(False), _play_knees(True)
+    assert statistics.fmean(fleet.get_shares(1.0)) > 0.97
+    assert statistics.fmean(fleet.get_shares(0.33)) < 0.85
+    for zone in ("z1", "z2", "z3"):
+        found = fleet.measure(14.0, zone)
+        assert found.in_time > without.measure(14.0, zone).in_time + 0.01
+        assert found.cross_zone < 0.1
+    for each in fleet.upstreams:
+        knee = 1.0 if each.traits.knee < 1.0 else 0.33
+        each.traits = each.traits._replace(knee=knee)
+    fleet.run(40.0, 0.8)
+    assert statistics.fmean(fleet.get_shares(1.0)) > 0.97
+    assert statistics.fmean(fleet.get_shares(0.33)) < 0.97
+
+
+def test_a_new_leader_starts_with_the_stated_slots():
+    """Guards against effective slots that outlive their measurements.
+
+    The new leader gets what instances have measured since the last reply.
+    """
+    fleet = _play_knees(True)
+
+    def list_effective():
+        return [
+            upstream.get_effective_slots()
+            for instance in fleet.instances
+            for upstream in instance.view.list_all_upstreams()
+        ]
+
+    assert min(list_effective()) < 4.0
+    fleet.leader = None
+    fleet.run(3.0, 0.3)
+    assert min(list_effective()) == 6.0
+    fleet.leader = uneven_fleet.Leader(fleet)
+    assert min(fleet.get_shares(0.33)) == 1.0
+    fleet.run(10.0, 0.8)
+    assert min(list_effective()) < 4.0
--- a/packages/daemon/tests/gateway/uneven_fleet.py
+++ b/packages/daemon/tests/gateway/uneven_fleet.py
@@ -116,12 +116,6 @@
         else:
             self._waiting.append([work_s, callback])
 
-    def format_load(self, values):
-        """Returns a load header with the given number of values, or None."""
-        load = [len(self._running), len(self._waiting), self.slots]
-        load.append(round(self.slowness * 100))
-        return b",".join(b"%d" % each for each in load[:values]) or None
-
     def _get_rate(self):
         share = min(1.0, self.get_capacity() / max(1, len(self._running)))
         return self.traits.speed / self.slowness * share
@@ -151,12 +145,15 @@
             return
         self._advance()
         done = [each for each in self._running if each[0] <= 1e-6]
+        # A response counts its own request as running.
+        load = [len(self._running), len(self._waiting), self.slots]
+        load.append(round(self.slowness * 100))
         self._running = [each for each in self._running if each[0] > 1e-6]
         while self._waiting and len(self._running) < self.slots:
             self._running.append(self._waiting.pop(0))
         self._schedule()
         for _, callback in done:
-            callback()
+            callback(load)
 
 
 class Leader:
@@ -165,14 +162,19 @@
     def __init__(self, fleet):
         self.state = fleet.state
         self.observations = observations_lib.Observations(fleet.loop)
+        self._sends_slot_shares = fleet.sends_slot_shares
 
     def answer(self, request):
         self.observations.add(request)
         names = sorted(self.state.upstreams)
+        shares = self.observations.effective_slots.encode(
+            (each, self.state.upstreams[each].slots) for each in names
+        )
         return messages.FollowReply(
             revision=self.state.revision,
             loads=self.observations.encode_loads((e, False) for e in names),
             paces=self.observations.relative_latencies.encode(names),
+            slot_shares=shares if self._sends_slot_shares else b"",
         )
 
 
@@ -238,18 +240,18 @@
         def submit():
             server.submit(fleet.draw_work_s(), respond)
 
-        def respond():
-            load = server.format_load(fleet.values)
-            self._loop.call_later(link_s, receive, load)
+        def respond(load):
+            header = b",".join(b"%d" % each for each in load[: fleet.values])
+            self._loop.call_later(link_s, receive, header)
 
-        def receive(load):
+        def receive(header):
             chosen.in_flight -= 1
             took_s = self._loop.now_s - now_s
-            report = chosen.update_load(load) if load is not None else None
+            report = chosen.update_load(header)
             self._latency.add_sample(took_s, wait_factor > 1.0)
             chosen.record_success()
             chosen.record_latency(
-                took_s / wait_factor, self._latency.mean_s, report
+                took_s, self._latency.mean_s, report, wait_factor
             )
             fleet.samples.append(
                 Sample(now_s, took_s, self._zone, server.traits.zone)
@@ -273,8 +275,10 @@
         work_s=0.15,
         noise=0.3,
         target_s=0.4,
+        sends_slot_shares=True,
     ):
         self.seed, self.values = seed, values
+        self.sends_slot_shares = sends_slot_shares
         self.loop = Loop()
         self.rng = random.Random(seed)
         self.target_s = target_s
@@ -319,6 +323,17 @@
         self.rate_per_s = load * capacity / self._work_s
         self.loop.run_until(self.loop.now_s + seconds)
 
+    def get_shares(self, knee):
+        """Returns the effective fractions of upstreams with a knee."""
+        found = [
+            self.leader.observations.effective_slots.get_share(
+                each.name, each.slots
+            )
+            for each in self.upstreams
+            if each.traits.knee == knee
+        ]
+        return [1.0 if each is None else each for each in found]
+
     def measure(self, last_s, zone=None):
         """Returns what callers got in the last seconds."""
         samples = [
