--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -191,6 +191,15 @@
     "Questions for permits to send to upstreams with a rate limit, by outcome.",
     ["outcome"],
 )
+gateway_cold_requests = prometheus_client.Counter(
+    "bamboosill_gateway_cold_requests_total",
+    "Requests for cold upstreams that were sent or refused, by outcome.",
+    ["outcome"],
+)
+fleet_cold_upstreams = prometheus_client.Gauge(
+    "bamboosill_fleet_cold_upstreams",
+    "Upstreams that the leader limits because they are cold.",
+)
 gateway_cut_off = prometheus_client.Gauge(
     "bamboosill_gateway_cut_off",
     "1 while this instance reaches no upstream.",
@@ -218,6 +227,15 @@
     "bamboosill_fleet_configuration_version",
     "Version of the configuration in force here.",
 )
+fleet_evacuated_zones = prometheus_client.Gauge(
+    "bamboosill_fleet_evacuated_zones",
+    "Availability zones whose upstreams get no requests from here.",
+)
+fleet_evacuation_orders = prometheus_client.Counter(
+    "bamboosill_fleet_evacuation_orders_total",
+    "Orders to evacuate a zone or not that this leader handled, by outcome.",
+    ["outcome"],
+)
 fleet_reports = prometheus_client.Counter(
     "bamboosill_fleet_reports_total",
     "Heartbeats of upstreams that this leader answered, by outcome.",
@@ -238,6 +256,10 @@
     "From such a call, its connection included, to its outcome.",
     ["change"],
 )
+fleet_effective_slots = prometheus_client.Gauge(
+    "bamboosill_fleet_effective_slots",
+    "Effective slots of all upstreams, at the leader; 0 elsewhere.",
+)
 fleet_feed_replies = prometheus_client.Counter(
     "bamboosill_fleet_feed_replies_total",
     "Replies of this leader to polls of entry instances, by content.",
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -19,7 +19,9 @@
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.consensus import interfaces
+from bamboosilld.fleet import cold_upstreams
 from bamboosilld.fleet import crash_recorder
+from bamboosilld.fleet import evacuation
 from bamboosilld.fleet import key_granting
 from bamboosilld.fleet import keyplan
 from bamboosilld.fleet import observations as observations_lib
@@ -105,6 +107,10 @@
             clock,
             lambda fingerprint: state.quarantine.is_suspected(fingerprint),
         )
+        self._withdrawals = evacuation.Withdrawals(
+            state, clock, self._mark_cold
+        )
+        self._cold = cold_upstreams.ColdUpstreams(state, clock)
         self._elected_at_s: float | None = None
         self._reset()
 
@@ -120,8 +126,14 @@
         self._stats_computed_s = now_s
         self.observations = observations_lib.Observations(self._clock)
         self.permits = permits_lib.PermitBroker(
-            self._state, self._clock, self._rng
+            self._state, self._clock, self._rng, self._cold
         )
+        self._mark_cold()
+
+    def _mark_cold(self) -> None:
+        """Marks upstreams as cold whose zone is not evacuated any more."""
+        for each in self._withdrawals.list_cold():
+            self.permits.mark_cold(each.incarnation, each.duration_s)
 
     def is_active_leader(self) -> bool:
         """Returns whether this member may act as leader now.
@@ -137,7 +149,7 @@
         return True
 
     def encode_stats(self) -> replication_feed_lib.EncodedStats:
-        """Returns loads and relative latencies of all upstreams, encoded.
+        """Returns what instances learn of all upstreams, encoded.
 
         The result is cached briefly, as many instances ask for it.
         """
@@ -151,9 +163,28 @@
                 self.observations.relative_latencies.encode(
                     sorted(self._state.upstreams)
                 ),
+                self.observations.effective_slots.encode(self._list_slots()),
             )
         return self._stats
 
+    def sum_effective_slots(self) -> dict[str, float]:
+        """Returns the effective slots of the upstreams, summed by service."""
+        sums = {each.name: 0.0 for each in self._state.configuration.services}
+        for upstream, item in self._state.upstreams.items():
+            if not item.draining:
+                slots = self.observations.effective_slots.get_slots(
+                    upstream, max(1, item.slots)
+                )
+                sums[item.service] = sums.get(item.service, 0.0) + slots
+        return sums
+
+    def _list_slots(self) -> list[tuple[str, int]]:
+        """Returns the upstreams and their stated slots, by id."""
+        return [
+            (upstream, max(1, item.slots))
+            for upstream, item in sorted(self._state.upstreams.items())
+        ]
+
     def _encode_loads(self, now_s: float) -> bytes:
         late_after_s = _LATE_AFTER_HEARTBEATS * self._heartbeat_s
         upstreams = []
@@ -216,7 +247,8 @@
         self._last_reports[incarnation] = _LastReport(report.sequence, now_s)
         if last_report is None:
             self._last_join_s[item.service] = now_s
-        if self._has_changed(item):
+        is_news = self._cold.observe(item)
+        if self._has_changed(item) or is_news:
             _log.info(
                 "Upstream %s registered or changed. Born: %d. Service: %s. "
                 "Address: %s. State: %s.",
@@ -276,6 +308,8 @@
         """Removes silent upstreams, frees expired keys and plans moves."""
         now_s = self._clock.monotonic()
         await self._remove_silent(now_s)
+        self.observations.effective_slots.retain(self._state.upstreams)
+        self.observations.effective_slots.log_changes(self._list_slots())
         for service in list(self._state.keys):
             work_rates = self.observations.work_rates[service]
             work_rates.decay(now_s)
@@ -310,10 +344,14 @@
             last_report = self._last_reports.get(incarnation)
             if item.service != service or item.draining or last_report is None:
                 continue
+            if self._state.is_evacuated(item.upstream):
+                continue
             silence_s = now_s - last_report.received_s
             if silence_s <= self._lease_s * _MAX_SILENCE_LEASE_FRACTION:
                 holders[incarnation] = keyplan.Holder(
-                    slots=max(1, item.slots),
+                    slots=self.observations.effective_slots.get_slots(
+                        item.upstream, max(1, item.slots)
+                    ),
                     relative_latency=self.observations.relative_latencies.get(
                         item.upstream
                     ),
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -21,6 +21,7 @@
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
+from bamboosill_common import metrics
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as consensus_messages
@@ -33,6 +34,7 @@
 from bamboosilld.consensus import node as node_lib
 from bamboosilld.fleet import authority as authority_lib
 from bamboosilld.fleet import configuration as configuration_lib
+from bamboosilld.fleet import evacuation
 from bamboosilld.fleet import membership as membership_lib
 from bamboosilld.fleet import relay as relay_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
@@ -99,6 +101,7 @@
             messages.ReadConfiguration: self._on_read,
             messages.ReportUpstreamCrash: self._on_report_crash,
             messages.ReportAnswered: self._on_report_answered,
+            messages.ChangeEvacuation: self._on_change_evacuation,
         }
         for message_type in self._handlers:
             handlers.register(message_type)(self._on_leader_request)
@@ -211,6 +214,7 @@
             self._call_client,
             random.Random(),
         )
+        metrics.fleet_effective_slots.set_function(self._sum_effective_slots)
         self._membership_manager = membership_lib.MembershipManager(
             self.node, self._clock
         )
@@ -237,6 +241,11 @@
             self.state.revision,
         )
 
+    def _sum_effective_slots(self) -> float:
+        if not self.authority.is_active_leader():
+            return 0.0
+        return sum(self.authority.sum_effective_slots().values())
+
     def _load_incarnation(self) -> int:
         """Returns the incarnation of the data folder; 0 for a founding member.
 
@@ -375,6 +384,13 @@
         await self.authority.crashes.record_answered(report)
         return messages.ReportAnsweredReply()
 
+    async def _on_change_evacuation(
+        self, message: messages.ChangeEvacuation
+    ) -> messages.ChangeEvacuationReply:
+        return await evacuation.change(
+            message, self.node, self.state, _CALL_TIMEOUT_S
+        )
+
     async def _on_submit(
         self, submit: messages.SubmitChange
     ) -> messages.SubmitReply:
@@ -472,6 +488,7 @@
             self.feed.count_entries(),
             stats.loads,
             stats.relative_latencies,
+            stats.slot_shares,
             limits=self.authority.permits.list_limits(),
             forwarders=forwarders,
             forwarders_version=version,
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -16,6 +16,7 @@
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
+from bamboosilld.gateway import load_report
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import upstream_selection
@@ -39,6 +40,10 @@
     """The deadline passed before the request was written to a connection."""
 
 
+class _WithheldError(Exception):
+    """The upstream takes no more requests at the moment of sending."""
+
+
 class RequestSender:
     """Sends one request and keeps the state of its attempts."""
 
@@ -128,7 +133,8 @@
             holder = self._selector.find_holder()
             return holder is not None and holder.pool.has_idle
         return any(
-            each.pool.has_idle for each in view.list_upstreams(routed.service)
+            each.pool.has_idle and each.availability.find_obstacle() is None
+            for each in view.list_upstreams(routed.service)
         )
 
     def _make_failed_outcome(self) -> request_context.Outcome:
@@ -273,6 +279,10 @@
             self._record_failed_attempt(upstream, "timeout")
             self._record_possible_run()
             return None
+        except _WithheldError as error:
+            self._record_failed_attempt(upstream, f"withheld ({error})")
+            self._unsent_attempts += 1
+            return None
         except _NotWrittenError:
             upstream.record_failure(no_response=True)
             self._context.reachability.record_failure(
@@ -346,6 +356,7 @@
             upstream_lib.ExchangeError: No complete response was received.
             TimeoutError: The deadline passed after a connection was acquired.
             _NotWrittenError: The deadline passed before that.
+            _WithheldError: The upstream takes no requests any more.
         """
         clock = self._context.clock
         wait_factor = upstream.estimate_wait_factor()
@@ -361,6 +372,7 @@
                     connection = await upstream.pool.open()
                 else:
                     connection = await upstream.pool.acquire()
+                self._check_obstacle(upstream)
                 self._upstream = upstream.item.upstream
                 sent_s = clock.monotonic()
                 response = await self._exchange_on(connection, upstream)
@@ -376,8 +388,7 @@
                 upstream.pool.release(connection)
         self._context.reachability.record_response()
         load = response.get(self._context.names.load)
-        if load is not None:
-            upstream.update_load(load)
+        report = upstream.update_load(load) if load is not None else None
         if response.status != exchange.STATUS_MISDIRECTED:
             upstream.availability.observe(
                 response.status,
@@ -395,10 +406,23 @@
             response, self._context.names
         ):
             self._record_latency(
-                upstream, clock.monotonic() - started_s, wait_factor
+                upstream, clock.monotonic() - started_s, wait_factor, report
             )
         return response
 
+    def _check_obstacle(self, upstream: load_balancing.Upstream) -> None:
+        """Checks again whether an upstream takes the request.
+
+        That may have changed while a permit or a connection was awaited.
+
+        Raises:
+            _WithheldError: It does not.
+        """
+        is_holder = self._routed.key != request_context.NO_KEY
+        obstacle = upstream.availability.find_obstacle(is_holder)
+        if obstacle is not None:
+            raise _WithheldError(obstacle.reason)
+
     async def _exchange_on(
         self,
         connection: upstream_connection_lib.Connection,
@@ -455,11 +479,16 @@
         upstream: load_balancing.Upstream,
         latency_s: float,
         wait_factor: float,
+        report: load_report.LoadReport | None,
     ) -> None:
-        self._route_latency.add_sample(latency_s, wait_factor > 1.0)
+        was_queued = wait_factor > 1.0
+        self._route_latency.add_sample(latency_s, was_queued)
+        self._context.return_times.record_latency(
+            self._routed.service, latency_s, was_queued
+        )
         upstream.record_success()
         upstream.record_latency(
-            latency_s / wait_factor, self._route_latency.mean_s
+            latency_s, self._route_latency.mean_s, report, wait_factor
         )
 
     def _get_remaining_s(self) -> float:
--- a/packages/daemon/src/bamboosilld/gateway/service.py
+++ b/packages/daemon/src/bamboosilld/gateway/service.py
@@ -15,6 +15,7 @@
 from bamboosilld.fleet import keyranges
 from bamboosilld.gateway import budget as budget_lib
 from bamboosilld.gateway import crash_reports
+from bamboosilld.gateway import evacuation
 from bamboosilld.gateway import fingerprint
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import http_messages
@@ -24,11 +25,13 @@
 from bamboosilld.gateway import reachability as reachability_lib
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import request_sender
+from bamboosilld.gateway import return_times as return_times_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import view as view_lib
 
 _DEFAULT_DEADLINE_S = 30.0
-# Retry-After of a refused request: a fraction of its route's target latency.
+# Retry-After of a refused request for which no better time is known: a fraction
+# of its route's target latency.
 _RETRY_AFTER_FRACTION = 0.4
 # Retry-After before this instance has synced with the leader: about the time of
 # an election and a heartbeat.
@@ -59,6 +62,8 @@
         retry_window_s: Length of the window of the retry budget in seconds.
         drain_s: Time for which an upstream that states that it leaves still
             takes requests.
+        evacuation_s: Time within which the order to evacuate an availability
+            zone is in force at all instances.
     """
 
     instance: str
@@ -69,6 +74,7 @@
     retry_constant: float
     retry_window_s: float
     drain_s: float = load_balancing.DEFAULT_DRAIN_S
+    evacuation_s: float = evacuation.DEFAULT_BOUND_S
 
 
 class Service:
@@ -123,6 +129,7 @@
                 _CRASH_SETTLE_S,
                 crash_reporter.report_answer,
             ),
+            return_times_lib.ReturnTimes(clock, rng),
         )
         self._follower = follower
         self._view = view
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -1,5 +1,7 @@
 """Routing data that an entry instance derives from the fleet's state."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 
@@ -9,6 +11,7 @@
 from bamboosilld.consensus import change_notifier
 from bamboosilld.fleet import follower as follower_lib
 from bamboosilld.fleet import state as state_lib
+from bamboosilld.gateway import evacuation
 from bamboosilld.gateway import load_balancing
 from bamboosilld.gateway import routes as routes_lib
 
@@ -32,8 +35,26 @@
         request_id_name: bytes,
         local_host: str = "",
         drain_s: float = load_balancing.DEFAULT_DRAIN_S,
+        evacuation_s: float = evacuation.DEFAULT_BOUND_S,
+        get_last_sync_s: Callable[[], float] | None = None,
     ) -> None:
+        """Initializes the instance.
+
+        Args:
+            state: This instance's replica of the fleet's state.
+            clock: Clock of this instance.
+            request_id_name: Name of the header with the id of a request.
+            local_host: Source IP address of connections to upstreams.
+            drain_s: Time for which a leaving upstream still takes requests.
+            evacuation_s: Time within which the order to evacuate a zone is in
+                force at all instances.
+            get_last_sync_s: See `evacuation.Evacuations`; by default, changes
+                of the state are known at once.
+        """
         self._drain_s = drain_s
+        self._evacuations = evacuation.Evacuations(
+            evacuation_s, get_last_sync_s or clock.monotonic
+        )
         self.state = state
         self._clock = clock
         self._request_id_name = request_id_name
@@ -83,6 +104,13 @@
                 yield messages.UpstreamPace(
                     upstream.item.upstream, relative_latency, baseline_s * 1000
                 )
+            for each in upstream.latency_sums.pop():
+                yield messages.UpstreamPace(
+                    upstream.item.upstream,
+                    each.latency_s / each.baseline_s,
+                    each.baseline_s * 1000,
+                    each.part,
+                )
 
     def list_new_loads(self) -> Iterator[tuple[str, int, bool]]:
         """Yields the upstream loads observed since the last call.
@@ -105,6 +133,7 @@
             upstream_stats = stats.get(upstream.item.upstream)
             if upstream_stats is not None:
                 upstream.update_shared_load(upstream_stats.requests)
+                upstream.update_slot_share(upstream_stats.slot_share)
                 upstream.update_shared_relative_latency(
                     upstream_stats.relative_latency
                 )
@@ -129,10 +158,58 @@
             configuration = self.state.configuration
             self.routes = routes_lib.Routes(configuration.routes)
             self.services = {each.name: each for each in configuration.services}
+            self._update_cold_rates()
         if command is None or isinstance(command, messages.SetUpstreams):
             self._update_upstreams()
+            self._mark_cold(
+                self.state.upstreams.values()
+                if command is None
+                else command.upstreams
+            )
+        if command is None or isinstance(
+            command, messages.SetUpstreams | messages.SetEvacuation
+        ):
+            self._update_evacuations()
         self.changed.notify()
 
+    def _update_evacuations(self) -> None:
+        """Applies which zones are evacuated.
+
+        The upstreams of a zone whose evacuation has ended may have become cold
+        meanwhile.
+        """
+        withdrawn = self._evacuations.update(self.state.evacuated_zones)
+        for upstream in self._upstreams.values():
+            zone = upstream.item.zone
+            upstream.availability.set_evacuation(
+                self._evacuations.get_holders_until_s(zone)
+            )
+            service = self.services.get(upstream.item.service)
+            if zone in withdrawn and service is not None:
+                upstream.mark_cold(service.warmup_ms / 1000)
+
+    def _update_cold_rates(self) -> None:
+        for upstream in self._upstreams.values():
+            upstream.rate_limit.set_cold_rate(
+                self._get_cold_rate(upstream.item.service)
+            )
+
+    def _get_cold_rate(self, service: str) -> float:
+        item = self.services.get(service)
+        return item.warmup_per_s if item is not None else 0.0
+
+    def _mark_cold(self, items: Iterable[messages.UpstreamItem]) -> None:
+        """Marks upstreams as cold that were so when they were committed.
+
+        The item of a snapshot may be old; the leader's replies correct that.
+        """
+        for item in items:
+            upstream = self._upstreams.get(
+                state_lib.UpstreamIncarnation(item.upstream, item.born_ms)
+            )
+            if upstream is not None and self._get_cold_rate(item.service):
+                upstream.mark_cold(item.warmup_ms / 1000)
+
     def _update_upstreams(self) -> None:
         upstreams: dict[
             state_lib.UpstreamIncarnation, load_balancing.Upstream
@@ -162,7 +239,9 @@
                     continue
                 if known is not None:
                     upstream.availability = known.availability
+                    upstream.rate_limit = known.rate_limit
             upstream.item = item
+            upstream.rate_limit.set_cold_rate(self._get_cold_rate(item.service))
             upstreams[incarnation] = upstream
             if not item.draining:
                 by_service.setdefault(item.service, []).append(upstream)
--- a/packages/daemon/tests/fleet/test_relay.py
+++ b/packages/daemon/tests/fleet/test_relay.py
@@ -54,6 +54,7 @@
                 self.entry_count,
                 bytes(range(1, 1 + len(state.upstreams))),
                 bytes([96] * len(state.upstreams)),
+                bytes([100] * len(state.upstreams)),
                 limits=self.limits,
                 forwarders=(messages.EntryAddress("e9", "z2"),),
                 forwarders_version=7,
@@ -78,6 +79,7 @@
         assert reply.snapshot and reply.entry_count == 30
     later = await fleet.poll(1, "e99")
     assert later.loads == b"\x01\x02" and later.paces == b"\x60\x60"
+    assert later.slot_shares == bytes([100, 100])
     assert messages.EntryAddress("e9", "z2") in later.forwarders
     await fleet.relay.exchange()
     assert [len(polls) for polls in fleet.received] == [0, 21]
@@ -146,6 +148,26 @@
     assert limit.age_ms >= 500 and limit.cold_ms == 0
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        messages.SetUpstreams((make_item("u1"),)),
+        messages.SetEvacuation("z1", False),
+    ],
+)
+async def test_limits_from_before_a_change_are_not_sent(change):
+    """Guards against an old limit that makes a cold upstream warm."""
+    fleet = _Fleet()
+    item = make_item("u1")
+    fleet.limits = (messages.UpstreamLimit("u1", item.born_ms, 5.0),)
+    await fleet.relay.exchange()
+    assert (await fleet.poll(1, "e1")).limits
+    fleet.apply(change)
+    assert not (await fleet.poll(1, "e2")).limits
+    await fleet.relay.exchange()
+    assert (await fleet.poll(1, "e3")).limits
+
+
 class _Directory:
     """A leader that names a relay, and the relay, which may refuse."""
 
--- a/packages/dev/tests/platform/test_api.py
+++ b/packages/dev/tests/platform/test_api.py
@@ -12,6 +12,7 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import configuration as configuration_lib
 from bamboosilld.gateway import http_messages
+import configuration
 
 _TRAFFIC_SPLIT = [
     {"service": "s", "weight": 90},
@@ -69,10 +70,23 @@
             "sharding",
             "warm",
             "grants",
+            "warmup",
+            "warmup_per_s",
         ],
         "rows": [
-            ["s", "/health", 130, "h1", False, None, None, None],
-            ["k", "/health", 130, "h1", False, True, "3000ms", "heartbeat"],
+            ["s", "/health", 130, "h1", False, None, None, None, None, None],
+            [
+                "k",
+                "/health",
+                130,
+                "h1",
+                False,
+                True,
+                "3000ms",
+                "heartbeat",
+                "3s",
+                4.2,
+            ],
         ],
     },
     "limits": {
@@ -154,6 +168,22 @@
         ]
 
 
+def test_a_configuration_without_cold_limits_has_no_columns_for_them():
+    """Guards against columns that were not sent, in a configuration read."""
+    service = messages.ServiceItem("s", warmup_ms=1500)
+    for services, warmup in (((), None), ((service,), "1500ms")):
+        read = configuration.encode(
+            messages.Configuration(
+                services=(messages.ServiceItem("p"), *services)
+            )
+        )["services"]
+        rows = [
+            dict(zip(read["columns"], row, strict=True)) for row in read["rows"]
+        ]
+        assert "warmup_per_s" not in rows[0]
+        assert rows[-1].get("warmup") == warmup
+
+
 @pytest.mark.parametrize(
     ("outcome", "status"),
     [
@@ -181,6 +211,9 @@
         lambda document: document["routes"]["rows"][0].__setitem__(4, "fast"),
         lambda document: document["routes"]["rows"][0].__setitem__(7, None),
         lambda document: document["services"]["rows"][0].__setitem__(2, -1),
+        lambda document: document["services"]["rows"][1].__setitem__(8, 3),
+        lambda document: document["services"]["rows"][1].__setitem__(9, -1),
+        lambda document: document["services"]["rows"][1].__setitem__(9, "4"),
         lambda document: document["limits"].update(max_body_bytes="big"),
     ],
 )
@@ -240,6 +273,62 @@
         assert (await api.Api(member).handle(request)).status == 503
 
 
+_ZONES = frozenset(("z1", "zone-b"))
+_COMMITTED = Success(messages.ChangeEvacuationReply())
+
+
+@pytest.mark.parametrize(
+    ("method", "zone", "status", "is_evacuated"),
+    [
+        ("POST", "z1", 200, True),
+        ("DELETE", "z1", 200, False),
+        ("POST", "zone-b?x=1", 200, True),
+        ("POST", "z2", 404, None),
+        ("DELETE", "z2", 404, None),
+        ("POST", "", 404, None),
+        ("POST", "z1/", 404, None),
+        ("POST", "Z1", 404, None),
+        ("GET", "z2", 404, None),
+        ("GET", "z1", 405, None),
+        ("PUT", "z1", 405, None),
+    ],
+)
+async def test_orders_to_evacuate_name_a_known_zone(
+    method, zone, status, is_evacuated
+):
+    """Guards against an order for another zone, or of another meaning."""
+    member = _Member(_COMMITTED)
+    response = await api.Api(member, _ZONES).handle(
+        _make_request(method, f"/v1/evacuation/{zone}")
+    )
+    assert response.status == status
+    assert [tuple(each) for each in member.asked] == (
+        [] if is_evacuated is None else [(zone.partition("?")[0], is_evacuated)]
+    )
+
+
+@pytest.mark.parametrize("method", ["POST", "DELETE", "GET"])
+async def test_without_zones_there_are_no_calls_to_evacuate(method):
+    """Guards against calls that the deployment has not agreed on."""
+    member = _Member(_COMMITTED)
+    response = await api.Api(member).handle(
+        _make_request(method, "/v1/evacuation/z1")
+    )
+    assert response.status == 404
+    assert not member.asked
+
+
+@pytest.mark.parametrize("code", ["no_leader", "timeout", "unavailable"])
+@pytest.mark.parametrize("method", ["POST", "DELETE"])
+async def test_an_order_that_may_not_be_committed_gets_503(method, code):
+    """Guards against an acknowledged order that nobody follows."""
+    member = _Member(Failure(errors.PeerError(code, "", False)))
+    response = await api.Api(member, _ZONES).handle(
+        _make_request(method, "/v1/evacuation/z1")
+    )
+    assert response.status == 503
+
+
 async def test_a_heartbeat_is_answered_with_its_keys():
     """Guards against granted keys that the reply leaves out."""
     reply = messages.ReportReply(
