Revert the measurement of effective capacity

The fields in the schema stay, unused, as fields are never renumbered. What was learned: at 84 instances a load is half a second old when it is used, and a choice by it moves requests to slower upstreams and other zones.

--- a/packages/common/src/bamboosill_common/metrics.py
+++ b/packages/common/src/bamboosill_common/metrics.py
@@ -256,10 +256,6 @@
     "From such a call, its connection included, to its outcome.",
     ["change"],
 )
-fleet_effective_slots = prometheus_client.Gauge(
-    "bamboosill_fleet_effective_slots",
-    "Effective slots of all upstreams, at the leader; 0 elsewhere.",
-)
 fleet_feed_replies = prometheus_client.Counter(
     "bamboosill_fleet_feed_replies_total",
     "Replies of this leader to polls of entry instances, by content.",
--- a/packages/common/src/bamboosill_common/schema/fleet.capnp
+++ b/packages/common/src/bamboosill_common/schema/fleet.capnp
@@ -210,8 +210,8 @@
 
 struct UpstreamPace {
   # How slow an upstream was relative to the mean of its service, measured over
-  # responses that usually take `usualMs` in total. `utilisation` is the quarter
-  # of its slots that were busy, from 1 to 4, or 0 for all responses.
+  # responses that usually take `usualMs` in total. `utilisation` is not
+  # used.
   upstream @0 :Text;
   pace @1 :Float32;
   usualMs @2 :Float32;
@@ -279,8 +279,7 @@
   # that take forwarded requests.
   forwarders @9 :List(EntryAddress);
   forwardersVersion @10 :UInt64;
-  # Effective slots in the order of `loads`, in 1/200 of the stated ones; 0 if
-  # unknown.
+  # Not used.
   slotShares @11 :Data;
   # Control instances of the zone of the entry instance that it can poll instead
   # of the leader, and, in the reply of such an instance, the leader's address.
--- a/packages/daemon/src/bamboosilld/fleet/authority.py
+++ b/packages/daemon/src/bamboosilld/fleet/authority.py
@@ -149,7 +149,7 @@
         return True
 
     def encode_stats(self) -> replication_feed_lib.EncodedStats:
-        """Returns what instances learn of all upstreams, encoded.
+        """Returns loads and relative latencies of all upstreams, encoded.
 
         The result is cached briefly, as many instances ask for it.
         """
@@ -163,28 +163,9 @@
                 self.observations.relative_latencies.encode(
                     sorted(self._state.upstreams)
                 ),
-                self.observations.effective_slots.encode(self._list_slots()),
             )
         return self._stats
 
-    def sum_effective_slots(self) -> dict[str, float]:
-        """Returns the effective slots of the upstreams, summed by service."""
-        sums = {each.name: 0.0 for each in self._state.configuration.services}
-        for upstream, item in self._state.upstreams.items():
-            if not item.draining:
-                slots = self.observations.effective_slots.get_slots(
-                    upstream, max(1, item.slots)
-                )
-                sums[item.service] = sums.get(item.service, 0.0) + slots
-        return sums
-
-    def _list_slots(self) -> list[tuple[str, int]]:
-        """Returns the upstreams and their stated slots, by id."""
-        return [
-            (upstream, max(1, item.slots))
-            for upstream, item in sorted(self._state.upstreams.items())
-        ]
-
     def _encode_loads(self, now_s: float) -> bytes:
         late_after_s = _LATE_AFTER_HEARTBEATS * self._heartbeat_s
         upstreams = []
@@ -308,8 +289,6 @@
         """Removes silent upstreams, frees expired keys and plans moves."""
         now_s = self._clock.monotonic()
         await self._remove_silent(now_s)
-        self.observations.effective_slots.retain(self._state.upstreams)
-        self.observations.effective_slots.log_changes(self._list_slots())
         for service in list(self._state.keys):
             work_rates = self.observations.work_rates[service]
             work_rates.decay(now_s)
@@ -349,9 +328,7 @@
             silence_s = now_s - last_report.received_s
             if silence_s <= self._lease_s * _MAX_SILENCE_LEASE_FRACTION:
                 holders[incarnation] = keyplan.Holder(
-                    slots=self.observations.effective_slots.get_slots(
-                        item.upstream, max(1, item.slots)
-                    ),
+                    slots=max(1, item.slots),
                     relative_latency=self.observations.relative_latencies.get(
                         item.upstream
                     ),
--- a/packages/daemon/src/bamboosilld/fleet/control.py
+++ b/packages/daemon/src/bamboosilld/fleet/control.py
@@ -21,7 +21,6 @@
 from bamboosill_common import errors
 from bamboosill_common import events
 from bamboosill_common import logs
-from bamboosill_common import metrics
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import consensus as consensus_messages
@@ -214,7 +213,6 @@
             self._call_client,
             random.Random(),
         )
-        metrics.fleet_effective_slots.set_function(self._sum_effective_slots)
         self._membership_manager = membership_lib.MembershipManager(
             self.node, self._clock
         )
@@ -241,11 +239,6 @@
             self.state.revision,
         )
 
-    def _sum_effective_slots(self) -> float:
-        if not self.authority.is_active_leader():
-            return 0.0
-        return sum(self.authority.sum_effective_slots().values())
-
     def _load_incarnation(self) -> int:
         """Returns the incarnation of the data folder; 0 for a founding member.
 
@@ -488,7 +481,6 @@
             self.feed.count_entries(),
             stats.loads,
             stats.relative_latencies,
-            stats.slot_shares,
             limits=self.authority.permits.list_limits(),
             forwarders=forwarders,
             forwarders_version=version,
--- a/packages/daemon/src/bamboosilld/fleet/follower.py
+++ b/packages/daemon/src/bamboosilld/fleet/follower.py
@@ -19,7 +19,6 @@
 from bamboosill_common import peer
 from bamboosill_common import wire
 from bamboosill_common.generated import fleet as messages
-from bamboosilld.fleet import effective_slots
 from bamboosilld.fleet import relative_latency as relative_latency_lib
 from bamboosilld.fleet import replication_feed as replication_feed_lib
 from bamboosilld.fleet import state as state_lib
@@ -62,13 +61,10 @@
             `suspicion.SUSPECT_LOAD_MARKER`.
         relative_latency: Its latency relative to its service, or None if
             unknown.
-        slot_share: Its effective slots as a fraction of the stated ones, or
-            None if unknown.
     """
 
     requests: int
     relative_latency: float | None
-    slot_share: float | None = None
 
 
 class Follower:
@@ -364,32 +360,16 @@
             return ()
 
     def _apply_stats(self, reply: messages.FollowReply) -> None:
-        stats = decode_stats(sorted(self.state.upstreams), reply)
-        if stats is not None:
-            self._on_stats(stats)
-
-
-def decode_stats(
-    upstreams: list[str], reply: messages.FollowReply
-) -> dict[str, UpstreamStats] | None:
-    """Returns the stats in a reply, or None if they are of other upstreams.
-
-    Args:
-        upstreams: Ids of the upstreams at the revision of the reply, sorted.
-        reply: The leader's reply.
-    """
-    if not len(upstreams) == len(reply.loads) == len(reply.paces):
-        return None
-    slot_shares = reply.slot_shares
-    if len(slot_shares) != len(upstreams):
-        slot_shares = bytes(len(upstreams))
-    return {
-        upstream: UpstreamStats(
-            requests,
-            relative_latency_lib.decode(step),
-            effective_slots.decode(share),
-        )
-        for upstream, requests, step, share in zip(
-            upstreams, reply.loads, reply.paces, slot_shares, strict=True
+        upstreams = sorted(self.state.upstreams)
+        if not len(upstreams) == len(reply.loads) == len(reply.paces):
+            return
+        self._on_stats(
+            {
+                upstream: UpstreamStats(
+                    requests, relative_latency_lib.decode(step)
+                )
+                for upstream, requests, step in zip(
+                    upstreams, reply.loads, reply.paces, strict=True
+                )
+            }
         )
-    }
--- a/packages/daemon/src/bamboosilld/fleet/keyplan.py
+++ b/packages/daemon/src/bamboosilld/fleet/keyplan.py
@@ -52,13 +52,12 @@
     """An upstream that may hold keys.
 
     Attributes:
-        slots: Effective slots: requests that it runs concurrently without
-            slowing down.
+        slots: Requests that it runs concurrently.
         relative_latency: Its latency relative to the mean of its service.
         next_heartbeat_s: Expected time until its next heartbeat.
     """
 
-    slots: float
+    slots: int
     relative_latency: float
     next_heartbeat_s: float = 0.0
 
--- a/packages/daemon/src/bamboosilld/fleet/observations.py
+++ b/packages/daemon/src/bamboosilld/fleet/observations.py
@@ -6,7 +6,6 @@
 
 from bamboosill_common import clock as clock_lib
 from bamboosill_common.generated import fleet as messages
-from bamboosilld.fleet import effective_slots as effective_slots_lib
 from bamboosilld.fleet import relative_latency as relative_latency_lib
 from bamboosilld.fleet import suspicion
 from bamboosilld.fleet import work_rates as work_rates_lib
@@ -33,7 +32,6 @@
     Attributes:
         work_rates: Work of keys, by service.
         relative_latencies: Relative latencies of upstreams.
-        effective_slots: Effective slots of upstreams.
     """
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -42,7 +40,6 @@
             collections.defaultdict(work_rates_lib.WorkRates)
         )
         self.relative_latencies = relative_latency_lib.RelativeLatencies(clock)
-        self.effective_slots = effective_slots_lib.EffectiveSlots(clock)
         self._loads: dict[str, _Load] = {}
         self._suspicions = suspicion.Suspicions(clock)
 
@@ -51,16 +48,7 @@
         for work in request.works:
             self.work_rates[work.service].add(work.block, float(work.work_ms))
         for each in request.paces:
-            self.effective_slots.add(
-                each.upstream, each.utilisation, each.pace, each.usual_ms
-            )
-            # The effective slots account for the slowdown by other requests.
-            slowdown = self.effective_slots.get_slowdown(
-                each.upstream, each.utilisation
-            )
-            self.relative_latencies.add(
-                each.upstream, each.pace / slowdown, each.usual_ms
-            )
+            self.relative_latencies.add(each.upstream, each.pace, each.usual_ms)
         for load in request.loads:
             if load.is_silent and not request.is_cut_off:
                 self._suspicions.add(load.upstream, request.instance)
--- a/packages/daemon/src/bamboosilld/fleet/relay.py
+++ b/packages/daemon/src/bamboosilld/fleet/relay.py
@@ -12,7 +12,6 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
@@ -55,11 +54,10 @@
 
 
 class _UpstreamStats(NamedTuple):
-    """Encoded stats of an upstream; 0 stands for unknown, but for loads."""
+    """Encoded stats of an upstream: load and relative latency."""
 
     load: int = 0
     relative_latency: int = 0
-    slot_share: int = 0
 
 
 class Relays:
@@ -219,15 +217,10 @@
         upstreams = sorted(self._state.upstreams)
         is_same = self._state.revision == reply.revision
         if is_same and len(reply.loads) == len(reply.paces) == len(upstreams):
-            slot_shares = reply.slot_shares or bytes(len(upstreams))
             self._stats = {
                 upstream: _UpstreamStats(*stats)
                 for upstream, *stats in zip(
-                    upstreams,
-                    reply.loads,
-                    reply.paces,
-                    slot_shares,
-                    strict=False,
+                    upstreams, reply.loads, reply.paces, strict=True
                 )
             }
             self._encoded = replication_feed_lib.EncodedStats(-1, b"", b"")
@@ -243,7 +236,6 @@
                 self._state.revision,
                 bytes(each.load for each in stats),
                 bytes(each.relative_latency for each in stats),
-                _encode_slot_shares(stats),
             )
         return self._encoded
 
@@ -267,13 +259,6 @@
         )
 
 
-def _encode_slot_shares(stats: Sequence[_UpstreamStats]) -> bytes:
-    """Returns the effective slots, or nothing if none are known."""
-    if not any(each.slot_share for each in stats):
-        return b""
-    return bytes(each.slot_share for each in stats)
-
-
 def read_polls(request: messages.RelayPolls) -> tuple[messages.Follow, ...]:
     """Returns the polls that a relay has passed on.
 
--- a/packages/daemon/src/bamboosilld/fleet/replication_feed.py
+++ b/packages/daemon/src/bamboosilld/fleet/replication_feed.py
@@ -46,16 +46,14 @@
 
 
 class EncodedStats(NamedTuple):
-    """Loads, relative latencies and effective slots of a revision's upstreams.
+    """Loads and relative latencies of a revision's upstreams, a byte each.
 
-    Each has one byte per upstream, in the order of the ids. The
-    effective slots are empty if they are the stated ones.
+    They are in the order of the ids of the upstreams.
     """
 
     revision: int
     loads: bytes
     relative_latencies: bytes
-    slot_shares: bytes = b""
 
 
 class _Snapshot(NamedTuple):
@@ -202,7 +200,6 @@
         return reply._replace(
             loads=stats.loads,
             paces=stats.relative_latencies,
-            slot_shares=stats.slot_shares,
             limits=self._list_limits(),
         )
 
--- a/packages/daemon/src/bamboosilld/gateway/load_balancing.py
+++ b/packages/daemon/src/bamboosilld/gateway/load_balancing.py
@@ -9,10 +9,9 @@
 from bamboosill_common.generated import fleet as messages
 from bamboosilld.fleet import suspicion
 from bamboosilld.gateway import availability as availability_lib
-from bamboosilld.gateway import load_report
+from bamboosilld.gateway import http_messages
 from bamboosilld.gateway import rate_limit as rate_limit_lib
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
-from bamboosilld.gateway import utilisation as utilisation_lib
 
 # Weight of the newest sample in the moving average of the relative latency: an
 # upstream's latency relative to the mean of its service.
@@ -25,8 +24,6 @@
 _LOAD_REPORT_MAX_AGE_S = 2.5
 # Largest load that can be reported to the leader.
 _MAX_LOAD = 2**16 - 1
-# Effective slots that were not received again for this time are not used.
-_SLOT_SHARE_MAX_AGE_S = 2.5
 # Load seen by other instances replaces an own report older than this.
 _OWN_LOAD_FRESH_S = 0.4
 # From this many entry instances on, each one chooses among a random sample of
@@ -49,14 +46,6 @@
 # Added load of an upstream in another zone, as a fraction of its slots:
 # traffic between zones is costly.
 _CROSS_ZONE_LOAD_PENALTY = 0.3
-# The same where upstreams state their slowness, as a factor of the cost. Loads
-# that other instances report are older than most requests take: with the
-# penalty above, random differences of a request or two send traffic to another
-# zone.
-_CROSS_ZONE_COST_FACTOR = 3.0
-# Age from which on a stated slowness is not used, as it changes many times a
-# second.
-_SLOWNESS_MAX_AGE_S = 0.4
 # Requests that may be queued at an upstream, per slot: some upstreams never
 # answer a request that they cannot queue.
 _MAX_QUEUED_PER_SLOT = 2.5
@@ -83,11 +72,9 @@
         in_flight: Requests of this instance in flight to it.
         relative_latency: Recent latency relative to the mean of its service; 2
             is twice as slow.
-        states_slowness: Whether its load reports have a slowness.
         failures: Consecutive failures.
         backoff_until_s: It gets no request before this time, unless all
             upstreams are backing off.
-        latency_sums: Latencies by utilisation that were not reported yet.
         rate_limit: The rate limit that it states in its responses, or that
             applies while it is cold.
         availability: Whether it takes requests now, as it states there.
@@ -119,12 +106,6 @@
         self._warmup_end_s = clock.monotonic() + item.warmup_ms / 1000
         self._load = Load(0, 0, float("-inf"))
         self._has_new_load = False
-        self.latency_sums = utilisation_lib.LatencySums()
-        self._slot_share = 1.0
-        self._slot_share_end_s = float("-inf")
-        self.states_slowness = False
-        self._slowness = 1.0
-        self._slowness_end_s = float("-inf")
         self._no_response = False
         self._no_response_count = 0
 
@@ -139,17 +120,6 @@
         self._warmup_end_s = max(self._warmup_end_s, end_s)
         self.rate_limit.mark_cold(duration_s)
 
-    def get_effective_slots(self) -> float:
-        """Returns the concurrency up to which it does not slow down."""
-        if self._clock.monotonic() >= self._slot_share_end_s:
-            return self.slots
-        return max(1.0, self.slots * self._slot_share)
-
-    def update_slot_share(self, share: float | None) -> None:
-        """Applies the effective fraction of the slots; None is unknown."""
-        self._slot_share = 1.0 if share is None else share
-        self._slot_share_end_s = self._clock.monotonic() + _SLOT_SHARE_MAX_AGE_S
-
     def estimate_load(self) -> float:
         """Returns the estimated requests at the upstream, of all instances."""
         age_s = self._clock.monotonic() - self._load.observed_s
@@ -157,23 +127,18 @@
         others = self._load.requests - self._load.own
         return self.in_flight + max(0, others) * weight
 
-    def update_load(self, value: bytes) -> load_report.LoadReport | None:
-        """Applies a load header and returns it, or None if it is not valid."""
-        report = load_report.parse(value)
-        if report is None:
-            return None
+    def update_load(self, value: bytes) -> None:
+        """Applies a load header: running and waiting requests, slots."""
+        parts = [
+            http_messages.parse_count(part.strip())
+            for part in value.split(b",")
+        ]
+        counts = [part for part in parts if part is not None]
+        if len(parts) != 3 or len(counts) != 3:
+            return
+        running, waiting, _ = counts
         self._has_new_load = True
-        self._set_load(min(report.running + report.waiting, _MAX_LOAD))
-        if report.slowness is not None:
-            self.states_slowness = True
-            self._slowness = report.slowness
-            self._slowness_end_s = self._clock.monotonic() + _SLOWNESS_MAX_AGE_S
-        return report
-
-    def get_slowness(self) -> float:
-        """Returns how slow the upstream is at this moment; 1 if unknown."""
-        is_fresh = self._clock.monotonic() < self._slowness_end_s
-        return self._slowness if is_fresh else 1.0
+        self._set_load(min(running + waiting, _MAX_LOAD))
 
     def update_shared_load(self, requests: int) -> None:
         """Applies a load that any instance observed recently."""
@@ -217,32 +182,15 @@
         self.backoff_until_s = 0.0
         self._no_response = False
 
-    def record_latency(
-        self,
-        latency_s: float,
-        baseline_s: float,
-        report: load_report.LoadReport | None = None,
-        wait_factor: float = 1.0,
-    ) -> None:
+    def record_latency(self, latency_s: float, baseline_s: float) -> None:
         """Updates the relative latency from one response.
 
         Args:
-            latency_s: Its latency, with the wait for a slot.
+            latency_s: Its latency without the wait for a slot.
             baseline_s: Mean latency of its route.
-            report: Load that the upstream stated in it.
-            wait_factor: Factor of the latency by which it probably waited.
         """
-        if report is not None and report.slowness is not None:
-            # The relative latency is the lasting one.
-            latency_s /= report.slowness
-        if report is not None and not report.waiting:
-            part = utilisation_lib.find_part(report.running, report.slots)
-            self.latency_sums.add(part, latency_s, baseline_s)
-            latency_s /= max(1.0, report.running / self.get_effective_slots())
-        else:
-            latency_s /= wait_factor
-            self._latency_sum_s += latency_s
-            self._baseline_sum_s += baseline_s
+        self._latency_sum_s += latency_s
+        self._baseline_sum_s += baseline_s
         ratio = latency_s / baseline_s
         relative_latency = self.relative_latency + _RELATIVE_LATENCY_GAIN * (
             ratio - self.relative_latency
@@ -271,8 +219,6 @@
     def pop_relative_latency(self) -> tuple[float, float]:
         """Returns the relative latency of the responses since the last call.
 
-        Responses that are counted by utilisation are not among them.
-
         Returns:
             The relative latency, and the sum of the baseline latencies in
             seconds.
@@ -319,36 +265,13 @@
         Args:
             baseline_s: Mean latency of the request's route without a wait.
         """
-        return baseline_s * self.relative_latency * self.estimate_slowdown()
+        return baseline_s * self.relative_latency * self.estimate_wait_factor()
 
     def estimate_wait_factor(self) -> float:
         """Returns the factor by which a wait for a slot adds to latency."""
         queued = max(0.0, self.estimate_load() + 1.0 - self.slots)
         return 1.0 + queued / self.slots
 
-    def estimate_slowdown(self) -> float:
-        """Returns the factor by which load beyond the effective slots adds."""
-        return max(
-            1.0, (self.estimate_load() + 1.0) / self.get_effective_slots()
-        )
-
-    def compute_latency_cost(self, zone: str) -> float:
-        """Returns the cost where upstreams state their slowness.
-
-        Below the slots, load hardly adds to the latency: a slow upstream is not
-        better for having more free slots. The cost rises before the slots are
-        full, as the load is known late.
-        """
-        load = self.estimate_load() + 1.0
-        utilisation = load / self.get_effective_slots()
-        cost = self.relative_latency * (1.0 + utilisation * utilisation)
-        cost *= self.get_slowness()
-        if self.item.zone != zone:
-            cost *= _CROSS_ZONE_COST_FACTOR
-        if self._clock.monotonic() < self._warmup_end_s:
-            cost *= 2.0
-        return cost
-
     def compute_cost(self, zone: str) -> float:
         """Returns the cost of sending one more request; the lowest wins."""
         load = self.estimate_load() + 1.0
@@ -356,7 +279,7 @@
             load += _CROSS_ZONE_LOAD_PENALTY * self.slots
         if self._clock.monotonic() < self._warmup_end_s:
             load *= 2.0
-        return load / self.get_effective_slots() * self.relative_latency
+        return load / self.slots * self.relative_latency
 
 
 def choose(
@@ -377,11 +300,6 @@
     available = [each for each in usable if not each.is_backing_off()] or usable
     if not available:
         return None
-    # One instance hears rarely from one upstream: all of a service are alike.
-    if any(each.states_slowness for each in available):
-        compute_cost = Upstream.compute_latency_cost
-    else:
-        compute_cost = Upstream.compute_cost
     if instances >= _SAMPLING_MIN_INSTANCES:
         same_zone = [each for each in available if each.item.zone == zone]
         other_zones = [each for each in available if each.item.zone != zone]
@@ -392,5 +310,5 @@
             ),
         ]
     return min(
-        available, key=lambda each: (compute_cost(each, zone), rng.random())
+        available, key=lambda each: (each.compute_cost(zone), rng.random())
     )
--- a/packages/daemon/src/bamboosilld/gateway/request_sender.py
+++ b/packages/daemon/src/bamboosilld/gateway/request_sender.py
@@ -16,7 +16,6 @@
 from bamboosilld.gateway import forwarding
 from bamboosilld.gateway import latency as latency_lib
 from bamboosilld.gateway import load_balancing
-from bamboosilld.gateway import load_report
 from bamboosilld.gateway import request_context
 from bamboosilld.gateway import upstream_connection as upstream_connection_lib
 from bamboosilld.gateway import upstream_selection
@@ -388,7 +387,8 @@
                 upstream.pool.release(connection)
         self._context.reachability.record_response()
         load = response.get(self._context.names.load)
-        report = upstream.update_load(load) if load is not None else None
+        if load is not None:
+            upstream.update_load(load)
         if response.status != exchange.STATUS_MISDIRECTED:
             upstream.availability.observe(
                 response.status,
@@ -406,7 +406,7 @@
             response, self._context.names
         ):
             self._record_latency(
-                upstream, clock.monotonic() - started_s, wait_factor, report
+                upstream, clock.monotonic() - started_s, wait_factor
             )
         return response
 
@@ -479,7 +479,6 @@
         upstream: load_balancing.Upstream,
         latency_s: float,
         wait_factor: float,
-        report: load_report.LoadReport | None,
     ) -> None:
         was_queued = wait_factor > 1.0
         self._route_latency.add_sample(latency_s, was_queued)
@@ -488,7 +487,7 @@
         )
         upstream.record_success()
         upstream.record_latency(
-            latency_s, self._route_latency.mean_s, report, wait_factor
+            latency_s / wait_factor, self._route_latency.mean_s
         )
 
     def _get_remaining_s(self) -> float:
--- a/packages/daemon/src/bamboosilld/gateway/view.py
+++ b/packages/daemon/src/bamboosilld/gateway/view.py
@@ -104,13 +104,6 @@
                 yield messages.UpstreamPace(
                     upstream.item.upstream, relative_latency, baseline_s * 1000
                 )
-            for each in upstream.latency_sums.pop():
-                yield messages.UpstreamPace(
-                    upstream.item.upstream,
-                    each.latency_s / each.baseline_s,
-                    each.baseline_s * 1000,
-                    each.part,
-                )
 
     def list_new_loads(self) -> Iterator[tuple[str, int, bool]]:
         """Yields the upstream loads observed since the last call.
@@ -133,7 +126,6 @@
             upstream_stats = stats.get(upstream.item.upstream)
             if upstream_stats is not None:
                 upstream.update_shared_load(upstream_stats.requests)
-                upstream.update_slot_share(upstream_stats.slot_share)
                 upstream.update_shared_relative_latency(
                     upstream_stats.relative_latency
                 )
