--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -57,12 +57,13 @@
 
     def __init__(self, site: "Site", role: str, number: int) -> None:
         self._site = site
+        site.machines.append(self)
         self.role = role
         self.name = f"{role}-{number}"
         self.zone = _ZONES[number % len(_ZONES)]
         self.host = site.take_host()
         self._is_first = True
-        self.process: subprocess.Popen | None = None
+        self.process: subprocess.Popen[bytes] | None = None
 
     @property
     def front(self) -> tuple[str, int]:
@@ -186,6 +187,8 @@
         }
         self._network = random.Random().randrange(16, 250)
         self._hosts = 0
+        # All machines that ever were, to end their processes.
+        self.machines: list[Machine] = []
         self.targets: list[Target] = []
         self.port = 0
         self.controls: list[Machine] = []
@@ -270,7 +273,7 @@
     async def stop(self) -> None:
         for target in self.targets:
             await target.stop()
-        machines = [*self.controls, *self.entries]
+        machines = self.machines
         for machine in machines:
             machine.send_signal(signal.SIGCONT)
             machine.send_signal(signal.SIGKILL)
@@ -305,10 +308,12 @@
     """A target of a service that is not divided by key.
 
     Serves one request at a time on a connection, as many at once as it has
-    slots, and answers others 503 with `Not-Executed`.
+    slots, queues some more and answers others 503 with `Not-Executed`. Drops a
+    request whose connection closes.
     """
 
     slots = 6
+    queue = 24
 
     def __init__(
         self, site: Site, service: str, number: int, work_s: float = 0.05
@@ -318,8 +323,9 @@
         self.zone = _ZONES[number % len(_ZONES)]
         self.id = f"i-{service}-{number}-{random.randrange(10**6):06d}"
         self.work_s = work_s
-        self.runs: list[tuple[float, Request]] = []
-        self._running = 0
+        self.runs: list[Run] = []
+        self._present = 0
+        self._slots = asyncio.Semaphore(self.slots)
         self.state = "ready"
         self._sequence = 0
         self._tasks: list[asyncio.Task] = []
@@ -394,7 +400,7 @@
                 request = await read_request(reader)
                 if request is None:
                     return
-                await self.answer(request, writer)
+                await self.answer(request, reader, writer)
         except (OSError, EOFError, ValueError):
             pass
         finally:
@@ -402,42 +408,84 @@
             writer.close()
 
     async def answer(
-        self, request: Request, writer: asyncio.StreamWriter
+        self,
+        request: Request,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
-        attempt = request.get("attempt-id")
+        """Answers a request on its connection."""
         if request.path == "/health":
             write(writer, 200, [("Instance-Id", self.id)])
             return
         if request.get("expected-instance") not in ("", self.id):
             write(writer, 421, [("Instance-Id", self.id)])
             return
-        if self._running >= self.slots:
+        if self._present >= self.slots + self.queue:
             write(writer, 503, [("Not-Executed", "1")])
             return
-        self._running += 1
+        self._present += 1
+        arrived_s = time.monotonic()
         try:
-            self.note_run(request)
-            await asyncio.sleep(self.work_s)
+            async with self._slots:
+                if is_closed(reader):
+                    return
+                run = self.note_run(request, arrived_s)
+                try:
+                    await self.work(run, reader)
+                finally:
+                    run.ended_s = time.monotonic()
         finally:
-            self._running -= 1
-        body = f"done by {self.id}\n".encode()
+            self._present -= 1
+        self.write_success(request, writer)
+
+    async def work(self, run: "Run", reader: asyncio.StreamReader) -> None:
+        """Works until it is done or the connection has closed."""
+        while time.monotonic() < run.began_s + self.work_s:
+            if is_closed(reader):
+                raise EOFError("connection closed")
+            await asyncio.sleep(0.01)
+
+    def write_success(
+        self, request: Request, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt = request.get("attempt-id")
+        waiting = max(0, self._present - self.slots)
+        running = self._present - waiting
         write(
             writer,
             200,
             [
                 ("Attempt-Id", attempt),
                 ("Response-Signature", f"s.{attempt}"),
-                ("Server-Load", f"{self._running},0,{self.slots}"),
+                ("Server-Load", f"{running},{waiting},{self.slots}"),
             ],
-            body,
+            f"done by {self.id}\n".encode(),
         )
 
-    def note_run(self, request: Request) -> None:
-        self.runs.append((time.monotonic(), request))
+    def note_run(self, request: Request, arrived_s: float) -> "Run":
+        run = Run(request, arrived_s)
+        self.runs.append(run)
         self._site.record.add(
-            f"target {self.id}: runs {request.get('attempt-id') or 'no id'} "
+            f"target {self.id}: runs {run.attempt or 'no id'} "
             f"{request.method} {request.path} body {request.body[:60]!r}"
         )
+        return run
+
+
+class Run:
+    """A request at which a target has worked, and when."""
+
+    def __init__(self, request: Request, arrived_s: float) -> None:
+        self.request = request
+        self.arrived_s = arrived_s
+        self.attempt = request.get("attempt-id")
+        self.began_s = time.monotonic()
+        self.ended_s = float("inf")
+
+
+def is_closed(reader: asyncio.StreamReader) -> bool:
+    """Returns whether the other side has closed the connection."""
+    return reader.at_eof() or reader.exception() is not None
 
 
 def write(
@@ -522,7 +570,9 @@
     """Makes one request on a connection of its own."""
     reader, writer = await asyncio.open_connection(*address)
     try:
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {address[0]}"]
+        lines = [f"{method} {path} HTTP/1.1"]
+        if not any(name == "Host" for name, _ in headers or []):
+            lines.append(f"Host: {address[0]}")
         lines += [f"{name}: {value}" for name, value in headers or []]
         lines.append(f"Content-Length: {len(body)}")
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
