--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,15 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10: Python of the standard library, so
-# they are only compiled. The product is built by the deploy file.
+# Builds what the cases 6 to 10 start beside the deploy file's build. The
+# stand-ins are Python of the standard library, so they are only checked. Case 9
+# also runs an earlier build, which is taken from the repository's history.
 set -eu
 cd "$(dirname "$0")"
-for file in standins_2.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py; do
-    [ -f "$file" ] || continue
+for file in standins_2.py */case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
+commit=$(cat 9/production)
+folder=../target/review-2/$commit
+if [ ! -f "$folder/platform/main.py" ]; then
+    mkdir -p "$folder"
+    (cd .. && git archive "$commit" platform packages deploy) | tar -x -C "$folder"
+fi
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -63,6 +63,8 @@
         self.zone = _ZONES[number % len(_ZONES)]
         self.host = site.take_host()
         self._is_first = True
+        # Checkout of the build that it runs.
+        self.root = ROOT
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -130,7 +132,7 @@
         self.process = subprocess.Popen(
             shlex.split(site.commands[self.role]),
             env=environment,
-            cwd=ROOT,
+            cwd=self.root,
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log,
@@ -225,21 +227,9 @@
         base: int,
         routes: list[dict],
         services: list[dict],
-        limits: dict | None = None,
     ) -> None:
         """Sends a configuration until it is acknowledged."""
-        document = {
-            "version": f"r{version}",
-            "routes": _make_table(_ROUTE_COLUMNS, routes),
-            "services": _make_table(_SERVICE_COLUMNS, services),
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 67108864,
-                "header_timeout": "3000ms",
-                "idle_timeout": "15000ms",
-                **(limits or {}),
-            },
-        }
+        document = make_configuration(version, routes, services)
         body = json.dumps(document).encode()
         ends_s = time.monotonic() + _START_TIMEOUT_S
         while time.monotonic() < ends_s:
@@ -608,6 +598,23 @@
     }
 
 
+def make_configuration(
+    version: int, routes: list[dict], services: list[dict]
+) -> dict:
+    """Returns a whole configuration with the limits that the pages show."""
+    return {
+        "version": f"r{version}",
+        "routes": _make_table(_ROUTE_COLUMNS, routes),
+        "services": _make_table(_SERVICE_COLUMNS, services),
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 67108864,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+    }
+
+
 def _make_table(columns: tuple[str, ...], items: list[dict]) -> dict:
     return {
         "columns": list(columns),
