--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,5 +11,8 @@
 folder=../target/review-2/$commit
 if [ ! -f "$folder/platform/main.py" ]; then
     mkdir -p "$folder"
-    (cd .. && git archive "$commit" platform packages deploy) | tar -x -C "$folder"
+    git -C .. archive -o "target/review-2/$commit.tar" "$commit" \
+        platform packages deploy
+    tar -x -f "$folder.tar" -C "$folder"
+    rm "$folder.tar"
 fi
